--- /dev/null
+++ b/Makefile
@@ -0,0 +1,43 @@
+# Targets: run (local fleet and its requests), test, lint, fmt, measure, models, build.
+GO ?= go
+BIN := bin
+only ?=
+
+.PHONY: all build run test unit models process lint fmt measure clean
+
+all: build
+
+build:
+	$(GO) build -o $(BIN)/ ./cmd/...
+
+# Starts platform, targets and entries as separate processes on loopback and serves requests of both firms.
+run: build
+	scripts/run-fleet
+
+test: build unit models process
+
+unit:
+	$(GO) test ./...
+
+models:
+	scripts/check-models
+
+process: build
+	$(GO) test -tags process -count=1 -timeout 15m ./process/...
+
+$(BIN)/golangci-lint: tools/go.mod
+	$(GO) -C tools build -o ../$(BIN)/golangci-lint github.com/golangci/golangci-lint/v2/cmd/golangci-lint
+
+lint: $(BIN)/golangci-lint
+	@test -z "$$(gofmt -l $$(git ls-files '*.go'))" || { gofmt -l $$(git ls-files '*.go'); exit 1; }
+	$(BIN)/golangci-lint run ./...
+
+fmt: $(BIN)/golangci-lint
+	$(BIN)/golangci-lint fmt ./...
+
+# Prints one JSON object a line; `make measure only=NAME` runs one experiment.
+measure: build
+	$(BIN)/measure $(if $(only),--only=$(only))
+
+clean:
+	rm -rf $(BIN) run
--- /dev/null
+++ b/fleet/types.go
@@ -0,0 +1,107 @@
+package fleet
+
+import (
+	"github.com/bilberrywood/bilberrywood/table"
+)
+
+// Named types for ids of entries and cells.
+type (
+	// EntryID names an entry VM; it comes from the entry's settings and stays over restarts.
+	EntryID string
+	// Incarnation is drawn at random when an entry process starts and is never zero.
+	Incarnation uint64
+	// State is what an entry says of itself in its heartbeats.
+	State uint8
+	// LinkState is what is known of the path between this entry and a peer.
+	LinkState uint8
+	// Standing says how sure an owner may be that no other entry serves its cell.
+	Standing uint8
+)
+
+// States of an entry.
+const (
+	StateStarting State = iota
+	StateServing
+	StateLeaving
+)
+
+// States of a link.
+const (
+	// LinkSilent means that nothing was heard from the peer lately.
+	LinkSilent LinkState = iota
+	// LinkOneWayIn means that the peer is heard but does not report hearing this entry.
+	LinkOneWayIn
+	// LinkTwoWay means that both ends report hearing each other.
+	LinkTwoWay
+)
+
+// Standings of an entry towards a cell.
+const (
+	NotOwner Standing = iota
+	// Contested means that the entry is the owner in its own view, but another entry may hold
+	// the same view of itself.
+	Contested
+	// Sole means that no other entry can be the owner in its own view.
+	Sole
+)
+
+// CellKey names a cell: a part of a pool that one entry owns.
+type CellKey struct {
+	Pool  table.PoolName `json:"pool"`
+	Index int            `json:"index"`
+}
+
+// Member is what one entry knows of another.
+type Member struct {
+	ID            EntryID             `json:"id"`
+	Incarnation   Incarnation         `json:"incarnation"`
+	FailureDomain table.FailureDomain `json:"failureDomain"`
+	// PeerAddress is the UDP address for QUIC; CallerAddress the TCP address for callers.
+	PeerAddress   string    `json:"peerAddress"`
+	CallerAddress string    `json:"callerAddress"`
+	State         State     `json:"state"`
+	Link          LinkState `json:"link"`
+	// Live says that the entry can be reached directly or through Via.
+	Live bool `json:"live"`
+	// Via is the peer that relays when the direct link is not two-way; empty means direct.
+	Via EntryID `json:"via,omitempty"`
+	// AcceptedRevision and Digest are the pair that the entry last reported in force.
+	AcceptedRevision table.Revision `json:"acceptedRevision"`
+	Digest           uint64         `json:"digest"`
+}
+
+// Heard is one line of a heartbeat: a peer that the sender heard lately.
+type Heard struct {
+	ID          EntryID     `cbor:"1,keyasint"`
+	Incarnation Incarnation `cbor:"2,keyasint"`
+	// TwoWay says that the heard peer reported hearing the sender.
+	TwoWay bool `cbor:"3,keyasint"`
+}
+
+// CellClaim is one line of a heartbeat: a cell that the sender serves as owner.
+type CellClaim struct {
+	Cell CellKey `cbor:"1,keyasint"`
+	// Ejected lists the ejected targets, so that the next owner starts with them.
+	Ejected []table.TargetID `cbor:"2,keyasint,omitempty"`
+}
+
+// Heartbeat is the message that entries of a group send each other.
+type Heartbeat struct {
+	From             EntryID             `cbor:"1,keyasint"`
+	Incarnation      Incarnation         `cbor:"2,keyasint"`
+	Sequence         uint64              `cbor:"3,keyasint"`
+	State            State               `cbor:"4,keyasint"`
+	FailureDomain    table.FailureDomain `cbor:"5,keyasint"`
+	PeerAddress      string              `cbor:"6,keyasint"`
+	CallerAddress    string              `cbor:"7,keyasint"`
+	Heard            []Heard             `cbor:"8,keyasint,omitempty"`
+	AcceptedRevision table.Revision      `cbor:"9,keyasint"`
+	Digest           uint64              `cbor:"10,keyasint"`
+	// Reader says that the sender read the platform within the last 10 s.
+	Reader bool        `cbor:"11,keyasint,omitempty"`
+	Claims []CellClaim `cbor:"12,keyasint,omitempty"`
+	// Poison lists fingerprints of requests that are refused because they crash targets.
+	Poison []uint64 `cbor:"13,keyasint,omitempty"`
+	// TickLateMs is by how much the sender's last tick was late, in milliseconds.
+	TickLateMs int64 `cbor:"14,keyasint,omitempty"`
+}
--- /dev/null
+++ b/peer/types.go
@@ -0,0 +1,82 @@
+package peer
+
+import (
+	"context"
+	"io"
+	"net/http"
+
+	"github.com/bilberrywood/bilberrywood/fleet"
+	"github.com/bilberrywood/bilberrywood/table"
+)
+
+// ForwardMode says what the receiving entry is asked to do.
+type ForwardMode uint8
+
+// Modes of forwarding.
+const (
+	// ForwardDecide asks the bound incarnation to decide whether the request's id may run.
+	ForwardDecide ForwardMode = iota
+	// ForwardPlace asks the owner of the cell to place the request; the sender has decided
+	// that it may run.
+	ForwardPlace
+)
+
+// ForwardHeader is the first frame of a forwarded request.
+type ForwardHeader struct {
+	Mode ForwardMode `cbor:"1,keyasint"`
+	// To is the entry that has to act; a receiver that is not To relays once.
+	To   fleet.EntryID `cbor:"2,keyasint"`
+	Cell fleet.CellKey `cbor:"3,keyasint"`
+	Hops uint8         `cbor:"4,keyasint"`
+	// RemainingMs is the time to the deadline; clocks of two VMs are never compared.
+	RemainingMs   int64           `cbor:"5,keyasint"`
+	Route         table.RouteName `cbor:"6,keyasint"`
+	Account       table.Account   `cbor:"7,keyasint,omitempty"`
+	Method        string          `cbor:"8,keyasint"`
+	URI           string          `cbor:"9,keyasint"`
+	Host          string          `cbor:"10,keyasint,omitempty"`
+	Header        http.Header     `cbor:"11,keyasint,omitempty"`
+	ContentLength int64           `cbor:"12,keyasint"`
+}
+
+// AnswerHeader is the first frame of an answer to a forwarded request.
+type AnswerHeader struct {
+	Status        int         `cbor:"1,keyasint"`
+	Header        http.Header `cbor:"2,keyasint,omitempty"`
+	ContentLength int64       `cbor:"3,keyasint"`
+}
+
+// Answer is the receiving side of a forwarded request.
+type Answer struct {
+	AnswerHeader
+	// Body ends with io.EOF only if the answer is whole; Trailer is set by then.
+	Body    io.ReadCloser
+	Trailer http.Header
+}
+
+// AnswerWriter sends an answer on the stream of its request.
+type AnswerWriter interface {
+	// WriteHeader sends the first frame; it is called once.
+	WriteHeader(AnswerHeader) error
+	io.Writer
+	// Finish sends the trailer and marks the answer as whole. An answer without Finish is
+	// reported to the other end as truncated.
+	Finish(trailer http.Header) error
+}
+
+// PairMessage is an accepted pair of tables on its way to a peer, which checks it again.
+type PairMessage struct {
+	Revision table.Revision    `cbor:"1,keyasint"`
+	Digest   uint64            `cbor:"2,keyasint"`
+	Values   map[string][]byte `cbor:"3,keyasint,omitempty"`
+}
+
+// Handler is the entry's side of the messages that arrive.
+type Handler interface {
+	// Heartbeat is called for each heartbeat whose sender's certificate names it.
+	Heartbeat(fleet.Heartbeat)
+	// Forward answers one forwarded request. ctx ends when the sender gives up.
+	Forward(ctx context.Context, h ForwardHeader, body io.Reader, w AnswerWriter)
+	// Pair returns the pair in force, or the zero message if its revision is not above than.
+	Pair(than table.Revision) PairMessage
+}
--- /dev/null
+++ b/pool/types.go
@@ -0,0 +1,139 @@
+package pool
+
+import (
+	"time"
+
+	"github.com/bilberrywood/bilberrywood/table"
+)
+
+// Named types for ids and units.
+type (
+	// Time is time since an arbitrary start, from the monotonic clock of the process.
+	Time time.Duration
+	// RequestID names a request within this process; never reused.
+	RequestID uint64
+	// Fingerprint identifies a request's content over resends, for poison detection.
+	Fingerprint uint64
+	// OutcomeKind is how an attempt at a target ended.
+	OutcomeKind uint8
+	// Reason says why a decision was made; it goes to logs and to callers.
+	Reason string
+)
+
+// Kinds of outcome of an attempt.
+const (
+	// OutcomeSuccess is a whole answer that does not report a failure of the target.
+	OutcomeSuccess OutcomeKind = iota
+	// OutcomeFailed is a whole answer with a status of 500 or above other than a shed.
+	OutcomeFailed
+	// OutcomeTruncated is an answer that ended before its announced end.
+	OutcomeTruncated
+	// OutcomeShed is a refusal by the target before it ran the request.
+	OutcomeShed
+	// OutcomeConnectFailed means that no connection could be opened; nothing was sent.
+	OutcomeConnectFailed
+	// OutcomeConnectionLost means that the connection ended before an answer began.
+	OutcomeConnectionLost
+	// OutcomeConnectionSilent means that the connection went silent while a new one worked.
+	OutcomeConnectionSilent
+	// OutcomeTimeout means that the deadline passed without a whole answer.
+	OutcomeTimeout
+	// OutcomeCancelled means that the caller went away first.
+	OutcomeCancelled
+	// OutcomeNotStarted means that the entry gave the attempt up before the first byte.
+	OutcomeNotStarted
+)
+
+// Request is what the decisions need to know of a request.
+type Request struct {
+	ID    RequestID
+	Route table.RouteName
+	// Account is the caller for fairness; empty for callers without an account.
+	Account table.Account
+	// Idempotent says that a second run does no harm.
+	Idempotent bool
+	// Replayable says that the body can be sent again (none, or small enough to be kept).
+	Replayable bool
+	// Deadline is the latest useful time of an answer.
+	Deadline    Time
+	Fingerprint Fingerprint
+	// Upload marks a request whose service time depends on its body; it is judged apart.
+	Upload bool
+}
+
+// Outcome is the report of one attempt.
+type Outcome struct {
+	Kind OutcomeKind
+	// Written says that at least one byte of the request left towards the target. A request
+	// that was not written was not run.
+	Written bool
+	// Service is the time from the first byte written to the answer's first byte, or to the
+	// end of the attempt when there was none.
+	Service time.Duration
+	// RetryAfter is the target's own advice with a shed; 0 means none.
+	RetryAfter time.Duration
+	// Draining says that the target announced that it is leaving.
+	Draining bool
+}
+
+// DecisionKind is what the daemon shall do with a request.
+type DecisionKind uint8
+
+// Kinds of decision.
+const (
+	// DecisionRun sends the request to Decision.Target.
+	DecisionRun DecisionKind = iota
+	// DecisionRefuse answers that the request was not run.
+	DecisionRefuse
+	// DecisionFinal passes the outcome of the last attempt to the caller; there is no retry.
+	DecisionFinal
+)
+
+// Decision is one instruction to the daemon. Every submitted request that is not cancelled gets
+// any number of DecisionRun and then exactly one DecisionRefuse or DecisionFinal.
+type Decision struct {
+	Kind    DecisionKind
+	Request RequestID
+	Target  table.TargetID
+	// Attempt counts from 1.
+	Attempt int
+	Reason  Reason
+	// RetryAfter is advice for the caller with a refusal; 0 means none.
+	RetryAfter time.Duration
+	// Trial marks an attempt that tests whether a target has recovered.
+	Trial bool
+}
+
+// EventKind is a change of a target's place in the cell.
+type EventKind string
+
+// Event is a placement decision, for the log and the operators' client.
+type Event struct {
+	At          Time
+	Kind        EventKind
+	Target      table.TargetID
+	Fingerprint Fingerprint
+	Reason      Reason
+	// Evidence is the figure that led to the decision, with its threshold.
+	Evidence  float64
+	Threshold float64
+	Samples   int
+}
+
+// SignalKind is what a target's own endpoints say. Probe and load signals are weak evidence.
+type SignalKind uint8
+
+// Kinds of signal.
+const (
+	SignalProbeOK SignalKind = iota
+	SignalProbeFailed
+	SignalDraining
+	SignalLoad
+)
+
+// Signal is one report of a target's own endpoints.
+type Signal struct {
+	Kind SignalKind
+	// Load is the reported number of requests in service, for SignalLoad.
+	Load int
+}
--- /dev/null
+++ b/settings/entry.go
@@ -0,0 +1,171 @@
+package settings
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"github.com/bilberrywood/bilberrywood/fleet"
+	"github.com/bilberrywood/bilberrywood/table"
+)
+
+// Entry holds the settings of an entry daemon. Durations are in milliseconds, sizes in bytes.
+type Entry struct {
+	// ID is unique in the fleet and is the name in the entry's certificate.
+	ID            fleet.EntryID       `json:"id"`
+	FailureDomain table.FailureDomain `json:"failureDomain"`
+	// CallerAddress, PeerAddress and OperatorAddress are IP addresses with ports: TCP towards
+	// callers, UDP towards other entries, TCP towards operators. They differ from each other.
+	CallerAddress   string `json:"callerAddress"`
+	PeerAddress     string `json:"peerAddress"`
+	OperatorAddress string `json:"operatorAddress"`
+	// Platform is the base URL of the configuration service, such as "http://10.0.0.5:7000".
+	Platform string `json:"platform"`
+	// Seeds are peers to contact when the fleet list can't be read.
+	Seeds []Seed `json:"seeds,omitempty"`
+	TLS   TLS    `json:"tls"`
+	// LogLevel is debug, info, warn or error; empty means info.
+	LogLevel string `json:"logLevel,omitempty"`
+
+	HeartbeatMs      int64 `json:"heartbeatMs,omitempty"`
+	SuspectMs        int64 `json:"suspectMs,omitempty"`
+	GoneMs           int64 `json:"goneMs,omitempty"`
+	HandoverMs       int64 `json:"handoverMs,omitempty"`
+	JoinWaitMs       int64 `json:"joinWaitMs,omitempty"`
+	AnswerValidMs    int64 `json:"answerValidMs,omitempty"`
+	StopLimitMs      int64 `json:"stopLimitMs,omitempty"`
+	ReadersPerDomain int   `json:"readersPerDomain,omitempty"`
+	MaxHeaderBytes   int   `json:"maxHeaderBytes,omitempty"`
+	// ReplayBytes is the largest request body that is kept so that it can be sent again.
+	ReplayBytes int64 `json:"replayBytes,omitempty"`
+	// NoticeIDs is the most run ids remembered; AnswerBytes the memory for kept answers.
+	NoticeIDs   int `json:"noticeIds,omitempty"`
+	AnswerBytes int `json:"answerBytes,omitempty"`
+}
+
+// Seed is a peer that is known from the settings.
+type Seed struct {
+	ID          fleet.EntryID `json:"id"`
+	PeerAddress string        `json:"peerAddress"`
+}
+
+// TLS names the PEM files for mutual TLS between entries. All are required.
+type TLS struct {
+	CA          string `json:"ca"`
+	Certificate string `json:"certificate"`
+	Key         string `json:"key"`
+}
+
+// Limits of settings, in milliseconds.
+const (
+	minHeartbeatMs = 50
+	maxDurationMs  = 24 * 60 * 60 * 1000
+)
+
+// SetDefaults fills in every optional setting that is zero.
+func (e *Entry) SetDefaults() {
+	defaults := []struct {
+		field *int64
+		value int64
+	}{
+		{&e.HeartbeatMs, 500},
+		{&e.SuspectMs, 2_000},
+		{&e.GoneMs, 5_000},
+		{&e.HandoverMs, 7_000},
+		{&e.JoinWaitMs, 3_000},
+		{&e.AnswerValidMs, 15_000},
+		{&e.StopLimitMs, 120_000},
+		{&e.ReplayBytes, 64 << 10},
+	}
+	for _, d := range defaults {
+		if *d.field == 0 {
+			*d.field = d.value
+		}
+	}
+	sizes := []struct {
+		field *int
+		value int
+	}{
+		{&e.ReadersPerDomain, 2},
+		{&e.MaxHeaderBytes, 64 << 10},
+		{&e.NoticeIDs, 200_000},
+		{&e.AnswerBytes, 16 << 20},
+	}
+	for _, s := range sizes {
+		if *s.field == 0 {
+			*s.field = s.value
+		}
+	}
+	if e.LogLevel == "" {
+		e.LogLevel = "info"
+	}
+}
+
+// Check fills in defaults and returns all rules that the settings break as one error.
+func (e *Entry) Check() error {
+	e.SetDefaults()
+	var g errs.Group
+	if e.ID == "" {
+		g.Add(errs.New("id is empty"))
+	}
+	if e.FailureDomain == "" {
+		g.Add(errs.New("failureDomain is empty"))
+	}
+	addresses := []struct{ name, value string }{
+		{"callerAddress", e.CallerAddress},
+		{"peerAddress", e.PeerAddress},
+		{"operatorAddress", e.OperatorAddress},
+	}
+	for _, a := range addresses {
+		if _, err := netip.ParseAddrPort(a.value); err != nil {
+			g.Add(errs.New("%s: %v", a.name, err))
+		}
+	}
+	if e.CallerAddress == e.OperatorAddress {
+		g.Add(errs.New("operatorAddress equals callerAddress; operators and callers are kept apart"))
+	}
+	for _, s := range e.Seeds {
+		if _, err := netip.ParseAddrPort(s.PeerAddress); err != nil {
+			g.Add(errs.New("seeds: %s: %v", s.ID, err))
+		}
+	}
+	files := []struct{ name, value string }{
+		{"tls.ca", e.TLS.CA}, {"tls.certificate", e.TLS.Certificate}, {"tls.key", e.TLS.Key},
+	}
+	for _, f := range files {
+		if f.value == "" {
+			g.Add(errs.New("%s is empty", f.name))
+		}
+	}
+	g.Add(e.checkDurations())
+	return g.Err()
+}
+
+func (e *Entry) checkDurations() error {
+	var g errs.Group
+	durations := []struct {
+		name  string
+		value int64
+	}{
+		{"heartbeatMs", e.HeartbeatMs}, {"suspectMs", e.SuspectMs}, {"goneMs", e.GoneMs},
+		{"handoverMs", e.HandoverMs}, {"joinWaitMs", e.JoinWaitMs},
+		{"answerValidMs", e.AnswerValidMs}, {"stopLimitMs", e.StopLimitMs},
+	}
+	for _, d := range durations {
+		if d.value < minHeartbeatMs || d.value > maxDurationMs {
+			g.Add(errs.New("%s: %d is not between %d and %d", d.name, d.value, minHeartbeatMs, maxDurationMs))
+		}
+	}
+	if e.SuspectMs < 3*e.HeartbeatMs {
+		g.Add(errs.New("suspectMs: %d is below 3 times heartbeatMs", e.SuspectMs))
+	}
+	// A new owner must not become sole before the former one has noticed that it is contested.
+	if e.HandoverMs < e.GoneMs+e.HeartbeatMs || e.GoneMs <= e.SuspectMs {
+		g.Add(errs.New("need suspectMs < goneMs and goneMs + heartbeatMs <= handoverMs"))
+	}
+	return g.Err()
+}
+
+// Millis converts a setting in milliseconds to a duration.
+func Millis(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
--- /dev/null
+++ b/table/types.go
@@ -0,0 +1,127 @@
+package table
+
+import "time"
+
+// Named types for ids and units that the tables use.
+type (
+	// Revision is a store-wide revision of the platform's configuration service. It grows with
+	// every change of any value, so two tables read at one Revision existed together.
+	Revision uint64
+	// RouteName names a route; unique in the routes table.
+	RouteName string
+	// PoolName names a pool; unique in the pools table. Routes refer to pools by it.
+	PoolName string
+	// TargetID names a target; unique within its pool.
+	TargetID string
+	// Account names a caller's account; unique in the routes table.
+	Account string
+	// FailureDomain names a failure domain, such as "donau-ost".
+	FailureDomain string
+	// Millis is a duration in milliseconds, the unit of all durations in the tables.
+	Millis int64
+)
+
+// Duration returns m as a time.Duration.
+func (m Millis) Duration() time.Duration { return time.Duration(m) * time.Millisecond }
+
+// Routes is the routes table: what callers may reach.
+type Routes struct {
+	// Routes has unique names and unique path prefixes.
+	Routes []Route `json:"routes"`
+	// Accounts has unique names.
+	Accounts []AccountRow `json:"accounts,omitempty"`
+}
+
+// Route is one row of the routes table.
+type Route struct {
+	// Name is not empty.
+	Name RouteName `json:"name"`
+	// PathPrefix starts with "/" and ends without one; the longest prefix by path segments wins.
+	PathPrefix string `json:"pathPrefix"`
+	// Methods lists the allowed methods; empty allows all.
+	Methods []string `json:"methods,omitempty"`
+	// Pool is the name of a row of the pools table.
+	Pool PoolName `json:"pool"`
+	// Idempotent says that running a request twice does no harm. GET and HEAD count as
+	// idempotent on every route; other methods only where this is set.
+	Idempotent bool `json:"idempotent,omitempty"`
+	// Accounts lists the accounts that may use the route; empty allows every caller.
+	Accounts []Account `json:"accounts,omitempty"`
+	// TimeoutMs bounds a request that brings no deadline of its own. 1 to 3,600,000.
+	TimeoutMs Millis `json:"timeoutMs"`
+	// MaxBodyBytes bounds a request's body. 0 means no body is allowed.
+	MaxBodyBytes int64 `json:"maxBodyBytes"`
+}
+
+// AccountRow is one caller's account.
+type AccountRow struct {
+	Name Account `json:"name"`
+	// TokenSHA256 is the SHA-256 of the account's bearer token in lower-case hex.
+	TokenSHA256 string `json:"tokenSha256"`
+}
+
+// Pools is the pools table: the targets behind each name.
+type Pools struct {
+	// FleetGroups is the number of groups that the entries are divided into; at least 1.
+	FleetGroups int `json:"fleetGroups"`
+	// Pools has unique names.
+	Pools []Pool `json:"pools"`
+}
+
+// Pool is one row of the pools table.
+type Pool struct {
+	Name PoolName `json:"name"`
+	// Floor is the least number of targets that must stay in service; 0 to len(Targets).
+	Floor int `json:"floor"`
+	// Slots is how many requests a target runs at a time; 1 to 1,000.
+	Slots int `json:"slots"`
+	// MaxConnections is how many connections a target takes from the whole fleet.
+	MaxConnections int `json:"maxConnections"`
+	// CellSize is the largest number of targets that one entry owns; 0 means 64.
+	CellSize int `json:"cellSize,omitempty"`
+	// ProbePath and LoadPath are the target's health and load endpoints; empty means none.
+	ProbePath string `json:"probePath,omitempty"`
+	LoadPath  string `json:"loadPath,omitempty"`
+	Policy    Policy `json:"policy"`
+	// Targets has unique ids and unique addresses.
+	Targets []Target `json:"targets"`
+}
+
+// Policy is how a firm weighs the two kinds of error and what a pool does under load.
+type Policy struct {
+	// FalseEjectionEveryHours is the mean time between false ejections in this pool that the
+	// firm accepts, in hours. Larger values need more evidence; 1 to 1,000,000.
+	FalseEjectionEveryHours float64 `json:"falseEjectionEveryHours"`
+	// SlowFactor is how many times slower than its peers a target must be to count as a
+	// straggler; 1.5 to 100. 0 means 4.
+	SlowFactor float64 `json:"slowFactor,omitempty"`
+	// QueueLimit is the most requests that wait for a slot; 0 means 4 times the pool's slots.
+	QueueLimit int `json:"queueLimit,omitempty"`
+	// RetryPercent is the most retries as a percentage of requests; 0 to 100. The default is 10.
+	RetryPercent *float64 `json:"retryPercent,omitempty"`
+	// RampMs is how long a new or returned target takes to reach all of its slots.
+	RampMs Millis `json:"rampMs,omitempty"`
+}
+
+// Target is one server of a pool.
+type Target struct {
+	ID TargetID `json:"id"`
+	// Address is an IP address and a port, such as "10.0.3.7:8080".
+	Address       string        `json:"address"`
+	FailureDomain FailureDomain `json:"failureDomain"`
+	// Leaving says that the target receives no new work.
+	Leaving bool `json:"leaving,omitempty"`
+}
+
+// Pair is a routes table and a pools table that were read at one store-wide revision and that
+// passed Check together. A Pair is immutable once built.
+type Pair struct {
+	Revision Revision
+	Routes   *Routes
+	Pools    *Pools
+	// Digest is the xxhash of the values' raw bytes in name order, so two entries can tell
+	// whether they hold the same pair without exchanging it.
+	Digest uint64
+	// Values are the raw values by name, kept so that peers can fetch and check the pair.
+	Values map[string][]byte
+}
