--- /dev/null
+++ b/cmd/measure/main.go
@@ -0,0 +1,4 @@
+// Command measure runs the experiments and prints one JSON object a line.
+package main
+
+func main() {}
--- a/notice/types.go
+++ b/notice/types.go
@@ -62,8 +62,8 @@
 
 // Limits bound what a Register keeps.
 type Limits struct {
-	// Ids is the most ids remembered; a full register refuses new ids as not run.
-	Ids int
+	// IDs is the most ids remembered; a full register refuses new ids as not run.
+	IDs int
 	// AnswerBytes is the most memory for kept answers; AnswerMax the most for one of them.
 	AnswerBytes int
 	AnswerMax   int
