--- /dev/null
+++ b/notice/register_test.go
@@ -0,0 +1,161 @@
+package notice
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/bilberrywood/bilberrywood/fleet"
+)
+
+// copies simulates callers that send copies of ids in any order, over restarts of the entry, and
+// reports the first broken rule: an id that runs twice, or runs after it was reported as not run.
+func copies(t *rapid.T, off rule) string {
+	limits := Limits{IDs: 4, AnswerBytes: 1 << 10, AnswerMax: 256, KeepAnswers: time.Minute}
+	incarnation := fleet.Incarnation(1)
+	g := &Register{Entry: "kb-01", Incarnation: incarnation, Limits: limits, off: off}
+	var (
+		now, start time.Duration
+		ids        []ID
+		running    []*Run
+		ran        = map[ID]int{}
+		notRun     = map[ID]bool{}
+	)
+	for step := range 60 {
+		switch rapid.SampledFrom([]string{"new", "copy", "copy", "time", "finish", "restart"}).Draw(t, "step") {
+		case "new":
+			b := g.Binding(now - start)
+			ids = append(ids, ID{Entry: b.Entry, Incarnation: b.Incarnation, Epoch: b.Epoch, Random: fmt.Sprintf("random%03d", step)})
+		case "copy":
+			if len(ids) == 0 {
+				continue
+			}
+			id := rapid.SampledFrom(ids).Draw(t, "id")
+			r, v := g.Admit(now-start, id, 1)
+			switch v {
+			case VerdictRun:
+				ran[id]++
+				running = append(running, r)
+			case VerdictNotRun:
+				notRun[id] = true
+			}
+		case "time":
+			now += time.Duration(rapid.SampledFrom([]int{1, 20, 60, 240}).Draw(t, "seconds")) * time.Second
+		case "finish":
+			if len(running) == 0 {
+				continue
+			}
+			outcome := rapid.SampledFrom([]string{OutcomeRun, OutcomeUnknown, OutcomeNotRun}).Draw(t, "outcome")
+			if outcome == OutcomeNotRun {
+				// The entry reports not run only before the first byte was written.
+				ran[running[0].id]--
+				notRun[running[0].id] = true
+			}
+			g.Finish(now-start, running[0], Answer{Outcome: outcome})
+			running = running[1:]
+		case "restart":
+			if rapid.IntRange(0, 3).Draw(t, "restart") == 0 {
+				incarnation++
+				g = &Register{Entry: "kb-01", Incarnation: incarnation, Limits: limits, off: off}
+				running, start = nil, now
+			}
+		}
+		for id, n := range ran {
+			if n > 1 {
+				return fmt.Sprintf("%v ran %d times", id, n)
+			}
+			if n > 0 && notRun[id] {
+				return fmt.Sprintf("%v ran although its caller was told that it was not run", id)
+			}
+		}
+	}
+	return ""
+}
+
+// Guards against a second run of an id and against an untruthful "not run".
+func TestRunsAtMostOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		if broken := copies(t, 0); broken != "" {
+			t.Fatal(broken)
+		}
+	})
+}
+
+// Guards against a check that can't fail: without each rule the property must break.
+func TestRunsAtMostOnceNeedsEachRule(t *testing.T) {
+	for name, off := range map[string]rule{
+		"memory": ruleMemory, "close": ruleClose, "burn": ruleBurn, "incarnation": ruleIncarnation,
+	} {
+		t.Run(name, func(t *testing.T) {
+			found := false
+			for seed := range 20_000 {
+				// Example draws deterministically from its seed.
+				if rapid.Custom(func(t *rapid.T) string { return copies(t, off) }).Example(seed) != "" {
+					found = true
+					break
+				}
+			}
+			is.New(t).True(found) // a violation without the rule
+		})
+	}
+}
+
+// Guards against answers given to a copy with other content, and against unbounded answer memory.
+func TestAnswers(t *testing.T) {
+	is := is.New(t)
+	g := &Register{Entry: "kb-01", Incarnation: 7, Limits: Limits{IDs: 100, AnswerBytes: 100, AnswerMax: 60, KeepAnswers: time.Minute}}
+	id := func(n int) ID { return ID{Entry: "kb-01", Incarnation: 7, Random: fmt.Sprintf("random%03d", n)} }
+	for n := range 4 {
+		r, v := g.Admit(0, id(n), uint64(n))
+		is.Equal(v, VerdictRun)
+		_, v = g.Admit(0, id(n), uint64(n))
+		is.Equal(v, VerdictWait)
+		g.Finish(0, r, Answer{Outcome: OutcomeRun, Body: make([]byte, 20*n)})
+	}
+	verdict := func(at time.Duration, n int, content uint64) Verdict {
+		_, v := g.Admit(at, id(n), content)
+		return v
+	}
+	is.Equal(verdict(0, 3, 3), VerdictAnswer)
+	is.Equal(verdict(0, 1, 1), VerdictAnswerLost) // dropped for newer answers
+	is.Equal(verdict(0, 3, 9), VerdictConflict)
+	is.Equal(verdict(2*time.Minute, 3, 3), VerdictAnswerLost)
+	is.Equal(verdict(11*time.Minute, 3, 3), VerdictUnknown)
+	_, answerBytes := g.Size()
+	is.Equal(answerBytes, 0)
+	_, v := g.Admit(0, ID{Entry: "kb-02", Incarnation: 7, Random: "random000"}, 0)
+	is.Equal(v, VerdictForeign)
+}
+
+// Guards against ids that are read in two spellings or that panic the parser.
+func FuzzParseID(f *testing.F) {
+	for _, s := range []string{"kb-01.1f.3.abcdefgh", "a.b.c.ff.0.12345678", "....", "kb.0.0.abcdefgh", "kb.01.1.abcdefgh"} {
+		f.Add(s)
+	}
+	f.Fuzz(func(t *testing.T, s string) {
+		id, err := ParseID(s)
+		if err == nil && id.String() != s {
+			t.Fatalf("%q read as %q", s, id.String())
+		}
+	})
+}
+
+func BenchmarkAdmitFinish(b *testing.B) {
+	for _, ids := range []int{1_000, 10_000, 100_000} {
+		b.Run(fmt.Sprint(ids), func(b *testing.B) {
+			g := &Register{Entry: "kb-01", Incarnation: 7, Limits: Limits{IDs: ids + b.N, AnswerBytes: 1 << 20, AnswerMax: 1 << 10, KeepAnswers: time.Minute}}
+			for n := range ids {
+				g.Admit(0, ID{Entry: "kb-01", Incarnation: 7, Random: fmt.Sprintf("fill%08d", n)}, 0)
+			}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for n := range b.N {
+				r, _ := g.Admit(0, ID{Entry: "kb-01", Incarnation: 7, Random: fmt.Sprintf("random%08d", n)}, 0)
+				g.Finish(0, r, Answer{Outcome: OutcomeRun, Body: make([]byte, 100)})
+			}
+		})
+	}
+}
--- a/notice/types.go
+++ b/notice/types.go
@@ -39,6 +39,8 @@
 	VerdictNotRun
 	// VerdictUnknown means that the id may have run and is not started again.
 	VerdictUnknown
+	// VerdictConflict means that the id was used before with other content.
+	VerdictConflict
 	// VerdictForeign means that another entry or incarnation has to decide.
 	VerdictForeign
 )
