--- /dev/null
+++ b/table/acceptor.go
@@ -0,0 +1,176 @@
+package table
+
+import (
+	"errors"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Verdict is the result of offering a snapshot.
+type Verdict uint8
+
+// Verdicts.
+const (
+	// Ignored means that the revision is not higher than the one in force.
+	Ignored Verdict = iota
+	// Accepted means that the pair is now in force.
+	Accepted
+	// Rejected means that the pair is invalid; the pair in force stays.
+	Rejected
+	// Conflict means that the revision is in force with another content. The pair in force
+	// stays; the platform or a peer has broken the rule that a revision names one content.
+	Conflict
+)
+
+var verdictNames = [...]string{Ignored: "ignored", Accepted: "accepted", Rejected: "rejected", Conflict: "conflict"}
+
+// String returns the verdict as it is written to logs.
+func (v Verdict) String() string { return verdictNames[v] }
+
+// Snapshot is the raw content of all values under Prefix that existed together at a revision.
+type Snapshot struct {
+	Revision Revision
+	Values   map[string][]byte
+}
+
+// Ruling is what an Acceptor decided about a snapshot.
+type Ruling struct {
+	Verdict  Verdict
+	Revision Revision
+	// Source is where the snapshot came from: "platform" or a peer's id.
+	Source string
+	// Previous is the pair that was in force before; nil if there was none.
+	Previous *Pair
+	// Pair is the pair in force after the ruling; nil if there is none yet.
+	Pair *Pair
+	// Problems are the reasons of a rejection.
+	Problems Problems
+}
+
+// Rejection is a snapshot that was not accepted although its revision was not below the one in force.
+type Rejection struct {
+	Revision Revision `json:"revision"`
+	Digest   uint64   `json:"digest"`
+	Source   string   `json:"source"`
+	// First and Last are when the same content was first and last offered; Times counts.
+	First    time.Time `json:"first"`
+	Last     time.Time `json:"last"`
+	Times    int       `json:"times"`
+	Problems Problems  `json:"problems"`
+}
+
+// keptRejections is how many rejections an Acceptor remembers for operators.
+const keptRejections = 16
+
+// Acceptor holds the pair in force and decides whether a snapshot replaces it. Its revision never
+// falls. The zero value is ready; methods may be called concurrently.
+type Acceptor struct {
+	// offers makes rulings one after the other, since each depends on the one before.
+	offers sync.Mutex
+	// mu guards the fields below. It is not held while a snapshot is parsed, so that requests
+	// don't wait for that.
+	mu         sync.Mutex
+	pair       *Pair
+	since      time.Time
+	rejections []Rejection
+}
+
+// Offer rules on a snapshot that was read at now. The ruling depends only on the pair in force and on
+// the snapshot: entries that are offered the same snapshots, in any order and from any source, end
+// with the same pair.
+func (a *Acceptor) Offer(now time.Time, source string, s Snapshot) Ruling {
+	a.offers.Lock()
+	defer a.offers.Unlock()
+	previous, _ := a.InForce()
+	ruling := Ruling{Revision: s.Revision, Source: source, Previous: previous, Pair: previous}
+	if previous != nil && s.Revision < previous.Revision {
+		return ruling
+	}
+	offer := Rejection{Revision: s.Revision, Digest: Digest(s.Values), Source: source, First: now, Last: now, Times: 1}
+	if previous != nil && s.Revision == previous.Revision {
+		if offer.Digest != previous.Digest {
+			offer.Problems = Problems{{File: Prefix, Reason: "revision is in force with another content"}}
+			ruling.Verdict, ruling.Problems = Conflict, a.reject(offer)
+		}
+		return ruling
+	}
+	if problems, known := a.again(offer); known {
+		ruling.Verdict, ruling.Problems = Rejected, problems
+		return ruling
+	}
+	pair, err := NewPair(s.Revision, s.Values)
+	if err != nil {
+		offer.Problems = asProblems(err)
+		ruling.Verdict, ruling.Problems = Rejected, a.reject(offer)
+		return ruling
+	}
+	a.accept(now, pair)
+	ruling.Verdict, ruling.Pair = Accepted, pair
+	return ruling
+}
+
+func (a *Acceptor) accept(now time.Time, pair *Pair) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.pair, a.since = pair, now
+}
+
+// again reports whether the same content was rejected before at the same revision, and counts it. It
+// is then not parsed again: a reader sees it with every poll.
+func (a *Acceptor) again(offer Rejection) (Problems, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	known := a.rejection(offer.Revision, offer.Digest)
+	if known == nil {
+		return nil, false
+	}
+	known.Last = offer.Last
+	known.Times++
+	return known.Problems, true
+}
+
+// reject remembers a rejection, in place of the oldest one if there are too many.
+func (a *Acceptor) reject(offer Rejection) Problems {
+	if problems, known := a.again(offer); known {
+		return problems
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if len(a.rejections) == keptRejections {
+		a.rejections = a.rejections[1:]
+	}
+	a.rejections = append(a.rejections, offer)
+	return offer.Problems
+}
+
+func (a *Acceptor) rejection(revision Revision, digest uint64) *Rejection {
+	for i := range a.rejections {
+		if a.rejections[i].Revision == revision && a.rejections[i].Digest == digest {
+			return &a.rejections[i]
+		}
+	}
+	return nil
+}
+
+// InForce returns the pair in force and the time at which it was accepted; nil if there is none yet.
+func (a *Acceptor) InForce() (*Pair, time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.pair, a.since
+}
+
+// Rejections returns the last rejections and conflicts, oldest first.
+func (a *Acceptor) Rejections() []Rejection {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return slices.Clone(a.rejections)
+}
+
+func asProblems(err error) Problems {
+	var problems Problems
+	if errors.As(err, &problems) {
+		return problems
+	}
+	return Problems{{File: Prefix, Reason: err.Error()}}
+}
--- /dev/null
+++ b/table/check.go
@@ -0,0 +1,145 @@
+package table
+
+import (
+	"fmt"
+	"net/netip"
+	"strconv"
+	"strings"
+)
+
+// Limits of the tables' fields, in the units of the fields.
+const (
+	maxNameLength     = 128
+	maxMillis         = 3_600_000
+	maxBodyBytes      = 1 << 40
+	maxFleetGroups    = 10_000
+	maxSlots          = 1_000
+	maxConnections    = 100_000
+	maxCellSize       = 10_000
+	maxQueueLimit     = 1_000_000
+	maxFalseEjection  = 1_000_000
+	minSlowFactor     = 1.5
+	maxSlowFactor     = 100
+	sha256HexLength   = 64
+	maxPercent        = 100
+	maxPrefixSegments = 32
+)
+
+// Check returns every rule that the two tables break, alone or together. A table that is nil could not
+// be read and is left out. Positions are not set: a Problem's File is the name of the value and its
+// Pointer the place in it.
+func Check(routes *Routes, pools *Pools) Problems {
+	c := checker{}
+	if pools != nil {
+		c.checkPools(pools)
+	}
+	if routes != nil {
+		c.checkRoutes(routes, pools)
+	}
+	return c.problems
+}
+
+// checker collects problems of one table at a time.
+type checker struct {
+	file     string
+	problems Problems
+}
+
+// place is a row of a table. Its pointer is built only when the row has a problem, which keeps the
+// check of a valid table cheap.
+type place struct {
+	list  string
+	index int
+	// inner is a list inside the row, with an index; empty means the row itself.
+	inner      string
+	innerIndex int
+}
+
+func (p place) in(list string, index int) place {
+	p.inner, p.innerIndex = list, index
+	return p
+}
+
+func (p place) pointer(fieldName string) string {
+	var b strings.Builder
+	if p.list != "" {
+		b.WriteString("/" + p.list + "/" + strconv.Itoa(p.index))
+	}
+	if p.inner != "" {
+		b.WriteString("/" + p.inner + "/" + strconv.Itoa(p.innerIndex))
+	}
+	if fieldName != "" {
+		b.WriteString("/" + fieldName)
+	}
+	return b.String()
+}
+
+func (c *checker) refuse(at place, fieldName, format string, args ...any) {
+	if len(c.problems) > maxProblems {
+		return
+	}
+	p := Problem{File: c.file, Pointer: at.pointer(fieldName), Reason: fmt.Sprintf(format, args...)}
+	c.problems = append(c.problems, p)
+}
+
+// checkRange refuses a value outside least to most.
+func checkRange[N int | int64 | float64](c *checker, at place, fieldName string, value, least, most N) {
+	if value >= least && value <= most {
+		return
+	}
+	c.refuse(at, fieldName, "%s %v is not between %v and %v", lastName(fieldName), value, least, most)
+}
+
+// lastName returns the part of a field's path behind the last "/".
+func lastName(fieldName string) string {
+	return fieldName[strings.LastIndexByte(fieldName, '/')+1:]
+}
+
+// checkName refuses names that can't stand unquoted in headers, logs, URLs and commands.
+func checkName[S ~string](c *checker, at place, fieldName string, name S) {
+	switch {
+	case name == "":
+		c.refuse(at, fieldName, "%s is empty", lastName(fieldName))
+	case len(name) > maxNameLength:
+		c.refuse(at, fieldName, "%s is longer than %d bytes", lastName(fieldName), maxNameLength)
+	case strings.IndexFunc(string(name), unusableInName) >= 0:
+		c.refuse(at, fieldName, "%s %q may hold only letters, digits, and . _ - : @", lastName(fieldName), string(name))
+	}
+}
+
+func unusableInName(r rune) bool {
+	switch {
+	case r >= 'a' && r <= 'z', r >= 'A' && r <= 'Z', r >= '0' && r <= '9':
+		return false
+	default:
+		return !strings.ContainsRune("._-:@", r)
+	}
+}
+
+// checkUnique refuses a key that an earlier row has, and remembers this one.
+func checkUnique[K comparable](c *checker, seen map[K]place, key K, at place, fieldName string) {
+	first, ok := seen[key]
+	if !ok {
+		seen[key] = at
+		return
+	}
+	c.refuse(at, fieldName, "%s %q is already used at %s", lastName(fieldName), fmt.Sprint(key), first.pointer(""))
+}
+
+// checkAddress refuses all but an IP address with a port that can be dialled.
+func checkAddress(c *checker, at place, fieldName, address string) (netip.AddrPort, bool) {
+	a, err := netip.ParseAddrPort(address)
+	switch {
+	case err != nil:
+		c.refuse(at, fieldName, "address %q is not an IP address with a port", address)
+	case a.Port() == 0:
+		c.refuse(at, fieldName, "address %q has port 0", address)
+	case a.Addr().IsUnspecified(), a.Addr().IsMulticast():
+		c.refuse(at, fieldName, "address %q is not the address of one host", address)
+	case a.Addr().Zone() != "":
+		c.refuse(at, fieldName, "address %q has a zone, which differs between hosts", address)
+	default:
+		return netip.AddrPortFrom(a.Addr().Unmap(), a.Port()), true
+	}
+	return netip.AddrPort{}, false
+}
--- /dev/null
+++ b/table/check_pools.go
@@ -0,0 +1,78 @@
+package table
+
+import (
+	"net/netip"
+	"strings"
+)
+
+func (c *checker) checkPools(t *Pools) {
+	c.file = PoolsValue
+	checkRange(c, place{}, "fleetGroups", t.FleetGroups, 1, maxFleetGroups)
+	names := make(map[PoolName]place, len(t.Pools))
+	// Addresses are unique over all pools: the slots of a target that is in two pools would be
+	// counted by two owners.
+	addresses := make(map[netip.AddrPort]place, len(t.Pools))
+	for i := range t.Pools {
+		at := place{list: "pools", index: i}
+		p := &t.Pools[i]
+		checkName(c, at, "name", p.Name)
+		checkUnique(c, names, p.Name, at, "name")
+		c.checkPool(at, p)
+		c.checkTargets(at, p.Targets, addresses)
+	}
+}
+
+func (c *checker) checkPool(at place, p *Pool) {
+	if p.Floor < 0 || p.Floor > len(p.Targets) {
+		c.refuse(at, "floor", "floor %d is not between 0 and the pool's size of %d", p.Floor, len(p.Targets))
+	}
+	checkRange(c, at, "slots", p.Slots, 1, maxSlots)
+	checkRange(c, at, "maxConnections", p.MaxConnections, 1, maxConnections)
+	if p.MaxConnections < p.Slots {
+		c.refuse(at, "maxConnections", "maxConnections %d is below slots %d, which could then not be filled",
+			p.MaxConnections, p.Slots)
+	}
+	checkRange(c, at, "cellSize", p.CellSize, 0, maxCellSize)
+	c.checkEndpoint(at, "probePath", p.ProbePath)
+	c.checkEndpoint(at, "loadPath", p.LoadPath)
+	c.checkPolicy(at, &p.Policy)
+}
+
+// checkEndpoint refuses a path that would not be sent as it stands.
+func (c *checker) checkEndpoint(at place, fieldName, path string) {
+	if path == "" {
+		return
+	}
+	if path[0] != '/' || strings.IndexFunc(path, notInURL) >= 0 {
+		c.refuse(at, fieldName, "%s %q is not a path that starts with \"/\"", fieldName, path)
+	}
+}
+
+// notInURL reports characters that can't stand in the path or query of a URL.
+func notInURL(r rune) bool { return r <= ' ' || r >= 0x7f || r == '#' || r == '"' || r == '\\' }
+
+func (c *checker) checkPolicy(at place, p *Policy) {
+	checkRange(c, at, "policy/falseEjectionEveryHours", p.FalseEjectionEveryHours, 1, maxFalseEjection)
+	if p.SlowFactor != 0 {
+		checkRange(c, at, "policy/slowFactor", p.SlowFactor, minSlowFactor, maxSlowFactor)
+	}
+	checkRange(c, at, "policy/queueLimit", p.QueueLimit, 0, maxQueueLimit)
+	if p.RetryPercent != nil {
+		checkRange(c, at, "policy/retryPercent", *p.RetryPercent, 0, maxPercent)
+	}
+	checkRange(c, at, "policy/rampMs", int64(p.RampMs), 0, maxMillis)
+}
+
+func (c *checker) checkTargets(pool place, targets []Target, addresses map[netip.AddrPort]place) {
+	ids := make(map[TargetID]place, len(targets))
+	for i := range targets {
+		t := &targets[i]
+		at := pool.in("targets", i)
+		checkName(c, at, "id", t.ID)
+		checkUnique(c, ids, t.ID, at, "id")
+		checkName(c, at, "failureDomain", t.FailureDomain)
+		if a, ok := checkAddress(c, at, "address", t.Address); ok {
+			checkUnique(c, addresses, a, at, "address")
+		}
+	}
+}
--- /dev/null
+++ b/table/check_routes.go
@@ -0,0 +1,99 @@
+package table
+
+import "strings"
+
+func (c *checker) checkRoutes(t *Routes, pools *Pools) {
+	c.file = RoutesValue
+	c.checkRoutePools(t, pools)
+	accounts := make(map[Account]place, len(t.Accounts))
+	for i := range t.Accounts {
+		a := &t.Accounts[i]
+		at := place{list: "accounts", index: i}
+		checkName(c, at, "name", a.Name)
+		checkUnique(c, accounts, a.Name, at, "name")
+		if !isSHA256(a.TokenSHA256) {
+			c.refuse(at, "tokenSha256", "tokenSha256 is not a SHA-256 in 64 lower-case hex digits")
+		}
+	}
+	names := make(map[RouteName]place, len(t.Routes))
+	prefixes := make(map[string]place, len(t.Routes))
+	for i := range t.Routes {
+		r := &t.Routes[i]
+		at := place{list: "routes", index: i}
+		checkName(c, at, "name", r.Name)
+		checkUnique(c, names, r.Name, at, "name")
+		c.checkPrefix(at, r.PathPrefix)
+		checkUnique(c, prefixes, r.PathPrefix, at, "pathPrefix")
+		checkRange(c, at, "timeoutMs", int64(r.TimeoutMs), 1, maxMillis)
+		checkRange(c, at, "maxBodyBytes", r.MaxBodyBytes, 0, maxBodyBytes)
+		c.checkMethods(at, r.Methods)
+		c.checkRouteAccounts(at, r.Accounts, accounts)
+	}
+}
+
+// checkRoutePools refuses routes to pools that don't exist.
+func (c *checker) checkRoutePools(t *Routes, pools *Pools) {
+	if pools == nil {
+		return
+	}
+	names := make(map[PoolName]bool, len(pools.Pools))
+	for i := range pools.Pools {
+		names[pools.Pools[i].Name] = true
+	}
+	for i := range t.Routes {
+		if !names[t.Routes[i].Pool] {
+			c.refuse(place{list: "routes", index: i}, "pool", "pool %q is not in the pools table", t.Routes[i].Pool)
+		}
+	}
+}
+
+// checkPrefix refuses prefixes that no request's path can match.
+func (c *checker) checkPrefix(at place, prefix string) {
+	switch {
+	case !strings.HasPrefix(prefix, "/") || strings.HasSuffix(prefix, "/"):
+		c.refuse(at, "pathPrefix", "pathPrefix %q must start with \"/\" and end without one", prefix)
+	case strings.ContainsAny(prefix, "?#%") || strings.IndexFunc(prefix, notInURL) >= 0:
+		c.refuse(at, "pathPrefix", "pathPrefix %q holds characters that a decoded path segment can't be compared with", prefix)
+	case strings.Count(prefix, "/") > maxPrefixSegments:
+		c.refuse(at, "pathPrefix", "pathPrefix has more than %d segments", maxPrefixSegments)
+	case ambiguousPath(prefix):
+		c.refuse(at, "pathPrefix", "pathPrefix %q has an empty segment or a dot segment", prefix)
+	}
+}
+
+func (c *checker) checkMethods(route place, methods []string) {
+	seen := make(map[string]place, len(methods))
+	for i, m := range methods {
+		at := route.in("methods", i)
+		if m == "" || strings.IndexFunc(m, notUpper) >= 0 {
+			c.refuse(at, "", "method %q is not a word in capital letters", m)
+		}
+		if m == "CONNECT" || m == "TRACE" {
+			c.refuse(at, "", "method %s can't be passed on", m)
+		}
+		checkUnique(c, seen, m, at, "")
+	}
+}
+
+func notUpper(r rune) bool { return r < 'A' || r > 'Z' }
+
+func (c *checker) checkRouteAccounts(route place, names []Account, accounts map[Account]place) {
+	if len(names) == 0 {
+		return
+	}
+	seen := make(map[Account]place, len(names))
+	for i, a := range names {
+		at := route.in("accounts", i)
+		if _, ok := accounts[a]; !ok {
+			c.refuse(at, "", "account %q is not in the routes table's accounts", a)
+		}
+		checkUnique(c, seen, a, at, "")
+	}
+}
+
+func isSHA256(s string) bool {
+	if len(s) != sha256HexLength {
+		return false
+	}
+	return strings.IndexFunc(s, func(r rune) bool { return (r < '0' || r > '9') && (r < 'a' || r > 'f') }) < 0
+}
--- /dev/null
+++ b/table/pair.go
@@ -0,0 +1,119 @@
+package table
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+	"os"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/tailscale/hujson"
+)
+
+// Names of the values that hold the tables, and the prefix that is read and watched.
+const (
+	Prefix      = "tables/"
+	RoutesValue = Prefix + "routes"
+	PoolsValue  = Prefix + "pools"
+)
+
+// NewPair parses and checks the tables. values holds the raw values by name; the Pair keeps them, so
+// they must not be modified afterwards. The error is of type Problems and holds every problem found. A
+// value that is missing, and one with an unknown name, is a problem.
+func NewPair(revision Revision, values map[string][]byte) (*Pair, error) {
+	problems := checkNames(values)
+	routes, routesSource, more := parseTable(RoutesValue, values, routesSchema)
+	problems = append(problems, more...)
+	pools, poolsSource, more := parseTable(PoolsValue, values, poolsSchema)
+	problems = append(problems, more...)
+	for _, p := range Check(routes, pools) {
+		s := routesSource
+		if p.File == PoolsValue {
+			s = poolsSource
+		}
+		problems = append(problems, s.problem(s.locate(p.Pointer), p.Pointer, p.Reason))
+	}
+	if len(problems) > 0 {
+		return nil, problems.sorted()
+	}
+	for i := range pools.Pools {
+		pools.Pools[i].SetDefaults()
+	}
+	return &Pair{
+		Revision: revision, Routes: routes, Pools: pools,
+		Digest: Digest(values), Values: values,
+	}, nil
+}
+
+// Digest returns the xxhash of the values' bytes in the order of their names.
+func Digest(values map[string][]byte) uint64 {
+	h := xxhash.New()
+	for _, name := range slices.Sorted(maps.Keys(values)) {
+		_, _ = h.Write(values[name]) // A hash's Write never fails.
+	}
+	return h.Sum64()
+}
+
+// ReadFiles builds a pair from two files, for checks before the tables are published. Problems name
+// the paths.
+func ReadFiles(routesPath, poolsPath string) (*Pair, error) {
+	paths := map[string]string{RoutesValue: routesPath, PoolsValue: poolsPath}
+	values := make(map[string][]byte, len(paths))
+	for name, path := range paths {
+		raw, err := os.ReadFile(path)
+		if err != nil {
+			return nil, Error.Wrap(err)
+		}
+		values[name] = raw
+	}
+	pair, err := NewPair(0, values)
+	var problems Problems
+	if errors.As(err, &problems) {
+		for i := range problems {
+			problems[i].File = paths[problems[i].File]
+		}
+	}
+	return pair, err
+}
+
+// checkNames refuses values that are missing or unknown: a table that nobody reads would let operators
+// believe that it is in force.
+func checkNames(values map[string][]byte) Problems {
+	var problems Problems
+	for _, name := range []string{RoutesValue, PoolsValue} {
+		if _, ok := values[name]; !ok {
+			problems = append(problems, Problem{File: name, Reason: "value is missing"})
+		}
+	}
+	for name := range values {
+		if name != RoutesValue && name != PoolsValue {
+			reason := fmt.Sprintf("unknown value; expected %s and %s", RoutesValue, PoolsValue)
+			problems = append(problems, Problem{File: name, Reason: reason})
+		}
+	}
+	return problems
+}
+
+// parseTable parses the value called name, if present, into a table of type T. The table is nil if
+// there are problems: in a table that was not read whole, a misspelt field would be reported a second
+// time as an empty name.
+func parseTable[T any](name string, values map[string][]byte, schema []field[T]) (*T, *source, Problems) {
+	raw, ok := values[name]
+	if !ok {
+		return nil, nil, nil
+	}
+	s, problems := parseSource(name, raw)
+	if len(problems) > 0 {
+		return nil, nil, problems
+	}
+	t := new(T)
+	d := decoder{source: s}
+	decodeObject(&d, &s.root, schema, t)
+	// The tree takes several times the memory of the text; locate parses again when it is needed.
+	s.root = hujson.Value{}
+	if len(d.problems) > 0 {
+		return nil, nil, d.problems
+	}
+	return t, s, nil
+}
--- /dev/null
+++ b/table/router.go
@@ -0,0 +1,185 @@
+package table
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"slices"
+	"strings"
+)
+
+// Router finds the route of a request. Its cost depends on the number of path segments that the
+// deepest prefix has, not on the number of routes, accounts or targets. It is immutable.
+type Router struct {
+	pair *Pair
+	// prefixes, pools and accounts hold indexes into the pair's rows.
+	prefixes map[string]uint32
+	pools    map[PoolName]uint32
+	accounts map[Account]uint32
+	// grants holds the accounts that each restricted route allows.
+	grants map[grant]struct{}
+	// depth is the number of segments of the deepest prefix; longer paths are cut to it, so a
+	// path of many segments costs no more lookups.
+	depth int
+}
+
+// grant allows an account on a route; both are indexes of rows.
+type grant struct{ route, account uint32 }
+
+// Match is the result of routing a request that is allowed.
+type Match struct {
+	// Route and Pool point into the pair and must not be modified.
+	Route *Route
+	Pool  *Pool
+	// Account is the verified account; empty if the caller named none.
+	Account Account
+	// Idempotent says that a second run of this request does no harm: its method is GET or HEAD,
+	// or the route is idempotent.
+	Idempotent bool
+}
+
+// NewRouter builds the router of a pair that passed Check.
+func NewRouter(pair *Pair) *Router {
+	r := &Router{
+		pair:     pair,
+		prefixes: make(map[string]uint32, len(pair.Routes.Routes)),
+		pools:    make(map[PoolName]uint32, len(pair.Pools.Pools)),
+		accounts: make(map[Account]uint32, len(pair.Routes.Accounts)),
+		grants:   make(map[grant]struct{}),
+	}
+	for i := range pair.Pools.Pools {
+		r.pools[pair.Pools.Pools[i].Name] = uint32(i)
+	}
+	for i := range pair.Routes.Accounts {
+		r.accounts[pair.Routes.Accounts[i].Name] = uint32(i)
+	}
+	for i := range pair.Routes.Routes {
+		route := &pair.Routes.Routes[i]
+		r.prefixes[route.PathPrefix] = uint32(i)
+		r.depth = max(r.depth, strings.Count(route.PathPrefix, "/"))
+		for _, a := range route.Accounts {
+			r.grants[grant{uint32(i), r.accounts[a]}] = struct{}{}
+		}
+	}
+	return r
+}
+
+// Pair returns the pair that the router was built from.
+func (r *Router) Pair() *Pair { return r.pair }
+
+// Pool returns the pool called name, or nil.
+func (r *Router) Pool(name PoolName) *Pool {
+	i, ok := r.pools[name]
+	if !ok {
+		return nil
+	}
+	return &r.pair.Pools.Pools[i]
+}
+
+// Route returns the route for a request with the given method and decoded path, after checking the
+// account that the caller named, if any, and its bearer token. The error is of type *Refusal.
+func (r *Router) Route(method, path string, account Account, token string) (Match, error) {
+	i, err := r.find(path)
+	if err != nil {
+		return Match{}, err
+	}
+	route := &r.pair.Routes.Routes[i]
+	if len(route.Methods) > 0 && !slices.Contains(route.Methods, method) {
+		return Match{}, &Refusal{Reason: RefusedMethod, Route: route.Name, Methods: route.Methods}
+	}
+	if err := r.admit(i, route, account, token); err != nil {
+		return Match{}, err
+	}
+	return Match{
+		Route:      route,
+		Pool:       r.Pool(route.Pool),
+		Account:    account,
+		Idempotent: route.Idempotent || method == "GET" || method == "HEAD",
+	}, nil
+}
+
+// find returns the index of the route with the longest prefix of path, by path segments.
+func (r *Router) find(path string) (uint32, error) {
+	if !strings.HasPrefix(path, "/") || ambiguousPath(strings.TrimSuffix(path, "/")) {
+		return 0, &Refusal{Reason: RefusedPath}
+	}
+	prefix := cutSegments(path, r.depth)
+	for prefix != "" {
+		if i, ok := r.prefixes[prefix]; ok {
+			return i, nil
+		}
+		prefix = prefix[:strings.LastIndexByte(prefix, '/')]
+	}
+	return 0, &Refusal{Reason: RefusedNoRoute}
+}
+
+// admit checks the account against the routes table. An account that the caller names is verified on
+// every route, because fairness between accounts relies on it.
+func (r *Router) admit(index uint32, route *Route, account Account, token string) error {
+	if account == "" && len(route.Accounts) == 0 {
+		return nil
+	}
+	if account == "" {
+		return &Refusal{Reason: RefusedNoAccount, Route: route.Name}
+	}
+	a, ok := r.verify(account, token)
+	if !ok {
+		return &Refusal{Reason: RefusedToken, Route: route.Name, Account: account}
+	}
+	if len(route.Accounts) == 0 {
+		return nil
+	}
+	if _, ok := r.grants[grant{index, a}]; !ok {
+		return &Refusal{Reason: RefusedAccount, Route: route.Name, Account: account}
+	}
+	return nil
+}
+
+// noToken is compared with when the account is unknown, so that the time taken does not tell which
+// accounts exist.
+var noToken = strings.Repeat("-", sha256HexLength)
+
+// verify reports whether token belongs to the account, in time that does not depend on the content.
+func (r *Router) verify(account Account, token string) (index uint32, ok bool) {
+	sum := sha256.Sum256([]byte(token))
+	var presented [sha256HexLength]byte
+	hex.Encode(presented[:], sum[:])
+	want := noToken
+	index, known := r.accounts[account]
+	if known {
+		want = r.pair.Routes.Accounts[index].TokenSHA256
+	}
+	equal := subtle.ConstantTimeCompare(presented[:], []byte(want)) == 1
+	return index, known && equal
+}
+
+// cutSegments returns the first n segments of path, without a trailing "/".
+func cutSegments(path string, n int) string {
+	segments := 0
+	for i := range len(path) {
+		if path[i] != '/' {
+			continue
+		}
+		if segments == n {
+			return path[:i]
+		}
+		segments++
+	}
+	return strings.TrimSuffix(path, "/")
+}
+
+// ambiguousPath reports a path with an empty segment or a dot segment. A target may resolve such a
+// path to another one, which would bypass the accounts of the route of that other path.
+func ambiguousPath(path string) bool {
+	for rest := path; rest != ""; {
+		segment := rest[1:]
+		if end := strings.IndexByte(segment, '/'); end >= 0 {
+			segment = segment[:end]
+		}
+		if segment == "" || segment == "." || segment == ".." {
+			return true
+		}
+		rest = rest[1+len(segment):]
+	}
+	return false
+}
