Add connections to targets

The entry needs to know of every attempt whether bytes of the request left and whether the answer was whole, which http.Transport does not tell, and it must not resend by itself. Client.Do keeps its own connections and reports both.

--- /dev/null
+++ b/target/attempt.go
@@ -0,0 +1,265 @@
+package target
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/bilberrywood/bilberrywood/pool"
+)
+
+// attempt is one call of Do until its answer has been read.
+type attempt struct {
+	client   *Client
+	ctx      context.Context
+	request  *Request
+	deadline time.Time
+
+	conn *conn
+	// unwatch ends the watch of ctx over conn; it returns false if ctx has ended.
+	unwatch func() bool
+	// writer streams the body; nil if the body was written with the head.
+	writer *bodyWriter
+	// held is the body if it was written with the head.
+	held []byte
+	// wroteBefore says that a connection that was given up had been written to.
+	wroteBefore bool
+	// firstWrite is when the first byte was written on conn.
+	firstWrite time.Time
+	firstByte  time.Time
+	silent     bool
+}
+
+// run sends the request and reads the head of the answer.
+func (a *attempt) run() (*Answer, error) {
+	if err := a.open(); err != nil {
+		return nil, err
+	}
+	if err := a.start(); err != nil {
+		return nil, err
+	}
+	response, err := a.head()
+	if err != nil {
+		return nil, a.fail(err)
+	}
+	answer := newAnswer(response)
+	answer.SilentConnection = a.silent
+	answer.Reused = a.conn.used
+	answer.Service = a.firstByte.Sub(a.firstWrite)
+	body := &answerBody{attempt: a, answer: answer, response: response}
+	answer.Body = body
+	if response.Body == http.NoBody {
+		body.whole()
+	}
+	return answer, nil
+}
+
+// open gets an idle connection or dials one.
+func (a *attempt) open() error {
+	c, err := a.client.store.take(a.request.Address, a.request.Idempotent)
+	if err != nil {
+		return notStarted(err)
+	}
+	if c == nil {
+		if c, err = a.dial(); err != nil {
+			return a.dialFailed(err)
+		}
+	}
+	a.use(c)
+	return nil
+}
+
+func (a *attempt) dial() (*conn, error) {
+	ctx := a.ctx
+	if !a.deadline.IsZero() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, a.deadline)
+		defer cancel()
+	}
+	return a.client.store.dial(ctx, a.request.Address)
+}
+
+func (a *attempt) dialFailed(cause error) error {
+	e := &AttemptError{Kind: pool.OutcomeConnectFailed, Cause: cause, Written: a.wroteBefore}
+	switch {
+	case errors.Is(a.ctx.Err(), context.Canceled):
+		e.Kind = pool.OutcomeCancelled
+	case a.expired():
+		e.Kind = pool.OutcomeTimeout
+	}
+	return e
+}
+
+// expired says whether the deadline has passed.
+func (a *attempt) expired() bool {
+	return !a.deadline.IsZero() && !time.Now().Before(a.deadline)
+}
+
+// use makes c the attempt's connection and ties it to ctx and the deadline.
+func (a *attempt) use(c *conn) {
+	a.conn = c
+	c.begin(a.client.MaxHeadBytes)
+	_ = c.SetDeadline(a.deadline) // fails only on a closed connection, which the next write reports
+	a.unwatch = context.AfterFunc(a.ctx, func() { c.Close() })
+}
+
+// start calls the hook and writes the head, with the body if it is held in memory.
+func (a *attempt) start() error {
+	b := heads.Get().(*bytes.Buffer)
+	defer heads.Put(b)
+	b.Reset()
+	inMemory, err := heldBody(b, a.request)
+	if err != nil {
+		return a.giveBack(err)
+	}
+	if inMemory && b.Len() > 0 {
+		a.held = bytes.Clone(b.Bytes())
+	}
+	if a.request.BeforeWrite != nil {
+		if err := a.request.BeforeWrite(); err != nil {
+			return a.giveBack(err)
+		}
+	}
+	if a.expired() {
+		return a.giveBack(ErrDeadline)
+	}
+	if err := a.writeHead(b); err != nil {
+		return a.fail(err)
+	}
+	if !inMemory {
+		a.writer = &bodyWriter{conn: a.conn, request: a.request, done: make(chan struct{})}
+		a.client.active.Go(a.writer.run)
+	}
+	return nil
+}
+
+// writeHead writes the head and the held body in one write.
+func (a *attempt) writeHead(b *bytes.Buffer) error {
+	b.Reset()
+	a.firstWrite = time.Now()
+	appendHead(b, a.request, a.deadline, a.firstWrite)
+	b.Write(a.held)
+	_, err := a.conn.Write(b.Bytes())
+	return err
+}
+
+// giveBack ends an attempt whose connection is untouched.
+func (a *attempt) giveBack(cause error) error {
+	e := notStarted(cause)
+	c := a.conn
+	a.conn = nil
+	if !a.unwatch() || c.SetDeadline(time.Time{}) != nil {
+		a.client.store.drop(a.request.Address, c)
+		return e
+	}
+	a.client.store.put(a.request.Address, c)
+	return e
+}
+
+// head reads the head of the answer, on a new connection if a reused one stays silent.
+func (a *attempt) head() (*http.Response, error) {
+	if a.mayMove() {
+		if err := a.awaitFirstByte(); err != nil {
+			return nil, err
+		}
+	}
+	if _, err := a.conn.reader.Peek(1); err != nil {
+		return nil, err
+	}
+	a.firstByte = a.conn.lastByte
+	if a.silent {
+		// Connections that are as old as the silent one may have gone silent with it.
+		a.client.store.dropIdle(a.request.Address)
+	}
+	return a.readHead()
+}
+
+// readHead reads informational answers away and returns the final one.
+func (a *attempt) readHead() (*http.Response, error) {
+	for {
+		response, err := http.ReadResponse(a.conn.reader, &http.Request{Method: a.request.Method})
+		if err != nil {
+			return nil, Error.Wrap(err)
+		}
+		switch {
+		case response.StatusCode == http.StatusSwitchingProtocols:
+			return nil, ErrSwitchingProtocols
+		case response.StatusCode < http.StatusOK:
+			continue
+		case unframed(response):
+			return nil, ErrUnframed
+		}
+		a.conn.headLeft = -1
+		return response, nil
+	}
+}
+
+// unframed says that only the end of the connection would end the answer's body.
+func unframed(r *http.Response) bool {
+	return r.Body != http.NoBody && r.ContentLength < 0 && len(r.TransferEncoding) == 0
+}
+
+// fail turns an error on the connection into the attempt's error. The connection is closed by end.
+func (a *attempt) fail(cause error) *AttemptError {
+	e := &AttemptError{
+		Kind:    pool.OutcomeTruncated,
+		Written: a.wroteBefore || a.conn.written.Load(),
+		Reused:  a.conn.used,
+		Cause:   Error.Wrap(cause),
+	}
+	switch {
+	case errors.Is(a.ctx.Err(), context.Canceled):
+		e.Kind = pool.OutcomeCancelled
+		e.Cause = Error.Wrap(context.Cause(a.ctx))
+	case a.expired() || errors.Is(cause, os.ErrDeadlineExceeded) || a.ctx.Err() != nil:
+		e.Kind = pool.OutcomeTimeout
+	case a.bodyFailed():
+		e.Kind = pool.OutcomeCancelled
+		e.Cause = ErrRequestBody
+	case a.conn.received == 0:
+		e.Kind = pool.OutcomeConnectionLost
+	}
+	return e
+}
+
+// bodyFailed says that the body's reader ended early, which is the caller's fault.
+func (a *attempt) bodyFailed() bool {
+	if a.writer == nil {
+		return false
+	}
+	select {
+	case <-a.writer.done:
+		return a.writer.bodyErr != nil
+	default:
+		return false
+	}
+}
+
+// end gives the connection back and waits for the body's writer. It is called once.
+func (a *attempt) end(reusable bool) {
+	defer a.client.active.Done()
+	if a.conn == nil {
+		return
+	}
+	c := a.conn
+	watched := a.unwatch()
+	if reusable && watched && c.SetDeadline(time.Time{}) == nil && c.quiet() {
+		c.used = true
+		a.client.store.put(a.request.Address, c)
+		return
+	}
+	a.client.store.drop(a.request.Address, c)
+	if a.writer != nil && a.request.StopBody != nil {
+		a.request.StopBody()
+		<-a.writer.done
+	}
+}
+
+func asAttemptError(err error) (*AttemptError, bool) {
+	var e *AttemptError
+	ok := errors.As(err, &e)
+	return e, ok
+}
--- /dev/null
+++ b/target/header.go
@@ -0,0 +1,115 @@
+package target
+
+import (
+	"net/http"
+	"net/textproto"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Header fields between entries and targets.
+const (
+	// HeaderDeadline holds the remaining time to the deadline in whole milliseconds.
+	HeaderDeadline = "Bilberrywood-Deadline-Ms"
+	// HeaderShed with the value 1 marks a 503 that was given before the request was run.
+	HeaderShed = "Bilberrywood-Shed"
+	// HeaderDraining is present with a value other than 0 if the target is leaving.
+	HeaderDraining = "Bilberrywood-Draining"
+	// HeaderID holds the run id of a non-idempotent request.
+	HeaderID = "Bilberrywood-Id"
+	// HeaderNonce is chosen by a caller and echoed by targets, to recognise misdelivered answers.
+	HeaderNonce = "Bilberrywood-Nonce"
+)
+
+// maxAdvice bounds durations that a peer names, so that a wrong value can't stop traffic for long.
+const maxAdvice = time.Hour
+
+// hopByHop are the fields that concern one connection only (RFC 9110, 7.6.1), with the historical
+// ones that some programs still send.
+var hopByHop = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// DropHopByHop removes the fields from h that concern one connection only, including those that its
+// Connection field names.
+func DropHopByHop(h http.Header) {
+	for _, name := range connectionOptions(h) {
+		h.Del(name)
+	}
+	for _, name := range hopByHop {
+		delete(h, name)
+	}
+}
+
+// connectionOptions returns the canonical names in the Connection field of h.
+func connectionOptions(h http.Header) []string {
+	var names []string
+	for _, line := range h["Connection"] {
+		for name := range strings.SplitSeq(line, ",") {
+			if name = textproto.TrimString(name); name != "" {
+				names = append(names, textproto.CanonicalMIMEHeaderKey(name))
+			}
+		}
+	}
+	return names
+}
+
+// ParseDeadline returns the remaining time that a HeaderDeadline field names. ok is false if the
+// field is missing or not a number of milliseconds from 0 to an hour; larger numbers count as an hour.
+func ParseDeadline(h http.Header) (remaining time.Duration, ok bool) {
+	return parseCount(h.Get(HeaderDeadline), time.Millisecond)
+}
+
+// FormatDeadline is the inverse of ParseDeadline. It rounds up, because 0 would mean that no time is
+// left.
+func FormatDeadline(remaining time.Duration) string {
+	ms := (remaining + time.Millisecond - 1) / time.Millisecond
+	return strconv.FormatInt(int64(max(ms, 0)), 10)
+}
+
+// ParseRetryAfter returns the advice of a Retry-After field relative to now; 0 means none.
+func ParseRetryAfter(h http.Header, now time.Time) time.Duration {
+	value := h.Get("Retry-After")
+	if value == "" {
+		return 0
+	}
+	if d, ok := parseCount(value, time.Second); ok {
+		return d
+	}
+	at, err := http.ParseTime(value)
+	if err != nil {
+		return 0
+	}
+	return min(max(at.Sub(now), 0), maxAdvice)
+}
+
+// parseCount reads a decimal count of unit, bounded by maxAdvice.
+func parseCount(value string, unit time.Duration) (time.Duration, bool) {
+	value = textproto.TrimString(value)
+	if value == "" {
+		return 0, false
+	}
+	for _, c := range []byte(value) {
+		if c < '0' || c > '9' {
+			return 0, false
+		}
+	}
+	n, err := strconv.ParseInt(value, 10, 64)
+	if err != nil || n > int64(maxAdvice/unit) {
+		return maxAdvice, true
+	}
+	return time.Duration(n) * unit, true
+}
+
+// isDraining says whether h carries the drain signal.
+func isDraining(h http.Header) bool {
+	value := h.Get(HeaderDraining)
+	return value != "" && value != "0"
+}
+
+// isShed says whether an answer is a refusal that was given before the request was run.
+func isShed(status int, h http.Header) bool {
+	return status == http.StatusServiceUnavailable && h.Get(HeaderShed) == "1"
+}
--- /dev/null
+++ b/target/write.go
@@ -0,0 +1,210 @@
+package target
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"net/textproto"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// maxHeld is the largest body that is written in one piece with the head.
+	maxHeld = 64 << 10
+	// bodyBuffer is the size of the pieces in which a streamed body is written.
+	bodyBuffer = 32 << 10
+	// chunkRoom is the room before a piece for its length in hex and after it for the line's end.
+	chunkRoom = 10
+)
+
+var (
+	heads  = sync.Pool{New: func() any { return new(bytes.Buffer) }}
+	pieces = sync.Pool{New: func() any { b := make([]byte, chunkRoom+bodyBuffer+2); return &b }}
+)
+
+// notSent are the fields that are not taken from a request's header: hop-by-hop fields, and those
+// that the head is given from other parts of the request.
+var notSent = func() map[string]bool {
+	m := map[string]bool{"Host": true, "Content-Length": true, "Expect": true, HeaderDeadline: true}
+	for _, name := range hopByHop {
+		m[name] = true
+	}
+	return m
+}()
+
+// appendHead writes the request line and the header to b.
+func appendHead(b *bytes.Buffer, r *Request, deadline, now time.Time) {
+	b.WriteString(r.Method)
+	b.WriteByte(' ')
+	b.WriteString(r.Path)
+	b.WriteString(" HTTP/1.1\r\nHost: ")
+	b.WriteString(r.Host)
+	b.WriteString("\r\n")
+	if !deadline.IsZero() {
+		appendField(b, HeaderDeadline, FormatDeadline(deadline.Sub(now)))
+	}
+	appendFraming(b, r)
+	exclude := notSent
+	if _, ok := r.Header["Connection"]; ok {
+		exclude = make(map[string]bool, len(notSent)+1)
+		for name := range notSent {
+			exclude[name] = true
+		}
+		for _, name := range connectionOptions(r.Header) {
+			exclude[name] = true
+		}
+	}
+	// Writing to a buffer does not fail. WriteSubset leaves out fields with invalid names and
+	// replaces line ends in values.
+	_ = r.Header.WriteSubset(b, exclude)
+	b.WriteString("\r\n")
+}
+
+func appendField(b *bytes.Buffer, name, value string) {
+	b.WriteString(name)
+	b.WriteString(": ")
+	b.WriteString(value)
+	b.WriteString("\r\n")
+}
+
+// appendFraming writes the fields that say how long the body is.
+func appendFraming(b *bytes.Buffer, r *Request) {
+	switch {
+	case r.hasBody() && r.ContentLength < 0:
+		appendField(b, "Transfer-Encoding", "chunked")
+		if names := trailerNames(r.Trailer); len(names) > 0 {
+			appendField(b, "Trailer", strings.Join(names, ", "))
+		}
+	case r.hasBody():
+		appendField(b, "Content-Length", strconv.FormatInt(r.ContentLength, 10))
+	case r.Method != http.MethodGet && r.Method != http.MethodHead:
+		appendField(b, "Content-Length", "0")
+	}
+}
+
+// trailerNames returns the names of a trailer's fields that may be sent as such, in order.
+func trailerNames(trailer http.Header) []string {
+	var names []string
+	for name := range trailer {
+		name = textproto.CanonicalMIMEHeaderKey(name)
+		if !notSent[name] && !strings.ContainsFunc(name, notToken) {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// heldBody appends a request's body to b if it is in memory and small, so that it goes out in one
+// write and can be written again. ok is false if the body has to be streamed.
+func heldBody(b *bytes.Buffer, r *Request) (ok bool, err error) {
+	if !r.hasBody() {
+		return true, nil
+	}
+	if r.ContentLength < 0 || r.ContentLength > maxHeld {
+		return false, nil
+	}
+	switch r.Body.(type) {
+	case *bytes.Reader, *bytes.Buffer, *strings.Reader:
+	default:
+		return false, nil
+	}
+	if _, err := io.CopyN(b, r.Body, r.ContentLength); err != nil {
+		return false, ErrRequestBody
+	}
+	return true, nil
+}
+
+// bodyWriter streams a request's body to a connection while the answer may already arrive.
+type bodyWriter struct {
+	conn    *conn
+	request *Request
+	// last is set right before the last byte of the body is written.
+	last atomic.Bool
+	done chan struct{}
+	// bodyErr and connErr are set before done is closed; at most one of them is not nil.
+	bodyErr error
+	connErr error
+}
+
+// run writes the body. If the body can't be read it closes the connection, so that the target
+// doesn't take a part for the whole. If the connection fails it leaves that to the reader, because
+// an answer may have arrived before.
+func (w *bodyWriter) run() {
+	defer close(w.done)
+	buffer := pieces.Get().(*[]byte)
+	defer pieces.Put(buffer)
+	if w.request.ContentLength < 0 {
+		w.runChunked(*buffer)
+	} else {
+		w.runCounted((*buffer)[:bodyBuffer])
+	}
+	if w.bodyErr != nil {
+		w.conn.Close()
+	}
+}
+
+func (w *bodyWriter) runCounted(b []byte) {
+	left := w.request.ContentLength
+	for left > 0 {
+		n, err := w.request.Body.Read(b[:min(int64(len(b)), left)])
+		left -= int64(n)
+		if n > 0 {
+			if left == 0 {
+				w.last.Store(true)
+			}
+			if _, w.connErr = w.conn.Write(b[:n]); w.connErr != nil {
+				return
+			}
+		}
+		if err != nil && left > 0 {
+			w.bodyErr = err
+			return
+		}
+	}
+}
+
+func (w *bodyWriter) runChunked(b []byte) {
+	for {
+		n, err := w.request.Body.Read(b[chunkRoom : chunkRoom+bodyBuffer])
+		if n > 0 {
+			if _, w.connErr = w.conn.Write(frameChunk(b, n)); w.connErr != nil {
+				return
+			}
+		}
+		if err == io.EOF {
+			break
+		}
+		if err != nil {
+			w.bodyErr = err
+			return
+		}
+	}
+	w.last.Store(true)
+	_, w.connErr = w.conn.Write(lastChunk(w.request.Trailer))
+}
+
+// frameChunk puts the chunk's length before and a line end after the n bytes at chunkRoom.
+func frameChunk(b []byte, n int) []byte {
+	length := strconv.AppendInt(make([]byte, 0, chunkRoom), int64(n), 16)
+	length = append(length, '\r', '\n')
+	start := chunkRoom - len(length)
+	copy(b[start:], length)
+	return append(b[start:chunkRoom+n], '\r', '\n')
+}
+
+// lastChunk returns the end of a chunked body with its trailer.
+func lastChunk(trailer http.Header) []byte {
+	var b bytes.Buffer
+	b.WriteString("0\r\n")
+	if len(trailer) > 0 {
+		_ = trailer.WriteSubset(&b, notSent) // writing to a buffer does not fail
+	}
+	b.WriteString("\r\n")
+	return b.Bytes()
+}
