--- /dev/null
+++ b/target/client_test.go
@@ -0,0 +1,207 @@
+package target_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/bilberrywood/bilberrywood/pool"
+	"github.com/bilberrywood/bilberrywood/standin"
+	"github.com/bilberrywood/bilberrywood/target"
+)
+
+// limit bounds every wait of the tests, so that a failure ends them.
+const limit = 20 * time.Second
+
+// startTarget starts a stand-in that is closed at the end of the test.
+func startTarget(t testing.TB, s *standin.Target) *standin.Target {
+	t.Helper()
+	s.Listen = "127.0.0.1:0"
+	if err := s.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { s.Close() })
+	return s
+}
+
+// newClient returns a client that is closed before the stand-ins are.
+func newClient(t testing.TB) *target.Client {
+	c := &target.Client{}
+	t.Cleanup(func() { c.Close() })
+	return c
+}
+
+// get returns a request whose answer belongs to the nonce.
+func get(address, nonce, query string) *target.Request {
+	return &target.Request{
+		Address: address, Method: http.MethodGet, Path: "/work?" + query, Host: "pool",
+		Header: http.Header{target.HeaderNonce: {nonce}}, Idempotent: true,
+		Deadline: time.Now().Add(limit),
+	}
+}
+
+// post returns a request with a body that is streamed.
+func post(address, nonce, query string, body io.Reader) *target.Request {
+	r := get(address, nonce, query)
+	r.Method, r.Idempotent = http.MethodPost, false
+	r.Body, r.ContentLength = body, -1
+	return r
+}
+
+// do sends a request and reads its answer; the error may come from both.
+func do(ctx context.Context, c *target.Client, r *target.Request, size int64) (a *target.Answer, ok bool, err error) {
+	a, err = c.Do(ctx, r)
+	if err != nil {
+		return nil, false, err
+	}
+	defer a.Body.Close()
+	ok, _, err = standin.CheckNonceBody(a.Body, r.Header.Get(target.HeaderNonce), size)
+	return a, ok && a.Header.Get(target.HeaderNonce) == r.Header.Get(target.HeaderNonce), err
+}
+
+// wait waits for a condition that another goroutine or the stand-in brings about.
+func wait(t testing.TB, what string, condition func() bool) {
+	t.Helper()
+	for end := time.Now().Add(limit); !condition(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("not within %v: %s", limit, what)
+		}
+	}
+}
+
+// attemptError returns the typed error and fails the test if there is none.
+func attemptError(t testing.TB, err error) *target.AttemptError {
+	t.Helper()
+	var e *target.AttemptError
+	if !errors.As(err, &e) {
+		t.Fatalf("error %v is not an AttemptError", err)
+	}
+	return e
+}
+
+// Guards against answers that reach the wrong request, and against connections that are not reused.
+func TestAnswersBelongToRequests(t *testing.T) {
+	is := is.New(t)
+	s := startTarget(t, &standin.Target{Slots: 100})
+	c := newClient(t)
+	for i := range 200 {
+		size := int64(i * 37)
+		r := get(s.Address(), "n"+strconv.Itoa(i), "bytes="+strconv.FormatInt(size, 10))
+		switch i % 4 {
+		case 1:
+			r.Path += "&chunked=1"
+		case 2:
+			r.Method, r.Body, r.ContentLength = http.MethodPost, strings.NewReader("held"), 4
+		case 3:
+			r.Method, r.Body, r.ContentLength = http.MethodPost, strings.NewReader("streamed"), -1
+		}
+		a, ok, err := do(t.Context(), c, r, size)
+		is.NoErr(err)
+		is.True(ok) // the body belongs to the nonce
+		is.Equal(a.Status, http.StatusOK)
+		is.Equal(a.Reused, i > 0) // one connection serves all requests in turn
+	}
+	open, idle := c.Connections(s.Address())
+	is.Equal(open, 1)
+	is.Equal(idle, 1)
+}
+
+// Guards against a truncated answer that is taken for a whole one.
+func TestTruncatedAnswers(t *testing.T) {
+	s := startTarget(t, &standin.Target{})
+	s.SetFault(standin.TargetFault{Truncate: true})
+	for _, query := range []string{"bytes=1000", "bytes=1000&chunked=1", "bytes=100000", "bytes=100000&chunked=1"} {
+		t.Run(query, func(t *testing.T) {
+			is := is.New(t)
+			c := newClient(t)
+			_, ok, err := do(t.Context(), c, get(s.Address(), "n", query), 1000)
+			is.True(!ok)
+			e := attemptError(t, err)
+			is.Equal(e.Kind, pool.OutcomeTruncated)
+			is.True(e.Written)
+			open, _ := c.Connections(s.Address())
+			is.Equal(open, 0) // the connection is not used again
+		})
+	}
+}
+
+// rawTarget answers each connection with a script, for answers that no sound server gives. The
+// script gets the connection and its number from 1; the connection is closed after it.
+func rawTarget(t testing.TB, script func(c net.Conn, number int)) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for n := 1; ; n++ {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				script(c, n)
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// readHead reads a request without a body.
+func readHead(c net.Conn) string {
+	var got []byte
+	b := make([]byte, 4096)
+	for !bytes.Contains(got, []byte("\r\n\r\n")) {
+		n, err := c.Read(b)
+		if err != nil {
+			return string(got)
+		}
+		got = append(got, b[:n]...)
+	}
+	return string(got)
+}
+
+// Guards against malformed answers that are passed on or make a connection stay in use.
+func TestMalformedAnswers(t *testing.T) {
+	tests := map[string]struct {
+		answer string
+		kind   pool.OutcomeKind
+	}{
+		"nothing":         {"", pool.OutcomeConnectionLost},
+		"half a head":     {"HTTP/1.1 200 OK\r\nContent-Le", pool.OutcomeTruncated},
+		"no length":       {"HTTP/1.1 200 OK\r\n\r\nbody", pool.OutcomeTruncated},
+		"not HTTP":        {"SSH-2.0-x\r\n\r\n", pool.OutcomeTruncated},
+		"switch":          {"HTTP/1.1 101 Switching Protocols\r\n\r\n", pool.OutcomeTruncated},
+		"two lengths":     {"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab", pool.OutcomeTruncated},
+		"short":           {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nab", pool.OutcomeTruncated},
+		"no last chunk":   {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n", pool.OutcomeTruncated},
+		"no trailer end":  {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n", pool.OutcomeTruncated},
+		"large head":      {"HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", 1<<20), pool.OutcomeTruncated},
+		"only early hint": {"HTTP/1.1 103 Early Hints\r\n\r\n", pool.OutcomeTruncated},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			address := rawTarget(t, func(c net.Conn, _ int) {
+				readHead(c)
+				_, _ = io.WriteString(c, test.answer)
+			})
+			_, ok, err := do(t.Context(), newClient(t), get(address, "n", ""), 2)
+			is.True(!ok)
+			e := attemptError(t, err)
+			is.Equal(e.Kind, test.kind)
+			is.True(e.Written)
+		})
+	}
+}
