pool: first version of Cell with evidence, floor, trials, queue, retries and poison

Cause: the measurements and the daemon need the decision interface to build on. Measured: it builds and lints; behaviour is not tested yet.

--- /dev/null
+++ b/pool/evidence.go
@@ -0,0 +1,228 @@
+package pool
+
+import (
+	"math"
+)
+
+// Failure ratios of the sequential tests.
+const (
+	// baseFailureRatio is the least failure ratio that healthy targets are assumed to have.
+	baseFailureRatio = 0.005
+	// maxBaseRatio bounds the peers' ratio used as the base; above it the pool as a whole is failing.
+	maxBaseRatio = 0.5
+	// ratioSmoothing is the weight of one answer in a target's failure ratio.
+	ratioSmoothing = 1.0 / 16
+)
+
+// cusum is a cumulative sum of log-likelihood ratios, clamped at zero. A healthy target reaches the
+// value h about once in exp(h) samples or less often.
+type cusum struct {
+	sum float64
+	// samples since the sum was last zero.
+	samples int
+}
+
+func (s *cusum) add(ratio float64) {
+	s.sum += ratio
+	if s.sum <= 0 {
+		s.reset()
+		return
+	}
+	s.samples++
+}
+
+func (s *cusum) reset() { *s = cusum{} }
+
+// failureTest is a test of the failure ratio against one alternative.
+type failureTest struct {
+	// alternative is the failure ratio of the targets that the test looks for.
+	alternative float64
+}
+
+var (
+	llrFailure20 = failureTest{alternative: 0.2}
+	llrFailure90 = failureTest{alternative: 0.9}
+)
+
+// of returns the log-likelihood ratio of one answer. Where the peers fail too, the alternative is kept
+// at three times their odds, so that the test still looks for a target that is worse than its peers.
+func (f failureTest) of(failed bool, base float64) float64 {
+	odds := 3 * base / (1 - base)
+	alternative := max(f.alternative, odds/(1+odds))
+	if failed {
+		return math.Log(alternative / base)
+	}
+	return math.Log((1 - alternative) / (1 - base))
+}
+
+// evidence is what the cell has observed of one target.
+type evidence struct {
+	some        cusum // failures, alternative 20%
+	most        cusum // failures, alternative 90%
+	time        cusum // service time of ordinary answers
+	connections cusum // connection faults
+	// late is the censored evidence of the attempts in flight, at the last tick.
+	late float64
+	// suspicion is the strongest evidence as a share of what makes a target avoided, 0 to 1.
+	suspicion float64
+	// ratio is the smoothed share of failures.
+	ratio float64
+	// samples counts the answers since the target's state last changed.
+	samples int
+}
+
+// reset forgets the evidence, but not the failure ratio, which is the base of the peers' tests.
+func (e *evidence) reset() {
+	e.some.reset()
+	e.most.reset()
+	e.time.reset()
+	e.connections.reset()
+	e.late, e.suspicion, e.samples = 0, 0, 0
+}
+
+// strongest returns the largest sum of the tests with its reason and number of samples.
+func (e *evidence) strongest() (float64, Reason, int) {
+	sum, reason, samples := e.most.sum, ReasonFailures, e.most.samples
+	if e.some.sum > sum {
+		sum, reason, samples = e.some.sum, ReasonSomeFailures, e.some.samples
+	}
+	if e.time.sum+e.late > sum {
+		sum, reason, samples = e.time.sum+e.late, ReasonSlow, e.time.samples
+	}
+	if e.connections.sum > sum {
+		sum, reason, samples = e.connections.sum, ReasonConnections, e.connections.samples
+	}
+	return sum, reason, samples
+}
+
+// collectOutcome takes the evidence of an answer, or of its absence.
+func (c *Cell) collectOutcome(now Time, t *target, r *request, o *Outcome) {
+	var progress float64
+	switch o.Kind {
+	case OutcomeSuccess:
+		c.queue.observeHold(o.Service)
+		progress = c.answered(t, false)
+		if !r.Upload {
+			progress = min(progress, -c.collectTime(t, r, o))
+		}
+	case OutcomeFailed, OutcomeTruncated:
+		progress = c.answered(t, true)
+	case OutcomeTimeout:
+		progress = c.collectTimeout(t, r, o)
+	case OutcomeCancelled:
+		c.collectCensored(t, r, o)
+	case OutcomeConnectionLost, OutcomeConnectionSilent:
+		c.history.count()
+		progress = -llrFailure90.of(true, baseFailureRatio)
+	case OutcomeConnectFailed:
+		progress = -1
+	}
+	c.endTrial(now, t, r, progress)
+}
+
+// answered counts a success or a failure and returns how far it speaks for the target's health.
+func (c *Cell) answered(t *target, failed bool) float64 {
+	e := &t.evidence
+	c.history.count()
+	e.samples++
+	share := 0.0
+	if failed {
+		share = 1
+	}
+	e.ratio += (share - e.ratio) * ratioSmoothing
+	base := c.history.baseRatio
+	e.some.add(llrFailure20.of(failed, base))
+	most := llrFailure90.of(failed, base)
+	e.most.add(most)
+	if t.reason == ReasonSomeFailures {
+		return -llrFailure20.of(failed, base)
+	}
+	return -most
+}
+
+// collectTime compares the service time of an answer with the peers' and returns its evidence of slowness.
+func (c *Cell) collectTime(t *target, r *request, o *Outcome) float64 {
+	h := &c.history
+	bin := binOf(o.Service)
+	ratio := h.slow(bin)
+	if t.state == TargetServing && !r.cold {
+		h.observe(bin)
+	}
+	if r.cold {
+		return min(ratio, 0)
+	}
+	t.evidence.time.add(ratio)
+	return ratio
+}
+
+// collectTimeout takes a request that was not answered before its deadline. It is a failure of the target
+// only where the peers would have answered long before; else the deadline was too short.
+func (c *Cell) collectTimeout(t *target, r *request, o *Outcome) float64 {
+	if r.Upload || !c.history.known() {
+		return c.answered(t, true)
+	}
+	ratio := c.collectCensored(t, r, o)
+	if ratio < overdue {
+		return 0
+	}
+	return c.answered(t, true)
+}
+
+// collectCensored takes a request that ended without an answer after the given time in flight.
+func (c *Cell) collectCensored(t *target, r *request, o *Outcome) float64 {
+	if r.Upload || r.cold || !c.history.known() {
+		return 0
+	}
+	ratio := c.history.late(binOf(o.Service))
+	if ratio > 0 {
+		t.evidence.time.add(ratio)
+	}
+	return ratio
+}
+
+// observe takes the evidence of the attempts in flight, so that a target that hangs is found before its
+// requests end, and updates the rates and ratios that all tests share.
+func (c *Cell) observe(now Time) {
+	c.history.tick(now)
+	if c.history.ratioDue(now) {
+		c.history.baseRatio = c.peerRatio()
+	}
+	if !c.history.known() {
+		return
+	}
+	for i := range c.targets.len() {
+		t := c.targets.at(i)
+		t.evidence.late = 0
+		for _, r := range t.attempts {
+			age := now - r.started
+			if age < c.history.lateAfter || r.Upload || r.cold || r.started < c.doubt.evidenceFrom {
+				continue
+			}
+			t.evidence.late += max(0, c.history.late(binOf(timeOf(age))))
+		}
+	}
+}
+
+// peerRatio is the median of the targets' failure ratios. A minority of failing targets does not move
+// it; a fault that all targets share raises it and so takes the evidence from each.
+func (c *Cell) peerRatio() float64 {
+	const steps = 64
+	var counts [steps + 1]int
+	n := 0
+	for i := range c.targets.len() {
+		t := c.targets.at(i)
+		if t.state == TargetLeaving || t.state == TargetEjected {
+			continue
+		}
+		counts[int(t.evidence.ratio*steps)]++
+		n++
+	}
+	seen := 0
+	for step, count := range counts {
+		seen += count
+		if seen*2 > n {
+			return min(maxBaseRatio, max(baseFailureRatio, float64(step)/steps))
+		}
+	}
+	return baseFailureRatio
+}
--- /dev/null
+++ b/pool/floor.go
@@ -0,0 +1,84 @@
+package pool
+
+import (
+	"github.com/bilberrywood/bilberrywood/fleet"
+)
+
+// FloorShare is a cell's part of its pool's floor, rounded up, so that the cells' floors together are
+// never below the pool's.
+func FloorShare(floor, poolTargets, cellTargets int) int {
+	if poolTargets <= 0 {
+		return 0
+	}
+	return (floor*cellTargets + poolTargets - 1) / poolTargets
+}
+
+// notEjected counts the targets that are neither ejected nor leaving.
+func (c *Cell) notEjected() (remaining, ejected int) {
+	for i := range c.targets.len() {
+		switch c.targets.at(i).state {
+		case TargetLeaving:
+		case TargetEjected:
+			ejected++
+		default:
+			remaining++
+		}
+	}
+	return remaining, ejected
+}
+
+// mayEject returns why the target may not be ejected, or "".
+func (c *Cell) mayEject(t *target) Reason {
+	remaining, _ := c.notEjected()
+	if remaining-1 < c.Floor && !c.faults.ignoreFloor {
+		return ReasonFloor
+	}
+	if t.protected && c.standing != fleet.Sole && !c.faults.ignoreProtected {
+		return ReasonStanding
+	}
+	return ""
+}
+
+// enforceFloor turns ejected targets into avoided ones when a changed table, a leaving target or a
+// contested standing no longer permits their ejection. The target with the least evidence goes first.
+func (c *Cell) enforceFloor(now Time) {
+	if c.standing != fleet.Sole && !c.faults.ignoreProtected {
+		for i := range c.targets.len() {
+			t := c.targets.at(i)
+			if t.protected && t.state == TargetEjected {
+				c.demote(now, t, ReasonStanding)
+			}
+		}
+	}
+	if c.faults.ignoreFloor {
+		return
+	}
+	remaining, ejected := c.notEjected()
+	for ; remaining < c.Floor && ejected > 0; remaining, ejected = remaining+1, ejected-1 {
+		c.demote(now, c.leastEvidence(), ReasonFloor)
+	}
+}
+
+func (c *Cell) demote(now Time, t *target, reason Reason) {
+	cause := t.reason
+	c.setState(now, t, TargetAvoided, reason, EventDemoted, 0, 0, 0)
+	t.reason, t.blocked = cause, reason
+	t.trial.due = min(t.trial.due, now+Time(firstTrial))
+}
+
+// leastEvidence returns the ejected target with the least evidence against it.
+func (c *Cell) leastEvidence() *target {
+	var best *target
+	least := 0.0
+	for i := range c.targets.len() {
+		t := c.targets.at(i)
+		if t.state != TargetEjected {
+			continue
+		}
+		sum, _, _ := t.evidence.strongest()
+		if best == nil || sum < least {
+			best, least = t, sum
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/pool/pick.go
@@ -0,0 +1,122 @@
+package pool
+
+import (
+	"time"
+
+	"github.com/bilberrywood/bilberrywood/fleet"
+)
+
+// Bounds of the time that a request waits for a serving target before an avoided one is used.
+const (
+	minAvoidWait = 50 * time.Millisecond
+	maxAvoidWait = time.Second
+)
+
+// suspicionWeight is how much a target one step below being avoided loses against its peers, in units
+// of a full target's load: with 4 slots, two requests in flight.
+const suspicionWeight = 0.5
+
+// pick chooses a target with a free slot for the request, or returns nil.
+func (c *Cell) pick(now Time, r *request) (*target, Reason, bool) {
+	if t := c.pickTrial(now, r); t != nil {
+		return t, ReasonTrial, true
+	}
+	if t := c.leastInFlight(now, r, TargetServing); t != nil {
+		if r.attempt > 0 {
+			return t, ReasonRetry, false
+		}
+		return t, ReasonLeastInFlight, false
+	}
+	if c.mayUseAvoided(now, r) {
+		if t := c.leastInFlight(now, r, TargetAvoided); t != nil {
+			return t, ReasonSaturated, false
+		}
+	}
+	return nil, "", false
+}
+
+// mayUseAvoided says that no other slot is expected within the request's queue wait.
+func (c *Cell) mayUseAvoided(now Time, r *request) bool {
+	if c.avoidedTargets == 0 {
+		return false
+	}
+	if c.servingSlots == 0 {
+		return true
+	}
+	limit := min(max(2*c.queue.hold, minAvoidWait), maxAvoidWait)
+	return now-r.submitted >= Time(limit)
+}
+
+// leastInFlight returns the target in the given state with the lowest share of its slots in use. A
+// target with some evidence against it counts as more loaded. Ties go to a random target.
+func (c *Cell) leastInFlight(now Time, r *request, state TargetState) *target {
+	n := c.targets.len()
+	if n == 0 {
+		return nil
+	}
+	var best, last *target
+	bestScore := 0.0
+	position := c.Random.IntN(n)
+	for range n {
+		t := c.targets.at(position)
+		position++
+		if position == n {
+			position = 0
+		}
+		if t.state != state || now < t.shedUntil || t.freeSlots() <= 0 {
+			continue
+		}
+		if r.suspect && t.suspectsInFlight > 0 {
+			continue
+		}
+		if r.attempt > 0 && t.id == r.lastTarget {
+			last = t
+			continue
+		}
+		score := float64(t.inFlight)/float64(t.limit) + suspicionWeight*t.evidence.suspicion
+		if best == nil || score < bestScore {
+			best, bestScore = t, score
+		}
+	}
+	if best == nil && last != nil && !c.anotherExists(last) {
+		return last
+	}
+	return best
+}
+
+// anotherExists says that a serving target other than t exists, free or not.
+func (c *Cell) anotherExists(t *target) bool {
+	if t.state == TargetServing {
+		return c.servingTargets > 1
+	}
+	return c.servingTargets > 0
+}
+
+// refreshLimits recomputes how many attempts each target may run. A contested owner uses half of the
+// slots, rounded up, because another owner may be using the other half.
+func (c *Cell) refreshLimits(now Time) {
+	slots := max(1, c.Slots)
+	if c.standing != fleet.Sole && !c.faults.fullSlotsWhenContested {
+		slots = (slots + 1) / 2
+	}
+	if c.faults.oneSlotTooMany {
+		slots++
+	}
+	c.servingSlots, c.servingTargets, c.avoidedTargets, c.trials.waiting = 0, 0, 0, 0
+	for i := range c.targets.len() {
+		t := c.targets.at(i)
+		t.limit = c.rampedSlots(now, t, slots)
+		switch t.state {
+		case TargetServing:
+			c.servingTargets++
+			if now >= t.shedUntil {
+				c.servingSlots += t.limit
+			}
+		case TargetAvoided:
+			c.avoidedTargets++
+			c.trials.waiting++
+		case TargetEjected, TargetUnreachable:
+			c.trials.waiting++
+		}
+	}
+}
--- /dev/null
+++ b/pool/poison.go
@@ -0,0 +1,194 @@
+package pool
+
+import (
+	"slices"
+	"time"
+
+	"github.com/bilberrywood/bilberrywood/table"
+)
+
+// Times and limits of poison detection.
+const (
+	// suspectTime is how long a request that ran at a crash stays suspected without a success.
+	suspectTime = time.Minute
+	// poisonTime is how long a poison request is refused.
+	poisonTime = 10 * time.Minute
+	// poisonCrashes is the number of crashed targets that make a request poison.
+	poisonCrashes = 2
+	// poisonLosses is the number of targets at which the connection was lost that make a request poison
+	// when no crash could be seen, as with targets that restart at once.
+	poisonLosses = 3
+)
+
+// poisonTable holds the fingerprints of requests that ran when targets crashed.
+type poisonTable struct {
+	rows rows[Fingerprint, poisonRow]
+	// sweepAt is the time of the next removal of old rows.
+	sweepAt Time
+}
+
+type poisonRow struct {
+	suspectUntil Time
+	refusedUntil Time
+	// imported rows came from another entry and are not passed on.
+	imported bool
+	losses   []table.TargetID
+	crashes  []table.TargetID
+}
+
+func (p *poisonTable) refused(now Time, f Fingerprint) bool {
+	row := p.rows.get(f)
+	return row != nil && now < row.refusedUntil
+}
+
+func (p *poisonTable) retryAfter(now Time, f Fingerprint) time.Duration {
+	row := p.rows.get(f)
+	if row == nil {
+		return 0
+	}
+	return time.Duration(max(0, row.refusedUntil-now))
+}
+
+func (p *poisonTable) suspected(now Time, f Fingerprint) bool {
+	row := p.rows.get(f)
+	return row != nil && now < row.suspectUntil
+}
+
+// lost notes that the request's connection was lost, and says whether that makes it poison.
+func (p *poisonTable) lost(now Time, f Fingerprint, id table.TargetID) bool {
+	if f == 0 {
+		return false
+	}
+	row, _ := p.rows.add(f)
+	row.suspectUntil = now + Time(suspectTime)
+	if slices.Contains(row.losses, id) {
+		return false
+	}
+	row.losses = append(row.losses, id)
+	return len(row.losses) >= poisonLosses && p.condemn(now, row)
+}
+
+// crashed notes that a target crashed under the request, and says whether that makes it poison.
+func (p *poisonTable) crashed(now Time, f Fingerprint, id table.TargetID) bool {
+	row := p.rows.get(f)
+	if f == 0 || row == nil || slices.Contains(row.crashes, id) {
+		return false
+	}
+	row.crashes = append(row.crashes, id)
+	return len(row.crashes) >= poisonCrashes && p.condemn(now, row)
+}
+
+func (p *poisonTable) condemn(now Time, row *poisonRow) bool {
+	if now < row.refusedUntil {
+		return false
+	}
+	row.refusedUntil = now + Time(poisonTime)
+	return true
+}
+
+// clear forgets a suspect that was answered: a poison request crashes every target that runs it.
+func (p *poisonTable) clear(f Fingerprint) {
+	if p.rows.len() == 0 {
+		return
+	}
+	if row := p.rows.get(f); row != nil && row.refusedUntil == 0 {
+		p.rows.remove(f)
+	}
+}
+
+func (p *poisonTable) expire(now Time) {
+	if p.rows.len() == 0 || now < p.sweepAt {
+		return
+	}
+	p.sweepAt = now + Time(time.Second)
+	for i := p.rows.len() - 1; i >= 0; i-- {
+		r := p.rows.list[i]
+		if now >= r.value.suspectUntil && now >= r.value.refusedUntil {
+			p.rows.remove(r.key)
+		}
+	}
+}
+
+// Poison returns the fingerprints that this cell refuses by its own evidence, for other entries.
+func (c *Cell) Poison() []Fingerprint {
+	var out []Fingerprint
+	for i := range c.poison.rows.len() {
+		r := c.poison.rows.list[i]
+		if !r.value.imported && c.lastTick < r.value.refusedUntil {
+			out = append(out, r.key)
+		}
+	}
+	return out
+}
+
+// ImportPoison refuses fingerprints that another entry found to be poison. Repeated reports don't extend
+// the time, so entries can't keep a fingerprint alive between them.
+func (c *Cell) ImportPoison(now Time, fingerprints []Fingerprint) {
+	c.begin(now)
+	for _, f := range fingerprints {
+		if f == 0 {
+			continue
+		}
+		row, _ := c.poison.rows.add(f)
+		if row.refusedUntil > 0 {
+			continue
+		}
+		row.imported = true
+		row.refusedUntil = now + Time(poisonTime)
+		c.refusePoison(now, f)
+	}
+}
+
+// confirmCrash is called when a target that lost its connections accepts no new ones. It clears the
+// target of blame if requests ran on it that may have crashed it.
+func (c *Cell) confirmCrash(now Time, t *target) {
+	s := &t.connection
+	suspects := 0
+	for _, l := range s.lost {
+		if l.fingerprint == 0 || now-l.at > Time(lostMemory) {
+			continue
+		}
+		suspects++
+		if c.poison.crashed(now, l.fingerprint, t.id) {
+			c.poisoned(now, l.fingerprint, t)
+		}
+	}
+	if len(s.lost) == 0 {
+		return
+	}
+	s.lost = s.lost[:0]
+	s.restarted = true
+	c.event(Event{At: now, Kind: EventCrashed, Target: t.id, Reason: ReasonConnections, Samples: suspects})
+	if suspects > 0 {
+		s.blamelessUntil = now + Time(blamelessTime)
+		t.evidence.connections.reset()
+	}
+}
+
+func (c *Cell) poisoned(now Time, f Fingerprint, t *target) {
+	c.event(Event{At: now, Kind: EventPoison, Target: t.id, Fingerprint: f, Reason: ReasonConnections})
+	c.refusePoison(now, f)
+}
+
+// refusePoison refuses the waiting requests with the fingerprint.
+func (c *Cell) refusePoison(now Time, f Fingerprint) {
+	advice := c.poison.retryAfter(now, f)
+	for i := range c.queue.lanes {
+		q := &c.queue.lanes[i]
+		q.each(func(r *request) {
+			if r.Fingerprint == f {
+				q.remove(&r.node)
+				c.settleUnrun(r, ReasonPoison, advice)
+			}
+		})
+	}
+	kept := c.delayed[:0]
+	for _, r := range c.delayed {
+		if r.Fingerprint == f {
+			c.settleUnrun(r, ReasonPoison, advice)
+			continue
+		}
+		kept = append(kept, r)
+	}
+	c.delayed = kept
+}
--- /dev/null
+++ b/pool/queue.go
@@ -0,0 +1,194 @@
+package pool
+
+import (
+	"time"
+
+	"github.com/bilberrywood/bilberrywood/table"
+)
+
+// queueClass is the order of service under overload.
+type queueClass uint8
+
+const (
+	classNonIdempotent queueClass = iota
+	classIdempotent
+	// classSuspect holds suspected poison requests, which wait for a target without one.
+	classSuspect
+	classes
+)
+
+// idempotentTurn is how often an idempotent request goes before non-idempotent ones, so that a
+// backlog of orders does not starve lookups: once in this many picks from the queue.
+const idempotentTurn = 8
+
+// queueLimitFactor is the default queue limit as a multiple of the cell's slots.
+const queueLimitFactor = 4
+
+// holdSmoothing is the weight of one answer in the mean time that a request holds its slot.
+const holdSmoothing = 1.0 / 64
+
+// queue holds the requests that wait for a slot.
+type queue struct {
+	lanes [classes]fairQueue[table.Account, *request]
+	turn  int
+	// hold is the mean time that an attempt holds its slot; 0 means not known yet.
+	hold time.Duration
+}
+
+func (q *queue) size() int {
+	n := 0
+	for i := range q.lanes {
+		n += q.lanes[i].size
+	}
+	return n
+}
+
+// next returns the class that is served next, or classes when nothing but suspects waits.
+func (q *queue) next() queueClass {
+	orders := q.lanes[classNonIdempotent].size > 0
+	lookups := q.lanes[classIdempotent].size > 0
+	switch {
+	case orders && lookups && q.turn%idempotentTurn == idempotentTurn-1:
+		return classIdempotent
+	case orders:
+		return classNonIdempotent
+	case lookups:
+		return classIdempotent
+	}
+	return classes
+}
+
+func (q *queue) observeHold(service time.Duration) {
+	if q.hold == 0 {
+		q.hold = service
+		return
+	}
+	q.hold += time.Duration(float64(service-q.hold) * holdSmoothing)
+}
+
+func (c *Cell) queueLimit() int {
+	if c.Policy.QueueLimit > 0 {
+		return c.Policy.QueueLimit
+	}
+	return queueLimitFactor * c.Slots * max(1, c.listedTargets)
+}
+
+// waitEstimate is the expected time until a request that joins the queue gets a slot.
+func (c *Cell) waitEstimate(class queueClass) time.Duration {
+	if c.servingSlots == 0 {
+		return 0
+	}
+	ahead := c.queue.size()
+	if class == classNonIdempotent {
+		ahead = c.queue.lanes[classNonIdempotent].size
+	}
+	return time.Duration(float64(ahead+1) * float64(c.queue.hold) / float64(c.servingSlots))
+}
+
+// enqueue puts a new request into its queue, or refuses it as not run.
+func (c *Cell) enqueue(now Time, r *request) {
+	r.class = classIdempotent
+	if !r.Idempotent {
+		r.class = classNonIdempotent
+	}
+	if r.suspect {
+		r.class = classSuspect
+	}
+	wait := c.waitEstimate(r.class)
+	if r.Deadline > 0 && now+Time(wait) > r.Deadline {
+		c.refuse(r, ReasonDeadline, wait)
+		return
+	}
+	if c.queue.size() >= c.queueLimit() && !c.displace(r, wait) {
+		c.refuse(r, ReasonQueueFull, wait)
+		return
+	}
+	c.push(r, false)
+}
+
+func (c *Cell) push(r *request, front bool) {
+	r.phase = phaseQueued
+	r.node.value = r
+	if front {
+		c.queue.lanes[r.class].pushFront(r.Account, &r.node)
+		return
+	}
+	c.queue.lanes[r.class].push(r.Account, &r.node)
+}
+
+// displace makes room for a non-idempotent request by refusing the newest idempotent one.
+func (c *Cell) displace(r *request, wait time.Duration) bool {
+	if r.Idempotent {
+		return false
+	}
+	n := c.queue.lanes[classIdempotent].newest()
+	if n == nil {
+		return false
+	}
+	c.queue.lanes[classIdempotent].remove(n)
+	c.settleUnrun(n.value, ReasonDisplaced, wait)
+	return true
+}
+
+// expire refuses the queued requests whose deadline has passed or cannot be met any more.
+func (c *Cell) expire(now Time) {
+	for i := range c.queue.lanes {
+		q := &c.queue.lanes[i]
+		if q.size == 0 {
+			continue
+		}
+		q.each(func(r *request) {
+			if r.Deadline == 0 || now < r.Deadline {
+				return
+			}
+			q.remove(&r.node)
+			c.settleUnrun(r, ReasonDeadline, 0)
+		})
+	}
+}
+
+// pump starts queued requests while there are slots for them.
+func (c *Cell) pump(now Time) {
+	for {
+		class := c.queue.next()
+		if class == classes {
+			break
+		}
+		r := c.queue.lanes[class].first().value
+		t, reason, trial := c.pick(now, r)
+		if t == nil {
+			break
+		}
+		c.queue.turn++
+		c.queue.lanes[class].take()
+		if c.tooLate(now, r) {
+			c.settleUnrun(r, ReasonDeadline, 0)
+			continue
+		}
+		c.start(now, r, t, reason, trial)
+	}
+	c.pumpSuspects(now)
+}
+
+func (c *Cell) pumpSuspects(now Time) {
+	q := &c.queue.lanes[classSuspect]
+	for q.size > 0 {
+		r := q.first().value
+		t, reason, trial := c.pick(now, r)
+		if t == nil {
+			return
+		}
+		q.take()
+		c.start(now, r, t, reason, trial)
+	}
+}
+
+// tooLate says that a request has waited so long that its answer would come after its deadline. Such
+// work would take slots from requests that can still be answered in time. Half of the mean is used
+// because many answers come sooner than the mean.
+func (c *Cell) tooLate(now Time, r *request) bool {
+	if r.Deadline == 0 || now == r.submitted {
+		return false
+	}
+	return now+Time(c.queue.hold/2) > r.Deadline
+}
--- /dev/null
+++ b/pool/ramp.go
@@ -0,0 +1,38 @@
+package pool
+
+import (
+	"time"
+
+	"github.com/bilberrywood/bilberrywood/table"
+)
+
+// defaultRamp applies when the pools table gives no ramp time.
+const defaultRamp table.Millis = 5000
+
+// rampCold gives a target its slots gradually because it starts with cold caches. Its service times say
+// nothing until it has all of them.
+func (t *target) rampCold(now Time) {
+	t.ramping, t.cold, t.rampFrom = true, true, now
+}
+
+// rampWarm gives a returned target its slots gradually, in case it fails again under load.
+func (t *target) rampWarm(now Time) {
+	t.ramping, t.cold, t.rampFrom = true, false, now
+}
+
+// rampedSlots is how many of the given slots the target may use now; at least 1.
+func (c *Cell) rampedSlots(now Time, t *target, slots int) int {
+	if !t.ramping {
+		return slots
+	}
+	ramp := c.Policy.RampMs
+	if ramp == 0 {
+		ramp = defaultRamp
+	}
+	share := float64(time.Duration(now-t.rampFrom)) / float64(ramp.Duration())
+	if share >= 1 {
+		t.ramping, t.cold = false, false
+		return slots
+	}
+	return max(1, int(share*float64(slots)))
+}
--- /dev/null
+++ b/pool/report.go
@@ -0,0 +1,106 @@
+package pool
+
+import (
+	"slices"
+	"time"
+
+	"github.com/bilberrywood/bilberrywood/fleet"
+	"github.com/bilberrywood/bilberrywood/table"
+)
+
+// Report is a cell's state for operators.
+type Report struct {
+	Key      fleet.CellKey  `json:"key"`
+	Standing fleet.Standing `json:"standing"`
+	// Doubtful says that no target is avoided or ejected at present, because the observer or a cause that
+	// the targets share is suspected.
+	Doubtful bool `json:"doubtful"`
+	Floor    int  `json:"floor"`
+	Queued   int  `json:"queued"`
+	InFlight int  `json:"inFlight"`
+	// MeanService is the mean time that an attempt holds its slot; 0 means not known.
+	MeanService time.Duration `json:"meanServiceNs"`
+	// Rate is the answers per second, over about a minute.
+	Rate float64 `json:"rate"`
+	// BaseRatio is the failure ratio that targets are compared with.
+	BaseRatio    float64        `json:"baseRatio"`
+	RetryTokens  float64        `json:"retryTokens"`
+	Fingerprints int            `json:"fingerprints"`
+	Targets      []TargetReport `json:"targets"`
+}
+
+// TargetReport is a target's state for operators.
+type TargetReport struct {
+	ID        table.TargetID `json:"id"`
+	State     TargetState    `json:"state"`
+	Reason    Reason         `json:"reason"`
+	Since     Time           `json:"since"`
+	Protected bool           `json:"protected"`
+	// Blocked says why a target with enough evidence is not ejected.
+	Blocked  Reason `json:"blocked,omitempty"`
+	InFlight int    `json:"inFlight"`
+	// Limit is how many requests the target may run now.
+	Limit int `json:"limit"`
+	// Evidence is the strongest sum of log-likelihood ratios; the target is avoided at Avoid and ejected
+	// at Threshold.
+	Evidence  float64 `json:"evidence"`
+	Avoid     float64 `json:"avoid"`
+	Threshold float64 `json:"threshold"`
+	Samples   int     `json:"samples"`
+	// FailureRatio is the smoothed share of failures.
+	FailureRatio float64 `json:"failureRatio"`
+	// NextTrial is when a target out of service may be tried; 0 in service.
+	NextTrial Time `json:"nextTrial,omitempty"`
+	Flaps     int  `json:"flaps"`
+	ShedUntil Time `json:"shedUntil,omitempty"`
+	Ramping   bool `json:"ramping,omitempty"`
+}
+
+// Report returns the cell's state at its last tick, with targets in the order of their ids.
+func (c *Cell) Report() Report {
+	out := Report{
+		Key: c.Key, Standing: c.standing, Doubtful: c.doubtful(c.lastTick), Floor: c.Floor,
+		Queued: c.queue.size() + len(c.delayed), MeanService: c.queue.hold, Rate: c.history.rate,
+		BaseRatio: c.history.baseRatio, RetryTokens: c.budget.tokens, Fingerprints: c.poison.rows.len(),
+	}
+	for i := range c.targets.len() {
+		t := c.targets.at(i)
+		out.InFlight += t.inFlight
+		out.Targets = append(out.Targets, c.reportTarget(t))
+	}
+	slices.SortFunc(out.Targets, func(a, b TargetReport) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+func (c *Cell) reportTarget(t *target) TargetReport {
+	sum, _, samples := t.evidence.strongest()
+	threshold := c.threshold(t)
+	out := TargetReport{
+		ID: t.id, State: t.state, Reason: t.reason, Since: t.since, Protected: t.protected, Blocked: t.blocked,
+		InFlight: t.inFlight, Limit: t.limit, Evidence: sum, Avoid: avoidThreshold(threshold), Threshold: threshold,
+		Samples: samples, FailureRatio: t.evidence.ratio, Flaps: t.trial.flaps, Ramping: t.ramping,
+	}
+	if t.state != TargetServing && t.state != TargetLeaving {
+		out.NextTrial = t.trial.due
+	}
+	if t.shedUntil > c.lastTick {
+		out.ShedUntil = t.shedUntil
+	}
+	return out
+}
+
+// Ejected returns the ejected targets, for the next owner of the cell.
+func (c *Cell) Ejected() []table.TargetID {
+	var out []table.TargetID
+	for i := range c.targets.len() {
+		if t := c.targets.at(i); t.state == TargetEjected {
+			out = append(out, t.id)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/pool/request.go
@@ -0,0 +1,50 @@
+package pool
+
+import (
+	"github.com/bilberrywood/bilberrywood/table"
+)
+
+// phase is where a request is between Submit and its final decision.
+type phase uint8
+
+const (
+	// phaseQueued requests are in one of the queues.
+	phaseQueued phase = iota
+	// phaseDelayed requests wait for their retry time.
+	phaseDelayed
+	// phaseInFlight requests run at a target.
+	phaseInFlight
+)
+
+// request is a row of the table of requests.
+type request struct {
+	Request
+	phase     phase
+	submitted Time
+	// class is the queue that holds the request while it is queued.
+	class queueClass
+	node  queueNode[table.Account, *request]
+
+	// target runs the attempt in flight; nil otherwise.
+	target  *target
+	started Time
+	// attempt is the number of attempts started.
+	attempt   int
+	trial     bool
+	cancelled bool
+	// suspect attempts count towards target.suspectsInFlight.
+	suspect bool
+	// cold attempts ran at a target that had just started, whose service times say nothing.
+	cold bool
+
+	// lastTarget is not chosen for the next attempt if there is another.
+	lastTarget table.TargetID
+	// notBefore is the time of the next attempt while delayed.
+	notBefore Time
+	// ran says that some attempt was written, so that a refusal as not run would be a lie.
+	ran         bool
+	lastOutcome OutcomeKind
+}
+
+// replaceable says that a second attempt does no harm after an attempt that may have run.
+func (r *request) replaceable() bool { return r.Idempotent && r.Replayable }
--- /dev/null
+++ b/pool/retry.go
@@ -0,0 +1,99 @@
+package pool
+
+import (
+	"time"
+)
+
+// Limits of retries.
+const (
+	// maxAttempts bounds the attempts of one request.
+	maxAttempts = 3
+	// maxUnsentAttempts bounds the attempts of a request that no target has received.
+	maxUnsentAttempts = 6
+	// retryBurst is the budget of a quiet pool, in retries.
+	retryBurst = 5
+	// retryJitter spreads retries; it is multiplied by the number of attempts made.
+	retryJitter = 25 * time.Millisecond
+	// defaultRetryPercent applies when the pools table gives none.
+	defaultRetryPercent = 10
+)
+
+// retryBudget is a token bucket: each request pays in a share of one retry.
+type retryBudget struct {
+	tokens float64
+	filled bool
+}
+
+func (c *Cell) payIn() {
+	percent := float64(defaultRetryPercent)
+	if c.Policy.RetryPercent != nil {
+		percent = *c.Policy.RetryPercent
+	}
+	limit := float64(retryBurst)
+	if percent == 0 {
+		limit = 0
+	}
+	if !c.budget.filled {
+		c.budget.tokens, c.budget.filled = limit, true
+	}
+	c.budget.tokens = min(limit, c.budget.tokens+percent/100)
+}
+
+// mayRetry says whether an attempt with this outcome may be followed by another, and why not.
+func (c *Cell) mayRetry(now Time, r *request, o *Outcome) (bool, Reason) {
+	unsent := !o.Written || o.Kind == OutcomeShed
+	switch {
+	case o.AnswerBegun:
+		return false, ReasonNotRetryable
+	case !unsent && !r.replaceable() && !c.faults.rerunNonIdempotent:
+		return false, ReasonNotRetryable
+	case o.Written && !r.Replayable && !c.faults.rerunNonIdempotent:
+		return false, ReasonNotRetryable
+	case r.Deadline > 0 && now >= r.Deadline:
+		return false, ReasonDeadline
+	case r.attempt >= maxUnsentAttempts, r.ran && r.attempt >= maxAttempts:
+		return false, ReasonAttemptsSpent
+	case c.budget.tokens < 1:
+		return false, ReasonNoBudget
+	}
+	return true, ReasonRetry
+}
+
+// delay schedules the next attempt of a request. The first retry of a request that was not sent to any
+// target is immediate, because it adds no load.
+func (c *Cell) delay(now Time, r *request, o *Outcome) {
+	c.budget.tokens--
+	if o.Kind == OutcomeConnectFailed && r.attempt == 1 {
+		c.push(r, true)
+		return
+	}
+	r.phase = phaseDelayed
+	r.notBefore = now + Time(c.Random.Int64N(int64(retryJitter)*int64(r.attempt)))
+	c.delayed = append(c.delayed, r)
+}
+
+// resubmitDelayed queues the requests whose retry time has come, before those that have not run yet.
+func (c *Cell) resubmitDelayed(now Time) {
+	kept := c.delayed[:0]
+	for _, r := range c.delayed {
+		switch {
+		case r.Deadline > 0 && now >= r.Deadline:
+			c.settleUnrun(r, ReasonDeadline, 0)
+		case now >= r.notBefore:
+			c.push(r, true)
+		default:
+			kept = append(kept, r)
+		}
+	}
+	clear(c.delayed[len(kept):])
+	c.delayed = kept
+}
+
+func (c *Cell) dropDelayed(r *request) {
+	for i, d := range c.delayed {
+		if d == r {
+			c.delayed = append(c.delayed[:i], c.delayed[i+1:]...)
+			return
+		}
+	}
+}
--- /dev/null
+++ b/pool/target.go
@@ -0,0 +1,82 @@
+package pool
+
+import (
+	"github.com/bilberrywood/bilberrywood/table"
+)
+
+// TargetState is a target's place in the cell.
+type TargetState string
+
+// States of a target. Leaving comes before every other state.
+const (
+	// TargetServing means that the target gets ordinary work.
+	TargetServing TargetState = "serving"
+	// TargetAvoided means that it gets ordinary work only at saturation.
+	TargetAvoided TargetState = "avoided"
+	// TargetEjected means that it gets no ordinary work; limited by the floor.
+	TargetEjected TargetState = "ejected"
+	// TargetUnreachable means that it accepts no connections; it gets single attempts.
+	TargetUnreachable TargetState = "unreachable"
+	// TargetLeaving means that it gets no new work at all.
+	TargetLeaving TargetState = "leaving"
+)
+
+// target is a row of the table of targets.
+type target struct {
+	id table.TargetID
+	// rank is the hash by which the protected set is ordered.
+	rank uint64
+	// protected targets may only be ejected by a sole owner.
+	protected bool
+	// listed says that the table in force names the target.
+	listed bool
+	// tableLeaving and drainSignalled each make the target leave.
+	tableLeaving   bool
+	drainSignalled bool
+	// probeFailedAt is the time of the last failed probe since the drain signal.
+	probeFailedAt Time
+
+	state  TargetState
+	since  Time
+	reason Reason
+	// blocked says why an avoided target is not ejected; empty if its evidence does not suffice.
+	blocked Reason
+
+	// inFlight is at most limit whenever an attempt is added.
+	inFlight int
+	// limit is how many attempts the target may run now: its slots after standing and ramp.
+	limit int
+	// suspectsInFlight counts attempts of suspected poison requests; at most 1.
+	suspectsInFlight int
+	// attempts are the attempts in flight.
+	attempts []*request
+
+	rampFrom Time
+	ramping  bool
+	// cold ramps follow a start, so that service times are not compared with the peers.
+	cold      bool
+	shedUntil Time
+
+	evidence   evidence
+	trial      trialState
+	connection connectionState
+}
+
+func (t *target) leaving() bool {
+	return !t.listed || t.tableLeaving || t.drainSignalled
+}
+
+func (t *target) freeSlots() int { return t.limit - t.inFlight }
+
+func (t *target) removeAttempt(r *request) {
+	for i, a := range t.attempts {
+		if a != r {
+			continue
+		}
+		last := len(t.attempts) - 1
+		t.attempts[i] = t.attempts[last]
+		t.attempts[last] = nil
+		t.attempts = t.attempts[:last]
+		return
+	}
+}
--- /dev/null
+++ b/pool/trial.go
@@ -0,0 +1,189 @@
+package pool
+
+import (
+	"time"
+)
+
+// Times and limits of trials.
+const (
+	// firstTrial is the time until an avoided target is tried, and between trials that succeed.
+	firstTrial = 100 * time.Millisecond
+	// maxAvoidedTrial bounds the time between trials of an avoided target that fail.
+	maxAvoidedTrial = 5 * time.Second
+	// firstReconnect and maxReconnect bound the time between attempts at an unreachable target.
+	firstReconnect = 100 * time.Millisecond
+	maxReconnect   = 2 * time.Second
+	// firstHoldOff is the time from an ejection to the first trial; it doubles with each failed trial
+	// and each return that did not last.
+	firstHoldOff = 5 * time.Second
+	maxHoldOff   = 5 * time.Minute
+	// returnEvidence is how much likelier the target must be healthy than bad, as a log, to return.
+	returnEvidence = 3.0
+	// minReturnTrials is the least number of successes in a row for a return.
+	minReturnTrials = 2
+	// requestsPerTrial bounds the share of requests that are used as trials.
+	requestsPerTrial = 20
+	// flapMemory is the time in service after which one return is forgotten.
+	flapMemory = 10 * time.Minute
+	// maxFlaps bounds the returns that are remembered.
+	maxFlaps = 6
+	// riskyAfter is how long a cell waits for a request that can be repeated before it tries a target
+	// with one that can't.
+	riskyAfter = 30 * time.Second
+)
+
+// trialBudget bounds the trials of a cell.
+type trialBudget struct {
+	// requests counts the requests since the last trial.
+	requests int
+	// waiting counts the targets that are to be tried.
+	waiting int
+	// lastSafe is the time of the last request that could be repeated.
+	lastSafe Time
+}
+
+// trialState is a target's way back into service.
+type trialState struct {
+	due      Time
+	interval time.Duration
+	inFlight bool
+	// urgent trials don't wait for the share of requests.
+	urgent bool
+	// recovered is the evidence of health since the last failed trial.
+	recovered float64
+	successes int
+	// flaps counts returns that did not last.
+	flaps int
+	// failures counts failed trials since the ejection.
+	failures   int
+	returnedAt Time
+}
+
+// reset starts the trials of a target that went out of service.
+func (s *trialState) reset(now Time, first time.Duration) {
+	s.due = now + Time(first)
+	s.interval = first
+	s.recovered, s.successes, s.failures, s.urgent = 0, 0, 0, false
+}
+
+// holdOff is the time from an ejection or a failed trial to the next trial.
+func (s *trialState) holdOff() time.Duration {
+	return min(maxHoldOff, firstHoldOff<<min(s.flaps+s.failures, maxFlaps))
+}
+
+// pickTrial returns a target that is due for a trial and may be tried with this request.
+func (c *Cell) pickTrial(now Time, r *request) *target {
+	if r.replaceable() {
+		c.trials.lastSafe = now
+	}
+	if c.trials.waiting == 0 || r.attempt > 0 || r.suspect {
+		return nil
+	}
+	var best *target
+	for i := range c.targets.len() {
+		t := c.targets.at(i)
+		if t.state == TargetServing || t.state == TargetLeaving || !c.trialDue(now, t, r) {
+			continue
+		}
+		if best == nil || t.trial.due < best.trial.due {
+			best = t
+		}
+	}
+	return best
+}
+
+// trialDue says that the target may be tried now with the request.
+func (c *Cell) trialDue(now Time, t *target, r *request) bool {
+	s := &t.trial
+	if s.inFlight || now < s.due || now < t.shedUntil || t.freeSlots() <= 0 {
+		return false
+	}
+	if c.servingTargets > 0 && (c.budget.tokens < 1 || (c.trials.requests < requestsPerTrial && !s.urgent)) {
+		return false
+	}
+	if r.replaceable() || t.state == TargetUnreachable {
+		// A connection that is refused has not run the request.
+		return true
+	}
+	return now-c.trials.lastSafe >= Time(riskyAfter) && now-t.since >= Time(riskyAfter)
+}
+
+func (c *Cell) beginTrial(now Time, t *target) {
+	t.trial.inFlight = true
+	t.trial.urgent = false
+	c.trials.requests = 0
+	c.event(Event{At: now, Kind: EventTrial, Target: t.id, Reason: t.reason})
+}
+
+// endTrial takes the result of an attempt at a target out of service. Progress is the evidence that the
+// target is healthy; 0 means none.
+func (c *Cell) endTrial(now Time, t *target, r *request, progress float64) {
+	s := &t.trial
+	if r.trial {
+		s.inFlight = false
+	}
+	if t.state == TargetServing || t.state == TargetLeaving {
+		return
+	}
+	switch {
+	case progress < 0:
+		c.trialFailed(now, t, r)
+	case progress > 0:
+		s.recovered += progress
+		s.successes++
+		s.due = now + Time(firstTrial)
+		s.interval = firstTrial
+	}
+	if s.recovered < returnEvidence || s.successes < minReturnTrials {
+		return
+	}
+	switch t.state {
+	case TargetEjected:
+		c.restore(now, t, EventReturned)
+	case TargetAvoided:
+		c.restore(now, t, EventRestored)
+	}
+}
+
+func (c *Cell) trialFailed(now Time, t *target, r *request) {
+	s := &t.trial
+	s.recovered, s.successes = 0, 0
+	if !r.trial {
+		return
+	}
+	s.failures++
+	switch t.state {
+	case TargetEjected:
+		s.interval = s.holdOff()
+	case TargetUnreachable:
+		s.interval = min(2*s.interval, maxReconnect)
+	default:
+		s.interval = min(2*s.interval, maxAvoidedTrial)
+	}
+	// The jitter keeps trials of several targets apart.
+	s.due = now + Time(s.interval) + Time(c.Random.Int64N(int64(s.interval)/4+1))
+	c.event(Event{At: now, Kind: EventTrialFailed, Target: t.id, Reason: t.reason, Samples: s.failures})
+}
+
+// restore returns a target to service.
+func (c *Cell) restore(now Time, t *target, kind EventKind) {
+	samples := t.trial.successes
+	if kind == EventReturned {
+		t.trial.flaps = min(maxFlaps, t.trial.flaps+1)
+		t.trial.returnedAt = now
+		t.rampWarm(now)
+	}
+	t.evidence.reset()
+	t.trial.recovered, t.trial.successes = 0, 0
+	c.setState(now, t, TargetServing, ReasonRecovered, kind, 0, 0, samples)
+	c.refreshLimits(now)
+}
+
+// forgetFlaps reduces the memory of returns of targets that have stayed in service.
+func (c *Cell) forgetFlaps(now Time, t *target) {
+	s := &t.trial
+	if s.flaps > 0 && t.state == TargetServing && now-s.returnedAt >= Time(flapMemory) {
+		s.flaps--
+		s.returnedAt = now
+	}
+}
--- a/pool/types.go
+++ b/pool/types.go
@@ -74,6 +74,11 @@
 	RetryAfter time.Duration
 	// Draining says that the target announced that it is leaving.
 	Draining bool
+	// AnswerBegun says that part of the answer has already gone to the caller, so that no other
+	// attempt can replace it.
+	AnswerBegun bool
+	// NewConnection says that the attempt was the first on its connection.
+	NewConnection bool
 }
 
 // DecisionKind is what the daemon shall do with a request.
@@ -107,6 +112,62 @@
 // EventKind is a change of a target's place in the cell.
 type EventKind string
 
+// Kinds of event.
+const (
+	EventAvoided     EventKind = "avoided"
+	EventEjected     EventKind = "ejected"
+	EventTrial       EventKind = "trial"
+	EventTrialFailed EventKind = "trialFailed"
+	EventReturned    EventKind = "returned"
+	// EventRestored means that an avoided target is in ordinary use again.
+	EventRestored EventKind = "restored"
+	// EventDemoted means that an ejected target became avoided because of the floor or of a
+	// contested standing.
+	EventDemoted     EventKind = "demoted"
+	EventUnreachable EventKind = "unreachable"
+	EventReachable   EventKind = "reachable"
+	EventLeaving     EventKind = "leaving"
+	EventCrashed     EventKind = "crashed"
+	EventPoison      EventKind = "poison"
+	// EventCommonCause means that most targets looked bad at the same time.
+	EventCommonCause EventKind = "commonCause"
+	EventSelfDoubt   EventKind = "selfDoubt"
+	EventShed        EventKind = "shed"
+)
+
+// Reasons of decisions and events.
+const (
+	ReasonLeastInFlight  Reason = "leastInFlight"
+	ReasonSaturated      Reason = "avoidedTargetAtSaturation"
+	ReasonTrial          Reason = "trial"
+	ReasonRetry          Reason = "retry"
+	ReasonAnswered       Reason = "answered"
+	ReasonNotRetryable   Reason = "notRetryable"
+	ReasonNoBudget       Reason = "retryBudgetSpent"
+	ReasonAttemptsSpent  Reason = "attemptsSpent"
+	ReasonNotOwner       Reason = "notOwner"
+	ReasonQueueFull      Reason = "queueFull"
+	ReasonDisplaced      Reason = "displacedByNonIdempotent"
+	ReasonDeadline       Reason = "deadlineBeforeSlot"
+	ReasonNoTarget       Reason = "noTarget"
+	ReasonPoison         Reason = "poison"
+	ReasonDuplicate      Reason = "duplicateRequestID"
+	ReasonFailures       Reason = "failures"
+	ReasonSomeFailures   Reason = "someFailures"
+	ReasonSlow           Reason = "slow"
+	ReasonConnections    Reason = "connections"
+	ReasonInherited      Reason = "inherited"
+	ReasonFloor          Reason = "floor"
+	ReasonStanding       Reason = "standing"
+	ReasonDrainSignal    Reason = "drainSignal"
+	ReasonTable          Reason = "table"
+	ReasonLateTick       Reason = "lateTick"
+	ReasonMostTargetsBad Reason = "mostTargetsBad"
+	ReasonRecovered      Reason = "recovered"
+	ReasonCancelled      Reason = "cancelled"
+	ReasonShed           Reason = "shed"
+)
+
 // Event is a placement decision, for the log and the operators' client.
 type Event struct {
 	At          Time
