--- /dev/null
+++ b/standin/platform_files.go
@@ -0,0 +1,72 @@
+package standin
+
+import (
+	"bytes"
+	"encoding/json"
+	"os"
+
+	"github.com/tailscale/hujson"
+
+	"github.com/bilberrywood/bilberrywood/platform"
+)
+
+// Reload reads the files again. The values that differ are changed at one revision, so that a pool and
+// the route to it appear together. If a file can't be read, nothing is changed.
+func (p *Platform) Reload() error {
+	newest, _ := p.store.newest()
+	changed := make(map[string][]byte)
+	for name, path := range p.Files {
+		raw, err := os.ReadFile(path)
+		if err != nil {
+			return PlatformError.Wrap(err)
+		}
+		if current, ok := newest.values[name]; !ok || !bytes.Equal(current.raw, raw) {
+			changed[name] = raw
+		}
+	}
+	rows, err := p.readFleetFile()
+	if err != nil {
+		return err
+	}
+	if len(changed) > 0 {
+		if _, err := p.PutAll(changed); err != nil {
+			return err
+		}
+	}
+	if rows != nil {
+		p.SetFleet(rows)
+	}
+	return nil
+}
+
+func (p *Platform) readFleetFile() ([]platform.FleetRow, error) {
+	if p.FleetFile == "" {
+		return nil, nil
+	}
+	raw, err := os.ReadFile(p.FleetFile)
+	if err != nil {
+		return nil, PlatformError.Wrap(err)
+	}
+	rows, err := ParseFleet(raw)
+	if err != nil {
+		return nil, PlatformError.New("%s: %v", p.FleetFile, err)
+	}
+	return rows, nil
+}
+
+// ParseFleet parses a fleet list, {"entries": [...]} in JSON with comments.
+func ParseFleet(raw []byte) ([]platform.FleetRow, error) {
+	std, err := hujson.Standardize(bytes.Clone(raw))
+	if err != nil {
+		return nil, PlatformError.Wrap(err)
+	}
+	var list struct {
+		Entries []platform.FleetRow `json:"entries"`
+	}
+	d := json.NewDecoder(bytes.NewReader(std))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&list); err != nil {
+		return nil, PlatformError.Wrap(err)
+	}
+	return list.Entries, nil
+}
