Find dead paths under large requests without the kernel's user timeout

TCP_USER_TIMEOUT also counts a zero window, so an upload was cut off after 3.4 s when the target's process read nothing although its kernel answered. Large requests are now watched with TCP_INFO. The test shows the cut with the rule switched off, and none with it.

--- a/target/attempt.go
+++ b/target/attempt.go
@@ -25,6 +25,8 @@
 	writer *bodyWriter
 	// held is the body if it was written with the head.
 	held []byte
+	// watch looks for a dead path under a large request; nil under a small one.
+	watch *pathWatch
 	// wroteBefore says that a connection that was given up had been written to.
 	wroteBefore bool
 	// firstWrite is when the first byte was written on conn.
@@ -126,6 +128,11 @@
 	if a.expired() {
 		return a.giveBack(ErrDeadline)
 	}
+	if large := !inMemory || len(a.held) > maxUnwatched; large && !a.client.noPathWatch {
+		if a.watch, err = watchPath(a.conn, a.client.DeadPath); err != nil {
+			return a.giveBack(err)
+		}
+	}
 	if err := a.writeHead(b); err != nil {
 		return a.fail(err)
 	}
@@ -246,7 +253,10 @@
 	}
 	c := a.conn
 	watched := a.unwatch()
-	if reusable && watched && c.SetDeadline(time.Time{}) == nil && c.quiet() {
+	if a.watch != nil && a.watch.stop() != nil {
+		reusable = false
+	}
+	if reusable && watched && c.SetDeadline(time.Time{}) == nil {
 		c.used = true
 		a.client.store.put(a.request.Address, c)
 		return
--- a/target/client.go
+++ b/target/client.go
@@ -41,6 +41,9 @@
 	// MaxHeadBytes bounds the head of an answer; 256 KiB.
 	MaxHeadBytes int
 
+	// noPathWatch switches pathWatch off; only tests set it.
+	noPathWatch bool
+
 	once   sync.Once
 	store  *store
 	active sync.WaitGroup
--- a/target/conn.go
+++ b/target/conn.go
@@ -99,17 +99,3 @@
 	})
 	return err == nil && n <= 0 && (readErr == unix.EAGAIN || readErr == unix.EINTR)
 }
-
-// userTimeout makes the kernel give up a connection whose bytes stay unacknowledged for limit.
-func userTimeout(limit time.Duration) func(network, address string, c syscall.RawConn) error {
-	return func(_, _ string, c syscall.RawConn) error {
-		var optErr error
-		err := c.Control(func(fd uintptr) {
-			optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(limit.Milliseconds()))
-		})
-		if err == nil {
-			err = optErr
-		}
-		return err
-	}
-}
--- /dev/null
+++ b/target/failure_test.go
@@ -0,0 +1,351 @@
+package target_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"golang.org/x/sys/unix"
+
+	"github.com/bilberrywood/bilberrywood/pool"
+	"github.com/bilberrywood/bilberrywood/standin"
+	"github.com/bilberrywood/bilberrywood/target"
+)
+
+// Guards against a request that is given the late or repeated answer to an earlier one. The variant
+// that doesn't look for late bytes must be given the wrong answer.
+func TestLateAnswerIsNotDelivered(t *testing.T) {
+	for name, trust := range map[string]bool{"sound": false, "faulty": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			answered := make(chan struct{})
+			address := rawTarget(t, func(c net.Conn, number int) {
+				const answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nBilberrywood-Nonce: "
+				readHead(c)
+				if number > 1 {
+					_, _ = io.WriteString(c, answer+"second\r\n\r\n")
+					return
+				}
+				_, _ = io.WriteString(c, answer+"first\r\n\r\n")
+				<-answered
+				_, _ = io.WriteString(c, answer+"first\r\n\r\n")
+				readHead(c)
+			})
+			c := newClient(t)
+			if trust {
+				target.TrustIdleConnections(c)
+			}
+			_, ok, err := do(t.Context(), c, get(address, "first", ""), 0)
+			is.NoErr(err)
+			is.True(ok)
+			close(answered)
+			wait(t, "late bytes arrive", func() bool { return !target.IdleQuiet(c, address) })
+			_, ok, _ = do(t.Context(), c, get(address, "second", ""), 0)
+			is.Equal(ok, !trust)
+		})
+	}
+}
+
+// Guards against the answer of a cancelled request that reaches the next one, and against a cancel
+// that doesn't reach the target.
+func TestCancelReachesTarget(t *testing.T) {
+	is := is.New(t)
+	s := startTarget(t, &standin.Target{Service: time.Hour})
+	c := newClient(t)
+	for _, cause := range []string{"cancel", "deadline"} {
+		ctx, cancel := context.WithCancel(t.Context())
+		r := get(s.Address(), cause, "")
+		want := pool.OutcomeCancelled
+		if cause == "deadline" {
+			r.Deadline = time.Now().Add(50 * time.Millisecond)
+			want = pool.OutcomeTimeout
+		} else {
+			go func() {
+				wait(t, "request runs", func() bool { return len(s.Record("").Runs) > 0 })
+				cancel()
+			}()
+		}
+		_, _, err := do(ctx, c, r, 64)
+		cancel()
+		e := attemptError(t, err)
+		is.Equal(e.Kind, want)
+		is.True(e.Written)
+	}
+	wait(t, "both runs cancelled", func() bool {
+		runs := s.Record("").Runs
+		return len(runs) == 2 && runs[0].State == standin.RunCancelled && runs[1].State == standin.RunCancelled
+	})
+	_, ok, err := do(t.Context(), c, get(s.Address(), "next", "serviceMs=0"), 64)
+	is.NoErr(err)
+	is.True(ok)
+}
+
+// Guards against a wrong Written: false lets a request run twice, true refuses a harmless retry.
+func TestWritten(t *testing.T) {
+	refuse := errors.New("the entry was paused")
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	closed.Close()
+	tests := map[string]struct {
+		script  func(c net.Conn, number int)
+		change  func(r *target.Request)
+		kind    pool.OutcomeKind
+		written bool
+	}{
+		"refused": {
+			change: func(r *target.Request) { r.Address = closed.Addr().String() },
+			kind:   pool.OutcomeConnectFailed,
+		},
+		"hook": {
+			change: func(r *target.Request) { r.BeforeWrite = func() error { return refuse } },
+			kind:   pool.OutcomeNotStarted,
+		},
+		"deadline before": {
+			change: func(r *target.Request) { r.Deadline = time.Now().Add(-time.Second) },
+			kind:   pool.OutcomeTimeout,
+		},
+		"lost in body": {
+			script:  func(c net.Conn, _ int) { readHead(c) },
+			kind:    pool.OutcomeConnectionLost,
+			written: true,
+		},
+		"lost after body": {
+			script:  func(c net.Conn, _ int) { _, _ = io.CopyN(io.Discard, c, 1<<20) },
+			kind:    pool.OutcomeConnectionLost,
+			written: true,
+		},
+		"body ends early": {
+			script:  func(c net.Conn, _ int) { _, _ = io.Copy(io.Discard, c) },
+			change:  func(r *target.Request) { r.Body = bytes.NewReader(make([]byte, 1<<19)) },
+			kind:    pool.OutcomeCancelled,
+			written: true,
+		},
+		"lost in answer": {
+			script: func(c net.Conn, _ int) {
+				_, _ = io.CopyN(io.Discard, c, 1<<20)
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc")
+			},
+			kind:    pool.OutcomeTruncated,
+			written: true,
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			address := rawTarget(t, func(c net.Conn, number int) {
+				if test.script != nil {
+					test.script(c, number)
+				}
+			})
+			r := post(address, "n", "", bytes.NewReader(make([]byte, 1<<20)))
+			r.ContentLength = 1 << 20
+			if test.change != nil {
+				test.change(r)
+			}
+			_, _, err := do(t.Context(), newClient(t), r, 5)
+			e := attemptError(t, err)
+			is.Equal(e.Kind, test.kind)
+			is.Equal(e.Written, test.written)
+		})
+	}
+}
+
+// Guards against a request that is sent again without a decision when its reused connection is lost.
+// http.Transport is the faulty variant: it does send such requests again.
+func TestNoSilentResend(t *testing.T) {
+	for name, faulty := range map[string]bool{"sound": false, "faulty": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var seen atomic.Int32
+			address := rawTarget(t, func(c net.Conn, _ int) {
+				for readHead(c) != "" {
+					if seen.Add(1) > 1 {
+						return
+					}
+					_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+				}
+			})
+			c := newClient(t)
+			send := func() error {
+				_, _, err := do(t.Context(), c, get(address, "", ""), 0)
+				return err
+			}
+			if faulty {
+				h := &http.Client{Transport: &http.Transport{}}
+				send = func() error {
+					a, err := h.Get("http://" + address)
+					if err == nil {
+						err = a.Body.Close()
+					}
+					return err
+				}
+			}
+			is.NoErr(send())
+			is.True(send() != nil) // the target never answers the second request
+			is.Equal(seen.Load() > 2, faulty)
+		})
+	}
+}
+
+// Guards against a silent connection that costs a request or is blamed on the target, and against
+// non-idempotent work that is sent a second time.
+func TestSilentConnection(t *testing.T) {
+	tests := map[string]struct {
+		idempotent bool
+		patience   time.Duration
+		moved      bool
+	}{
+		"moved":          {idempotent: true, patience: 20 * time.Millisecond, moved: true},
+		"no patience":    {idempotent: true},
+		"not idempotent": {patience: 20 * time.Millisecond},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := startTarget(t, &standin.Target{})
+			c := newClient(t)
+			c.Freshness = limit
+			_, _, err := do(t.Context(), c, get(s.Address(), "first", ""), 64)
+			is.NoErr(err)
+			s.SetFault(standin.TargetFault{SilentConnections: true})
+			r := get(s.Address(), "second", "")
+			r.Idempotent, r.Patience = test.idempotent, test.patience
+			if !test.moved {
+				r.Deadline = time.Now().Add(200 * time.Millisecond)
+			}
+			a, ok, err := do(t.Context(), c, r, 64)
+			is.Equal(ok, test.moved)
+			if !test.moved {
+				e := attemptError(t, err)
+				is.Equal(e.Kind, pool.OutcomeTimeout)
+				is.True(e.Written)
+				return
+			}
+			is.True(a.SilentConnection)
+			is.Equal(a.Outcome().Kind, pool.OutcomeSuccess)
+			open, _ := c.Connections(s.Address())
+			is.Equal(open, 1) // the silent connection is closed
+		})
+	}
+}
+
+// Guards against a target that stops accepting and is taken for a silent connection: the request must
+// stay where it is and get its answer there.
+func TestSlowTargetKeepsRequest(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	release := make(chan struct{})
+	go func() {
+		c, err := l.Accept()
+		l.Close()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		const answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+		readHead(c)
+		_, _ = io.WriteString(c, answer)
+		readHead(c)
+		<-release
+		_, _ = io.WriteString(c, answer)
+	}()
+	c := newClient(t)
+	_, _, err = do(t.Context(), c, get(l.Addr().String(), "", ""), 0)
+	is.NoErr(err)
+	time.AfterFunc(100*time.Millisecond, func() { close(release) })
+	r := get(l.Addr().String(), "", "")
+	r.Patience = 10 * time.Millisecond
+	a, _, err := do(t.Context(), c, r, 0)
+	is.NoErr(err)
+	is.True(!a.SilentConnection)
+	is.True(a.Reused)
+}
+
+// deafen makes the kernel drop all that arrives on a connection, as a cut path does.
+func deafen(t testing.TB, c net.Conn) {
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	drop := []unix.SockFilter{{Code: unix.BPF_RET | unix.BPF_K, K: 0}}
+	program := unix.SockFprog{Len: 1, Filter: &drop[0]}
+	if err := raw.Control(func(fd uintptr) {
+		if err := unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &program); err != nil {
+			t.Error(err)
+		}
+	}); err != nil {
+		t.Error(err)
+	}
+}
+
+// Guards against requests that wait for their deadline on a path that no longer carries bytes, be it
+// while they send (stream), after they sent (held), or while they wait for an answer (answer).
+func TestDeadPath(t *testing.T) {
+	for _, phase := range []string{"stream", "held", "answer"} {
+		t.Run(phase, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			address := rawTarget(t, func(c net.Conn, number int) {
+				if phase == "answer" {
+					readHead(c)
+				}
+				deafen(t, c)
+				<-t.Context().Done()
+			})
+			c := newClient(t)
+			r := get(address, "", "")
+			r.Deadline = time.Now().Add(time.Hour)
+			if phase == "stream" {
+				r.Method, r.Body, r.ContentLength = http.MethodPost, standin.NonceBody("", 64<<20), 64<<20
+			}
+			start := time.Now()
+			_, err := c.Do(t.Context(), r)
+			e := attemptError(t, err)
+			is.Equal(e.Kind, pool.OutcomeConnectionLost)
+			is.True(e.Written)
+			is.True(time.Since(start) < 5*time.Second) // 3 s and the steps of the kernel's timers
+		})
+	}
+}
+
+// Guards against an upload that is cut off because the target reads nothing for a few seconds. The
+// variant with the kernel's user timeout alone must be cut off.
+func TestPausedReaderKeepsUpload(t *testing.T) {
+	const size = 32 << 20
+	for name, faulty := range map[string]bool{"sound": false, "faulty": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			cut := make(chan struct{})
+			address := rawTarget(t, func(c net.Conn, _ int) {
+				_, _ = io.CopyN(io.Discard, c, 1000)
+				select {
+				case <-cut:
+				case <-time.After(6 * time.Second): // twice the time after which a path counts as dead
+				}
+				_, _ = io.CopyN(io.Discard, c, size-1000)
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+			})
+			c := newClient(t)
+			if faulty {
+				target.TimeOutZeroWindows(c)
+			}
+			r := post(address, "", "", standin.NonceBody("", size))
+			r.ContentLength = size
+			_, _, err := do(t.Context(), c, r, 0)
+			close(cut)
+			is.Equal(err != nil, faulty)
+		})
+	}
+}
--- a/target/request.go
+++ b/target/request.go
@@ -33,7 +33,7 @@
 	Deadline time.Time
 	// Patience is how long a reused connection may show no byte of the answer before an
 	// idempotent request moves to a new connection. 0 means that it never moves. A request with a
-	// body moves only if Body is held in memory and has at most 64 KiB (see heldBody).
+	// body moves only if Body is held in memory and has at most 32 KiB (see maxUnwatched).
 	Patience time.Duration
 	// BeforeWrite is called when a connection is at hand, right before the first byte is written;
 	// its error ends the attempt as not started. It may be nil.
--- a/target/silent.go
+++ b/target/silent.go
@@ -7,9 +7,10 @@
 	"time"
 )
 
-// mayMove says whether the request may be sent again on a new connection to the same target.
+// mayMove says whether the request may be sent again on a new connection to the same target. Large
+// requests may not, because much of the patience may go into sending them.
 func (a *attempt) mayMove() bool {
-	return a.conn.used && a.request.Idempotent && a.request.Patience > 0 && a.writer == nil
+	return a.conn.used && a.request.Idempotent && a.request.Patience > 0 && a.writer == nil && a.watch == nil
 }
 
 // awaitFirstByte waits for the first byte of the answer. If none comes within the request's
--- a/target/store.go
+++ b/target/store.go
@@ -14,6 +14,8 @@
 	maxOpen     int
 	idleTimeout time.Duration
 	freshness   time.Duration
+	// trustIdle switches the look for late bytes off; only tests set it.
+	trustIdle bool
 
 	mu     sync.Mutex
 	closed bool
@@ -40,7 +42,7 @@
 			return nil, err
 		}
 		// Bytes that nobody asked for would be taken for the next answer.
-		if c.quiet() {
+		if s.trustIdle || c.quiet() {
 			return c, nil
 		}
 		s.drop(address, c)
