pool: simulation of one cell; suspicion lasts for a few service times only

Cause: a target with one failure got no work while others were idle, so its evidence never resolved; and two connections lost at once counted as a crash, so that a target that drops connections was never found.

--- a/pool/connection.go
+++ b/pool/connection.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"slices"
 	"time"
 )
 
@@ -93,28 +94,13 @@
 
 func (c *Cell) connectionLost(now Time, t *target, r *request, o *Outcome) {
 	s := &t.connection
-	kept := s.lost[:0]
-	burst := 0
-	for _, l := range s.lost {
-		if now-l.at > Time(lostMemory) {
-			continue
-		}
-		if now-l.at <= Time(burstWindow) {
-			burst++
-		}
-		kept = append(kept, l)
-	}
-	s.lost = kept
+	s.lost = slices.DeleteFunc(s.lost, func(l lostAttempt) bool { return now-l.at > Time(lostMemory) })
 	if o.Written {
 		s.lost = append(s.lost, lostAttempt{fingerprint: r.Fingerprint, at: now})
 		if c.poison.lost(now, r.Fingerprint, t.id) {
 			c.poisoned(now, r.Fingerprint, t)
 		}
 	}
-	if burst > 0 && t.inFlight == 0 {
-		// Every connection of the target ended at once.
-		c.confirmCrash(now, t)
-	}
 	c.connectionFault(now, t, r, o.NewConnection, freeLost)
 }
 
--- a/pool/evidence.go
+++ b/pool/evidence.go
@@ -65,6 +65,8 @@
 	late float64
 	// suspicion is the strongest evidence as a share of what makes a target avoided, 0 to 1.
 	suspicion float64
+	// failedAt is the time of the last failure.
+	failedAt Time
 	// ratio is the smoothed share of failures.
 	ratio float64
 	// samples counts the answers since the target's state last changed.
@@ -101,14 +103,14 @@
 	switch o.Kind {
 	case OutcomeSuccess:
 		c.queue.observeHold(o.Service)
-		progress = c.answered(t, false)
+		progress = c.answered(now, t, false)
 		if !r.Upload {
 			progress = min(progress, -c.collectTime(t, r, o))
 		}
 	case OutcomeFailed, OutcomeTruncated:
-		progress = c.answered(t, true)
+		progress = c.answered(now, t, true)
 	case OutcomeTimeout:
-		progress = c.collectTimeout(t, r, o)
+		progress = c.collectTimeout(now, t, r, o)
 	case OutcomeCancelled:
 		c.collectCensored(t, r, o)
 	case OutcomeConnectionLost, OutcomeConnectionSilent:
@@ -121,13 +123,14 @@
 }
 
 // answered counts a success or a failure and returns how far it speaks for the target's health.
-func (c *Cell) answered(t *target, failed bool) float64 {
+func (c *Cell) answered(now Time, t *target, failed bool) float64 {
 	e := &t.evidence
 	c.history.count()
 	e.samples++
 	share := 0.0
 	if failed {
 		share = 1
+		e.failedAt = now
 	}
 	e.ratio += (share - e.ratio) * ratioSmoothing
 	base := c.history.baseRatio
@@ -157,15 +160,15 @@
 
 // collectTimeout takes a request that was not answered before its deadline. It is a failure of the target
 // only where the peers would have answered long before; else the deadline was too short.
-func (c *Cell) collectTimeout(t *target, r *request, o *Outcome) float64 {
+func (c *Cell) collectTimeout(now Time, t *target, r *request, o *Outcome) float64 {
 	if r.Upload || !c.history.known() {
-		return c.answered(t, true)
+		return c.answered(now, t, true)
 	}
 	ratio := c.collectCensored(t, r, o)
 	if ratio < overdue {
 		return 0
 	}
-	return c.answered(t, true)
+	return c.answered(now, t, true)
 }
 
 // collectCensored takes a request that ended without an answer after the given time in flight.
--- a/pool/pick.go
+++ b/pool/pick.go
@@ -16,6 +16,9 @@
 // of a full target's load: with 4 slots, two requests in flight.
 const suspicionWeight = 0.5
 
+// suspicionHolds is how long suspicion counts, in mean service times.
+const suspicionHolds = 4
+
 // pick chooses a target with a free slot for the request, or returns nil.
 func (c *Cell) pick(now Time, r *request) (*target, Reason, bool) {
 	if t := c.pickTrial(now, r); t != nil {
@@ -73,7 +76,7 @@
 			last = t
 			continue
 		}
-		score := float64(t.inFlight)/float64(t.limit) + suspicionWeight*t.evidence.suspicion
+		score := float64(t.inFlight)/float64(t.limit) + c.suspicion(now, t)
 		if best == nil || score < bestScore {
 			best, bestScore = t, score
 		}
@@ -84,6 +87,16 @@
 	return best
 }
 
+// suspicion is how much a target counts as more loaded because of evidence against it. It applies for a
+// few service times after the last failure only: a target that got no work could never clear itself, nor
+// be found bad.
+func (c *Cell) suspicion(now Time, t *target) float64 {
+	if t.evidence.suspicion == 0 || now-t.evidence.failedAt > Time(suspicionHolds*c.queue.hold) {
+		return 0
+	}
+	return suspicionWeight * t.evidence.suspicion
+}
+
 // anotherExists says that a serving target other than t exists, free or not.
 func (c *Cell) anotherExists(t *target) bool {
 	if t.state == TargetServing {
--- /dev/null
+++ b/pool/sim_test.go
@@ -0,0 +1,265 @@
+package pool
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/bilberrywood/bilberrywood/fleet"
+	"github.com/bilberrywood/bilberrywood/table"
+)
+
+// simPool is a pool of one of the two firms.
+type simPool struct {
+	name       table.PoolName
+	targets    int
+	slots      int
+	floor      int
+	mean       time.Duration
+	hours      float64
+	idempotent bool
+	upload     bool
+	deadline   time.Duration
+}
+
+// The firms differ only in these rows.
+var (
+	bescheid = simPool{"bescheid-info", 10, 4, 7, 50 * time.Millisecond, 20000, true, false, 2 * time.Second}
+	mengen   = simPool{"mengen-buch", 20, 4, 14, 150 * time.Millisecond, 20000, false, false, 5 * time.Second}
+	peilung  = simPool{"peilung-ablage", 6, 4, 4, 2 * time.Second, 20000, false, true, 30 * time.Second}
+	kat      = simPool{"kat-serviss", 12, 2, 8, 50 * time.Millisecond, 2000, true, false, 2 * time.Second}
+	pas      = simPool{"pas-serviss", 18, 2, 12, 150 * time.Millisecond, 2000, false, false, 5 * time.Second}
+	mak      = simPool{"mak-serviss", 6, 2, 4, 2 * time.Second, 2000, false, true, 30 * time.Second}
+	simPools = []simPool{bescheid, mengen, peilung, kat, pas, mak}
+)
+
+// rate is the requests per second that use the share of the pool's slots.
+func (p simPool) rate(share float64) float64 {
+	return share * float64(p.targets*p.slots) / p.mean.Seconds()
+}
+
+// fault is what is wrong with a target.
+type fault struct {
+	// fail is the share of requests that fail after failAfter, or after their service time if that is 0.
+	fail      float64
+	failAfter time.Duration
+	kind      OutcomeKind
+	slow      float64
+	hang      bool
+	// refuse makes connections fail to open; silent makes sent requests go unanswered.
+	refuse bool
+}
+
+type simEvent struct {
+	at   Time
+	do   func(now Time)
+	seen uint64
+}
+
+type simHeap []simEvent
+
+func (h simHeap) Len() int { return len(h) }
+func (h simHeap) Less(i, j int) bool {
+	return h[i].at < h[j].at || (h[i].at == h[j].at && h[i].seen < h[j].seen)
+}
+func (h simHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *simHeap) Push(x any)   { *h = append(*h, x.(simEvent)) }
+func (h *simHeap) Pop() any {
+	old := *h
+	e := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return e
+}
+
+// simulation runs one cell against targets on virtual time.
+type simulation struct {
+	pool   simPool
+	cell   *Cell
+	random *rand.Rand
+	now    Time
+	rate   float64
+	queue  simHeap
+	seen   uint64
+	nextID RequestID
+	faults map[table.TargetID]*fault
+	live   map[RequestID]Request
+	// poison is sent with this probability and crashes each target for crashTime.
+	poison      float64
+	fingerprint func() Fingerprint
+	crashed     map[table.TargetID]Time
+	running     map[table.TargetID][]RequestID
+	paused      bool
+
+	runs, retries, trials, finals, good, refused int
+	// lastOrdinary and ordinary describe the ordinary work of the target under observation.
+	watch        table.TargetID
+	lastOrdinary Time
+	ordinary     int
+	eventLog     []Event
+	crashes      int
+}
+
+const crashTime = 3 * time.Second
+
+func newSimulation(p simPool, seed uint64, share float64) *simulation {
+	s := &simulation{
+		pool: p, random: rand.New(rand.NewPCG(seed, 1)), rate: p.rate(share),
+		faults: map[table.TargetID]*fault{}, live: map[RequestID]Request{},
+		crashed: map[table.TargetID]Time{}, running: map[table.TargetID][]RequestID{},
+	}
+	s.cell = &Cell{
+		Key: fleet.CellKey{Pool: p.name}, Slots: p.slots, Random: rand.New(rand.NewPCG(seed, 2)),
+		Policy: table.Policy{FalseEjectionEveryHours: p.hours},
+	}
+	var targets []table.Target
+	for i := range p.targets {
+		targets = append(targets, table.Target{ID: table.TargetID(fmt.Sprintf("t%02d", i))})
+	}
+	s.cell.Update(0, targets, p.floor)
+	s.cell.SetStanding(0, fleet.Sole, false)
+	s.at(0, s.tick)
+	s.at(0, s.arrive)
+	return s
+}
+
+func (s *simulation) at(t Time, do func(Time)) {
+	s.seen++
+	heap.Push(&s.queue, simEvent{at: t, do: do, seen: s.seen})
+}
+
+func (s *simulation) run(until time.Duration) {
+	for len(s.queue) > 0 && s.queue[0].at <= Time(until) {
+		e := heap.Pop(&s.queue).(simEvent)
+		s.now = max(s.now, e.at)
+		e.do(s.now)
+		s.drain()
+	}
+	s.now = Time(until)
+}
+
+func (s *simulation) tick(now Time) {
+	s.at(now+Time(Interval), s.tick)
+	if !s.paused {
+		s.cell.SetStanding(now, fleet.Sole, false)
+		s.cell.Tick(now)
+	}
+}
+
+func (s *simulation) arrive(now Time) {
+	s.at(now+Time(s.random.ExpFloat64()/s.rate*float64(time.Second)), s.arrive)
+	s.nextID++
+	r := Request{
+		ID: s.nextID, Idempotent: s.pool.idempotent, Replayable: s.pool.idempotent, Upload: s.pool.upload,
+		Deadline: now + Time(s.pool.deadline), Account: table.Account(fmt.Sprint("a", s.nextID%7)),
+		Fingerprint: Fingerprint(s.nextID),
+	}
+	if s.random.Float64() < s.poison {
+		r.Fingerprint = poisonPrint
+	}
+	s.live[r.ID] = r
+	s.cell.Submit(now, r)
+}
+
+const poisonPrint = Fingerprint(1 << 60)
+
+// service draws a service time: log-normal, with one answer in a hundred from a heavy tail.
+func (s *simulation) service() time.Duration {
+	const sigma = 0.5
+	x := math.Exp(sigma*s.random.NormFloat64() - sigma*sigma/2)
+	if s.random.Float64() < 0.01 {
+		x *= min(30, math.Pow(s.random.Float64(), -1/1.5))
+	}
+	return time.Duration(x * float64(s.pool.mean))
+}
+
+func (s *simulation) drain() {
+	for _, d := range s.cell.Decisions() {
+		switch d.Kind {
+		case DecisionRun:
+			s.start(d)
+		case DecisionRefuse:
+			s.refused++
+			delete(s.live, d.Request)
+		case DecisionFinal:
+			s.finals++
+			delete(s.live, d.Request)
+		}
+	}
+	s.eventLog = append(s.eventLog, s.cell.Events()...)
+}
+
+func (s *simulation) start(d Decision) {
+	s.runs++
+	if d.Attempt > 1 {
+		s.retries++
+	}
+	switch {
+	case d.Trial:
+		s.trials++
+	case d.Target == s.watch:
+		s.ordinary++
+		s.lastOrdinary = s.now
+	}
+	r := s.live[d.Request]
+	o := Outcome{Kind: OutcomeSuccess, Written: true, Service: s.service()}
+	f := s.faults[d.Target]
+	switch {
+	case s.now < s.crashed[d.Target], f != nil && f.refuse:
+		o = Outcome{Kind: OutcomeConnectFailed, Service: time.Millisecond}
+	case r.Fingerprint == poisonPrint:
+		s.at(s.now+Time(5*time.Millisecond), func(Time) { s.crash(d.Target) })
+		o.Service = time.Hour
+	case f != nil && f.hang:
+		o.Service = time.Hour
+	case f != nil && s.random.Float64() < f.fail:
+		o.Kind = f.kind
+		if f.failAfter > 0 {
+			o.Service = f.failAfter
+		}
+	case s.random.Float64() < 0.005:
+		o.Kind = OutcomeFailed
+	}
+	if f != nil && f.slow > 0 {
+		o.Service = time.Duration(float64(o.Service) * f.slow)
+	}
+	if limit := time.Duration(r.Deadline - s.now); o.Service > limit && o.Kind != OutcomeConnectFailed {
+		o = Outcome{Kind: OutcomeTimeout, Written: true, Service: limit}
+	}
+	s.running[d.Target] = append(s.running[d.Target], d.Request)
+	s.at(s.now+Time(o.Service), func(now Time) { s.finish(now, d, o) })
+}
+
+func (s *simulation) finish(now Time, d Decision, o Outcome) {
+	running := s.running[d.Target]
+	for i, id := range running {
+		if id == d.Request {
+			s.running[d.Target] = append(running[:i:i], running[i+1:]...)
+			if o.Kind == OutcomeSuccess {
+				s.good++
+			}
+			s.cell.Finish(now, d.Request, o)
+			return
+		}
+	}
+}
+
+func (s *simulation) crash(id table.TargetID) {
+	s.crashes++
+	s.crashed[id] = s.now + Time(crashTime)
+	for _, r := range s.running[id] {
+		s.cell.Finish(s.now, r, Outcome{Kind: OutcomeConnectionLost, Written: true, Service: 5 * time.Millisecond})
+	}
+	s.running[id] = nil
+}
+
+func (s *simulation) count(kind EventKind) int {
+	n := 0
+	for _, e := range s.eventLog {
+		if e.Kind == kind {
+			n++
+		}
+	}
+	return n
+}
