--- /dev/null
+++ b/entry/addresses.go
@@ -0,0 +1,77 @@
+package entry
+
+import (
+	"net/http"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/bilberrywood/bilberrywood/fleet"
+	"github.com/bilberrywood/bilberrywood/notice"
+	"github.com/bilberrywood/bilberrywood/pool"
+	"github.com/bilberrywood/bilberrywood/table"
+)
+
+// backupsNamed is how many entries besides the owner an address answer names.
+const backupsNamed = 2
+
+// Address is one entry that a caller may connect to.
+type Address struct {
+	notice.Binding
+	// Address is the IP address and port for HTTP.
+	Address string `json:"address"`
+}
+
+// AddressAnswer tells a caller which entries to use for a route.
+type AddressAnswer struct {
+	Route table.RouteName `json:"route"`
+	// Entries has the owner first, then entries that take over if it goes.
+	Entries []Address `json:"entries"`
+	// ValidForMs is how long the answer may be used; an entry that leaves stays reachable for
+	// that long.
+	ValidForMs int64          `json:"validForMs"`
+	Revision   table.Revision `json:"revision"`
+}
+
+// addresses answers GET /v1/addresses?route=NAME.
+func (e *Entry) addresses(c echo.Context) error {
+	force := e.config.current()
+	if force == nil {
+		return e.refuseCall(c, notRun(http.StatusServiceUnavailable, reasonNoTables, "no tables are in force yet"))
+	}
+	name := table.RouteName(c.QueryParam("route"))
+	route := force.routes[name]
+	if route == nil {
+		return e.refuseCall(c, notRun(http.StatusNotFound, pool.Reason("noRoute"), "no route is named "+string(name)))
+	}
+	answer := AddressAnswer{Route: name, ValidForMs: e.Settings.AnswerValidMs, Revision: force.pair.Revision}
+	view := e.fleet.view()
+	key := e.pickCell(force, route.Pool)
+	if owner, ok := view.Owner(key); ok {
+		answer.Entries = append(answer.Entries, e.address(owner))
+	}
+	for _, m := range view.Backups(key, backupsNamed) {
+		answer.Entries = append(answer.Entries, e.address(m))
+	}
+	if len(answer.Entries) == 0 {
+		return e.refuseCall(c, notRun(http.StatusServiceUnavailable, reasonOwnerGone, "no entry serves this route"))
+	}
+	e.answers.given(e.sinceStart())
+	return c.JSON(http.StatusOK, answer)
+}
+
+// address returns what a caller needs to use an entry.
+func (e *Entry) address(m fleet.Member) Address {
+	a := Address{Address: m.CallerAddress}
+	if m.ID == e.Settings.ID {
+		a.Binding = e.register.Binding(e.sinceStart())
+		return a
+	}
+	a.Binding = notice.Binding{Entry: m.ID, Incarnation: m.Incarnation, Epoch: notice.Epoch(m.Epoch)}
+	return a
+}
+
+// refuseCall answers a call of the entry's own interface with a refusal.
+func (e *Entry) refuseCall(c echo.Context, ref *refusal) error {
+	sink := &httpSink{w: c.Response(), c: http.NewResponseController(c.Response())}
+	return ref.write(string(e.Settings.ID), sink)
+}
--- /dev/null
+++ b/entry/cells.go
@@ -0,0 +1,137 @@
+package entry
+
+import (
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/bilberrywood/bilberrywood/fleet"
+	"github.com/bilberrywood/bilberrywood/pool"
+	"github.com/bilberrywood/bilberrywood/table"
+)
+
+// decisionBuffer is enough for the decisions that can be due before their request takes the
+// first: a run and its end.
+const decisionBuffer = 4
+
+// cellRunner runs the decisions of one cell for many goroutines. The cell itself is not
+// concurrent; every call of it holds mu and then hands out the decisions that it made.
+type cellRunner struct {
+	key fleet.CellKey
+	log zerolog.Logger
+	// now returns the process's monotonic time.
+	now func() pool.Time
+
+	mu       sync.Mutex
+	cell     *pool.Cell
+	revision table.Revision
+	// targets has the rows of all targets that the cell may choose, and of removed ones that
+	// still have requests in flight.
+	targets map[table.TargetID]table.Target
+	// waiting has a channel for each submitted request that has no final decision yet.
+	waiting map[pool.RequestID]chan pool.Decision
+	next    pool.RequestID
+	// standing is the last one set; lastUse is when the cell last got a request.
+	standing fleet.Standing
+	lastUse  time.Time
+	retired  bool
+}
+
+// do calls f with the cell locked and hands out the decisions that follow.
+func (c *cellRunner) do(f func(now pool.Time, cell *pool.Cell)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	f(c.now(), c.cell)
+	c.dispatch()
+}
+
+func (c *cellRunner) dispatch() {
+	for _, d := range c.cell.Decisions() {
+		ch := c.waiting[d.Request]
+		if ch == nil {
+			continue
+		}
+		if d.Kind != pool.DecisionRun {
+			delete(c.waiting, d.Request)
+		}
+		ch <- d
+	}
+	for _, e := range c.cell.Events() {
+		c.logEvent(e)
+	}
+}
+
+func (c *cellRunner) logEvent(e pool.Event) {
+	c.log.Info().
+		Str("event", "placementDecision").
+		Str("pool", string(c.key.Pool)).
+		Int("cell", c.key.Index).
+		Str("kind", string(e.Kind)).
+		Str("target", string(e.Target)).
+		Uint64("fingerprint", uint64(e.Fingerprint)).
+		Str("reason", string(e.Reason)).
+		Float64("evidence", e.Evidence).
+		Float64("threshold", e.Threshold).
+		Int("samples", e.Samples).
+		Uint64("revision", uint64(c.revision)).
+		Msg("target placement changed")
+}
+
+// submit queues a request and returns its id and the channel of its decisions, or false if the
+// cell has been closed.
+func (c *cellRunner) submit(r pool.Request) (pool.RequestID, <-chan pool.Decision, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.retired {
+		return 0, nil, false
+	}
+	c.next++
+	r.ID = c.next
+	ch := make(chan pool.Decision, decisionBuffer)
+	c.waiting[r.ID] = ch
+	c.lastUse = time.Now()
+	c.cell.Submit(c.now(), r)
+	c.dispatch()
+	return r.ID, ch, true
+}
+
+// finish reports the end of an attempt.
+func (c *cellRunner) finish(id pool.RequestID, o pool.Outcome) {
+	c.do(func(now pool.Time, cell *pool.Cell) { cell.Finish(now, id, o) })
+}
+
+// cancel withdraws a request that waits for a target.
+func (c *cellRunner) cancel(id pool.RequestID) {
+	c.do(func(now pool.Time, cell *pool.Cell) { cell.Cancel(now, id) })
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.waiting, id)
+}
+
+// target returns the row of a target.
+func (c *cellRunner) target(id table.TargetID) table.Target {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.targets[id]
+}
+
+// signal passes on what a target's own endpoints say.
+func (c *cellRunner) signal(t table.TargetID, s pool.Signal) {
+	c.do(func(now pool.Time, cell *pool.Cell) { cell.Signal(now, t, s) })
+}
+
+// idle says that nobody has used the cell for d and nothing is waiting.
+func (c *cellRunner) idle(d time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.waiting) == 0 && time.Since(c.lastUse) > d
+}
+
+// retire refuses new requests; it reports false if some are still waiting.
+func (c *cellRunner) retire() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.retired = len(c.waiting) == 0
+	return c.retired
+}
--- /dev/null
+++ b/entry/cellset.go
@@ -0,0 +1,188 @@
+package entry
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/bilberrywood/bilberrywood/fleet"
+	"github.com/bilberrywood/bilberrywood/pool"
+	"github.com/bilberrywood/bilberrywood/table"
+	"github.com/bilberrywood/bilberrywood/target"
+)
+
+// cellIdle is how long a cell of which this entry is not the owner is kept without a request.
+const cellIdle = time.Minute
+
+// cellSet has the cells that this entry serves. Cells of pools that other entries own exist only
+// while this entry places requests in them, so the cost of a tick does not grow with the tables.
+type cellSet struct {
+	e *Entry
+
+	mu    sync.Mutex
+	cells map[fleet.CellKey]*servedCell
+}
+
+// servedCell is a cell with its prober.
+type servedCell struct {
+	*cellRunner
+	prober *target.Prober
+	pair   *table.Pair
+}
+
+// get returns the cell's runner, which it creates if the cell is in the tables in force.
+func (s *cellSet) get(key fleet.CellKey) (*cellRunner, bool) {
+	force := s.e.config.current()
+	if force == nil {
+		return nil, false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c := s.cells[key]; c != nil {
+		return c.cellRunner, true
+	}
+	p := force.router.Pool(key.Pool)
+	if p == nil || key.Index >= table.CellCount(p) {
+		return nil, false
+	}
+	c := s.create(force, key, p)
+	s.cells[key] = c
+	return c.cellRunner, true
+}
+
+func (s *cellSet) create(force *inForce, key fleet.CellKey, p *table.Pool) *servedCell {
+	runner := &cellRunner{
+		key: key, log: s.e.Log, now: s.e.now,
+		waiting: make(map[pool.RequestID]chan pool.Decision),
+		lastUse: time.Now(),
+		cell: &pool.Cell{
+			Key: key, Policy: p.Policy, Slots: p.Slots,
+			Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		},
+	}
+	c := &servedCell{cellRunner: runner}
+	c.prober = &target.Prober{
+		Signal: func(t target.ProbeTarget, sig pool.Signal) { runner.signal(t.ID, sig) },
+	}
+	c.apply(force, s.e.fleet.view())
+	return c
+}
+
+// apply gives the cell the rows of the tables in force and its standing.
+func (c *servedCell) apply(force *inForce, v *fleet.View) {
+	if c.pair != force.pair {
+		c.pair = force.pair
+		c.applyTables(force)
+	}
+	standing := v.Standing(c.key)
+	inherited, known := v.LastEjected(c.key)
+	poison := make([]pool.Fingerprint, len(v.Poison))
+	for i, f := range v.Poison {
+		poison[i] = pool.Fingerprint(f)
+	}
+	c.do(func(now pool.Time, cell *pool.Cell) {
+		// An entry that places requests although it is not the owner is as limited as an owner
+		// whose cell another entry may serve too.
+		cell.SetStanding(now, max(standing, fleet.Contested), v.SelfDoubt || !v.MayEject(c.key))
+		if c.standing == fleet.NotOwner && standing != fleet.NotOwner && known {
+			cell.Inherit(now, inherited)
+		}
+		c.standing = standing
+		cell.ImportPoison(now, poison)
+	})
+}
+
+func (c *servedCell) applyTables(force *inForce) {
+	var cell table.Cell
+	p := force.router.Pool(c.key.Pool)
+	if p != nil && c.key.Index < table.CellCount(p) {
+		cell = table.Cells(p)[c.key.Index]
+	}
+	rows := make(map[table.TargetID]table.Target, len(cell.Targets))
+	for _, t := range cell.Targets {
+		rows[t.ID] = t
+	}
+	c.do(func(now pool.Time, pc *pool.Cell) {
+		for id, t := range c.targets {
+			if _, ok := rows[id]; !ok {
+				rows[id] = t
+			}
+		}
+		c.targets, c.revision = rows, force.pair.Revision
+		pc.Update(now, cell.Targets, cell.Floor)
+	})
+	c.prober.SetTargets(probeTargets(p, cell.Targets))
+}
+
+// probeTargets returns what the prober polls; nothing if the pool is gone.
+func probeTargets(p *table.Pool, targets []table.Target) []target.ProbeTarget {
+	polled := make([]target.ProbeTarget, 0, len(targets))
+	for _, t := range targets {
+		polled = append(polled, target.ProbeTarget{
+			Pool: p.Name, ID: t.ID, Address: t.Address, ProbePath: p.ProbePath, LoadPath: p.LoadPath,
+		})
+	}
+	return polled
+}
+
+// tick runs the systems of every cell, drops unused ones, and returns what to announce to peers.
+func (s *cellSet) tick(force *inForce, v *fleet.View) (claims []fleet.CellClaim, poison []uint64) {
+	s.mu.Lock()
+	cells := make([]*servedCell, 0, len(s.cells))
+	for _, c := range s.cells {
+		cells = append(cells, c)
+	}
+	s.mu.Unlock()
+	for _, c := range cells {
+		c.apply(force, v)
+		c.do(func(now pool.Time, cell *pool.Cell) {
+			cell.Tick(now)
+			for _, f := range cell.Poison() {
+				poison = append(poison, uint64(f))
+			}
+			if c.standing != fleet.NotOwner {
+				claims = append(claims, fleet.CellClaim{Cell: c.key, Ejected: cell.Ejected()})
+			}
+		})
+		s.drop(c)
+	}
+	slices.Sort(poison)
+	return claims, slices.Compact(poison)
+}
+
+// drop removes a cell that this entry neither owns nor uses.
+func (s *cellSet) drop(c *servedCell) {
+	if c.standing != fleet.NotOwner || !c.idle(cellIdle) {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c.retire() {
+		delete(s.cells, c.key)
+		s.e.background.Go(func() { _ = c.prober.Close() })
+	}
+}
+
+// adopt creates the cells that this entry owns, so that their targets are probed before the
+// first request.
+func (s *cellSet) adopt(force *inForce, v *fleet.View) {
+	for i := range force.pair.Pools.Pools {
+		p := &force.pair.Pools.Pools[i]
+		for index := range table.CellCount(p) {
+			key := fleet.CellKey{Pool: p.Name, Index: index}
+			if owner, ok := v.Owner(key); ok && owner.ID == s.e.Settings.ID {
+				s.get(key)
+			}
+		}
+	}
+}
+
+// close ends the probers.
+func (s *cellSet) close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.cells {
+		_ = c.prober.Close()
+	}
+}
--- /dev/null
+++ b/entry/config.go
@@ -0,0 +1,126 @@
+package entry
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/bilberrywood/bilberrywood/fleet"
+	"github.com/bilberrywood/bilberrywood/peer"
+	"github.com/bilberrywood/bilberrywood/table"
+)
+
+// inForce is the pair of tables in force and what is derived from it. It is immutable.
+type inForce struct {
+	pair   *table.Pair
+	router *table.Router
+	routes map[table.RouteName]*table.Route
+	since  time.Time
+}
+
+func newInForce(pair *table.Pair, since time.Time) *inForce {
+	f := &inForce{pair: pair, router: table.NewRouter(pair), since: since}
+	f.routes = make(map[table.RouteName]*table.Route, len(pair.Routes.Routes))
+	for i := range pair.Routes.Routes {
+		f.routes[pair.Routes.Routes[i].Name] = &pair.Routes.Routes[i]
+	}
+	return f
+}
+
+// config holds the tables in force. Snapshots come from the platform and from peers; the acceptor
+// alone decides.
+type config struct {
+	log      zerolog.Logger
+	acceptor table.Acceptor
+	force    atomic.Pointer[inForce]
+	// changed is called after a pair was accepted.
+	changed func(*inForce)
+}
+
+// current returns the tables in force, or nil if there are none yet.
+func (c *config) current() *inForce { return c.force.Load() }
+
+// offer rules on a snapshot from the platform or a peer.
+func (c *config) offer(source string, s table.Snapshot) table.Verdict {
+	now := time.Now()
+	ruling := c.acceptor.Offer(now, source, s)
+	switch ruling.Verdict {
+	case table.Accepted:
+		f := newInForce(ruling.Pair, now)
+		c.force.Store(f)
+		c.log.Info().Str("event", "tablesAccepted").Uint64("revision", uint64(s.Revision)).Uint64("digest", f.pair.Digest).
+			Str("source", source).Msg("tables are in force")
+		c.changed(f)
+	case table.Rejected, table.Conflict:
+		c.log.Warn().Str("event", "tablesRejected").Uint64("revision", uint64(s.Revision)).Str("source", source).
+			Str("verdict", ruling.Verdict.String()).Strs("problems", problemTexts(ruling.Problems)).
+			Msg("tables were not accepted; the pair in force stays")
+	case table.Ignored:
+	}
+	return ruling.Verdict
+}
+
+func problemTexts(ps table.Problems) []string {
+	texts := make([]string, len(ps))
+	for i, p := range ps {
+		texts[i] = p.Error()
+	}
+	return texts
+}
+
+// fetchTimeout bounds the fetch of a pair from a peer.
+const fetchTimeout = 2 * time.Second
+
+// fetchFrom takes the accepted pair of a peer and offers it.
+func (e *Entry) fetchFrom(ctx context.Context, m fleet.Member) error {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	var than table.Revision
+	if f := e.config.current(); f != nil {
+		than = f.pair.Revision
+	}
+	msg, err := e.node.FetchPair(ctx, m, than)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	e.offerPeer(m.ID, msg)
+	return nil
+}
+
+func (e *Entry) offerPeer(from fleet.EntryID, msg peer.PairMessage) {
+	if msg.Revision == 0 {
+		return
+	}
+	e.config.offer("entry "+string(from), table.Snapshot{Revision: msg.Revision, Values: msg.Values})
+}
+
+// catchUp fetches a higher accepted pair from the peers that report one, one peer at a time.
+func (e *Entry) catchUp(ctx context.Context) {
+	ticker := time.NewTicker(catchUpEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		v := e.fleet.view()
+		if len(v.Holders) == 0 {
+			continue
+		}
+		id := v.Holders[e.intN(len(v.Holders))]
+		m, ok := v.Member(id)
+		if !ok {
+			continue
+		}
+		if err := e.fetchFrom(ctx, m); err != nil && ctx.Err() == nil {
+			e.Log.Warn().Str("event", "pairFetchFailed").Str("peer", string(id)).Err(err).Msg("could not fetch tables from a peer")
+		}
+	}
+}
+
+// catchUpEvery is how often an entry looks whether a peer has a newer pair. Heartbeats announce a
+// new pair at once, so this and one heartbeat bound the spread inside a group.
+const catchUpEvery = 100 * time.Millisecond
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,266 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+
+	"github.com/bilberrywood/bilberrywood/fleet"
+	"github.com/bilberrywood/bilberrywood/notice"
+	"github.com/bilberrywood/bilberrywood/peer"
+	"github.com/bilberrywood/bilberrywood/platform"
+	"github.com/bilberrywood/bilberrywood/pool"
+	"github.com/bilberrywood/bilberrywood/settings"
+	"github.com/bilberrywood/bilberrywood/target"
+)
+
+// tickEvery is the period of the systems: membership, cells and their decisions.
+const tickEvery = 50 * time.Millisecond
+
+// Entry is the daemon. The exported fields are set before Run.
+type Entry struct {
+	// Settings have passed their Check.
+	Settings settings.Entry
+	Log      zerolog.Logger
+	// Metrics is where counters and timers are registered; nil means a registry of its own.
+	Metrics metrics.Registry
+	// LogLines, if set, gives operators the last log lines and those that follow.
+	LogLines *LogLines
+
+	start     time.Time
+	register  *notice.Register
+	config    config
+	fleet     fleetState
+	cells     *cellSet
+	client    *target.Client
+	node      *peer.Node
+	watcher   *platform.Watcher
+	requests  requestCount
+	answers   answerClock
+	counters  counters
+	callers   *http.Server
+	operators *http.Server
+	// background counts the goroutines that Run waits for.
+	background sync.WaitGroup
+	state      atomic.Uint32
+	lastTick   atomic.Int64
+}
+
+// now returns the monotonic time since the start for decisions.
+func (e *Entry) now() pool.Time { return pool.Time(time.Since(e.start)) }
+
+// sinceStart returns the monotonic time since the start.
+func (e *Entry) sinceStart() time.Duration { return time.Since(e.start) }
+
+// intN returns a random number in [0, n).
+func (e *Entry) intN(n int) int { return rand.IntN(n) }
+
+func (e *Entry) setState(s fleet.State) {
+	e.state.Store(uint32(s))
+	e.fleet.update(e.sinceStart(), func(m *fleet.Membership) { m.SetState(e.sinceStart(), s) })
+	e.Log.Info().Str("event", "stateChanged").Str("state", stateNames[s]).Msg("entry changed its state")
+}
+
+var stateNames = map[fleet.State]string{
+	fleet.StateStarting: "starting", fleet.StateServing: "serving", fleet.StateLeaving: "leaving",
+}
+
+// Run serves until ctx ends and then stops without cutting off requests, as far as
+// Settings.StopLimitMs allows. Errors are of class Error and mean that the entry could not serve.
+func (e *Entry) Run(ctx context.Context) error {
+	e.prepare()
+	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopWork()
+	if err := e.node.Start(); err != nil {
+		return Error.Wrap(err)
+	}
+	e.background.Go(func() { e.tickLoop(work) })
+	if err := e.listen(); err != nil {
+		stopWork()
+		e.close()
+		return err
+	}
+	e.join(ctx)
+	e.background.Go(func() { e.catchUp(work) })
+	e.background.Go(func() { e.watcher.Run(work) })
+	e.awaitTables(ctx)
+	e.setState(fleet.StateServing)
+	<-ctx.Done()
+	e.stop()
+	stopWork()
+	e.close()
+	return nil
+}
+
+// prepare builds the parts from the settings.
+func (e *Entry) prepare() {
+	e.start = time.Now()
+	if e.Metrics == nil {
+		e.Metrics = metrics.NewRegistry()
+	}
+	s := &e.Settings
+	e.Log = e.Log.With().Str("entry", string(s.ID)).Logger()
+	incarnation := fleet.Incarnation(rand.Uint64() | 1)
+	e.register = &notice.Register{
+		Entry: s.ID, Incarnation: incarnation,
+		Limits: notice.Limits{
+			IDs: s.NoticeIDs, AnswerBytes: s.AnswerBytes, AnswerMax: s.AnswerBytes / maxAnswerShare,
+			KeepAnswers: keepAnswers,
+		},
+	}
+	e.counters.register(e.Metrics, e)
+	e.config.log, e.config.changed = e.Log, e.tablesChanged
+	e.fleet.membership = e.membership(incarnation)
+	e.fleet.update(0, func(*fleet.Membership) {})
+	e.cells = &cellSet{e: e, cells: make(map[fleet.CellKey]*servedCell)}
+	e.client = &target.Client{}
+	e.watcher = e.platformWatcher()
+	e.node = &peer.Node{
+		ID: s.ID, Address: s.PeerListen, Handler: e, Log: e.Log,
+		TLS: peer.Files{CA: s.TLS.CA, Certificate: s.TLS.Certificate, Key: s.TLS.Key},
+	}
+}
+
+// keepAnswers is how long answers are kept for resends.
+const keepAnswers = 5 * time.Minute
+
+func (e *Entry) membership(incarnation fleet.Incarnation) *fleet.Membership {
+	s := &e.Settings
+	m := &fleet.Membership{
+		ID: s.ID, Incarnation: incarnation, FailureDomain: s.FailureDomain,
+		PeerAddress: s.PeerAddress, CallerAddress: s.CallerAddress,
+		Times: fleet.Times{
+			Heartbeat: settings.Millis(s.HeartbeatMs), Suspect: settings.Millis(s.SuspectMs),
+			Gone: settings.Millis(s.GoneMs), Handover: settings.Millis(s.HandoverMs), Tick: tickEvery,
+		},
+		Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}
+	for _, seed := range s.Seeds {
+		m.Seeds = append(m.Seeds, fleet.Seed{ID: seed.ID, PeerAddress: seed.PeerAddress})
+	}
+	return m
+}
+
+// tablesChanged announces a new pair to peers.
+func (e *Entry) tablesChanged(f *inForce) {
+	e.fleet.update(e.sinceStart(), func(m *fleet.Membership) {
+		m.SetAccepted(f.pair.Revision, f.pair.Digest)
+		m.Groups = f.pair.Pools.FleetGroups
+	})
+}
+
+// tickLoop runs the systems until ctx ends.
+func (e *Entry) tickLoop(ctx context.Context) {
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			e.tick()
+		}
+	}
+}
+
+// tick runs each system once.
+func (e *Entry) tick() {
+	started := time.Now()
+	e.lastTick.Store(int64(e.sinceStart()))
+	v := e.fleet.view()
+	if force := e.config.current(); force != nil {
+		e.cells.adopt(force, v)
+		claims, poison := e.cells.tick(force, v)
+		e.fleet.mu.Lock()
+		e.fleet.membership.SetClaims(claims)
+		e.fleet.membership.SetPoison(poison)
+		e.fleet.mu.Unlock()
+	}
+	e.watcher.SetActive(v.IsReader(e.Settings.ReadersPerDomain) || !v.ReaderHeard)
+	var out []fleet.Outgoing
+	e.fleet.update(e.sinceStart(), func(m *fleet.Membership) {
+		m.SetReader(e.platformWorking())
+		m.SetEpoch(uint32(e.register.Binding(e.sinceStart()).Epoch))
+		out = m.Tick(e.sinceStart())
+	})
+	for _, o := range out {
+		e.node.SendHeartbeat(o)
+	}
+	e.counters.tick.UpdateSince(started)
+}
+
+// maxTickAge is how old the last tick may be when a request is about to be written. A process
+// that was paused must not act on what it believed before the pause.
+const maxTickAge = 500 * time.Millisecond
+
+// beforeWrite is the last check before the first byte of a request leaves.
+func (e *Entry) beforeWrite(deadline time.Time) error {
+	if !time.Now().Before(deadline) {
+		return target.ErrDeadline
+	}
+	if age := e.sinceStart() - time.Duration(e.lastTick.Load()); age > maxTickAge {
+		return Error.New("the last tick is %v old; this process was paused", age)
+	}
+	return nil
+}
+
+// listen opens the two HTTP servers.
+func (e *Entry) listen() error {
+	s := &e.Settings
+	callers := echo.New()
+	callers.HideBanner, callers.HidePort = true, true
+	callers.GET("/v1/addresses", e.addresses)
+	callers.Any("/*", e.serve)
+	e.callers = e.server(callers)
+	e.operators = e.server(e.operatorRoutes())
+	servers := []struct {
+		address string
+		server  *http.Server
+	}{{s.CallerAddress, e.callers}, {s.OperatorAddress, e.operators}}
+	for _, l := range servers {
+		listener, err := net.Listen("tcp", l.address)
+		if err != nil {
+			return Error.Wrap(err)
+		}
+		e.background.Go(func() {
+			// Serve always returns an error; after Shutdown it is ErrServerClosed.
+			if err := l.server.Serve(listener); err != http.ErrServerClosed {
+				e.Log.Error().Str("event", "serverFailed").Err(err).Msg("HTTP server ended")
+			}
+		})
+	}
+	return nil
+}
+
+// Time limits of the HTTP servers that don't depend on a route.
+const (
+	readHeaderTimeout = 10 * time.Second
+	idleTimeout       = 60 * time.Second
+)
+
+func (e *Entry) server(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    e.Settings.MaxHeaderBytes,
+	}
+}
+
+// close ends what Run started and waits for it.
+func (e *Entry) close() {
+	_ = e.operators.Close()
+	_ = e.callers.Close()
+	e.cells.close()
+	_ = e.client.Close()
+	_ = e.node.Close()
+	e.background.Wait()
+}
--- /dev/null
+++ b/entry/exchange.go
@@ -0,0 +1,167 @@
+package entry
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/zeebo/errs"
+
+	"github.com/bilberrywood/bilberrywood/notice"
+	"github.com/bilberrywood/bilberrywood/peer"
+	"github.com/bilberrywood/bilberrywood/pool"
+	"github.com/bilberrywood/bilberrywood/table"
+)
+
+// exchange is one request on its way through this entry, from a caller or from a peer.
+type exchange struct {
+	peer.ForwardHeader
+	// caller is the address of the caller or the id of the peer, for logs.
+	caller string
+	route  *table.Route
+	// id is set for requests that may run at most once.
+	id *notice.ID
+	// idempotent says that a second run does no harm.
+	idempotent bool
+	deadline   time.Time
+	out        peer.AnswerWriter
+
+	body io.Reader
+	// Trailer has the announced keys of the request's trailer; values come with the body's end.
+	Trailer http.Header
+	// stopBody makes reads of a body that is not kept return; nil if it is kept.
+	stopBody func()
+	// kept has the whole body if it is small enough to be sent again; nil otherwise.
+	kept []byte
+	// head has the first bytes of a body of known length that is not kept.
+	head []byte
+	// touched says that bytes of a body that is not kept have been read.
+	touched bool
+	// attempts counts the attempts at targets and peers.
+	attempts int
+}
+
+// errBodyLimit is returned by reads of a body that is longer than its route allows.
+var errBodyLimit = errs.New("body is longer than the route allows")
+
+// limitedBody reads at most left bytes and fails with errBodyLimit if there are more.
+type limitedBody struct {
+	r    io.Reader
+	left int64
+}
+
+// Read implements io.Reader.
+func (l *limitedBody) Read(b []byte) (int, error) {
+	n, err := l.r.Read(b)
+	l.left -= int64(n)
+	if l.left < 0 {
+		return 0, errBodyLimit
+	}
+	return n, err
+}
+
+// headBytes is how much of a body that is not kept goes into its fingerprint.
+const headBytes = 4 << 10
+
+// keepBody reads the body into memory if it has at most limit bytes, so that it can be sent again.
+// Longer bodies stay streams, of which the first headBytes are read ahead. Of a body of unknown
+// length only what the first read brings is read ahead: waiting for more would stall callers that
+// wait for the answer before they send the rest.
+func (x *exchange) keepBody(limit int64) error {
+	if x.ContentLength == 0 {
+		x.kept = []byte{}
+		return nil
+	}
+	size := x.ContentLength
+	if size > limit {
+		size = min(headBytes, limit)
+	}
+	var head []byte
+	var err error
+	if size > 0 {
+		head = make([]byte, size)
+		_, err = io.ReadFull(x.body, head)
+	} else {
+		head, err = readOnce(x.body, limit)
+	}
+	switch {
+	case err != nil && !errors.Is(err, io.EOF):
+		return Error.Wrap(err)
+	case size == x.ContentLength, errors.Is(err, io.EOF) && x.ContentLength < 0:
+		x.kept = head
+		x.ContentLength = int64(len(head))
+		return nil
+	case errors.Is(err, io.EOF):
+		return Error.Wrap(io.ErrUnexpectedEOF)
+	}
+	if size > 0 {
+		x.head = head
+	}
+	x.body = io.MultiReader(bytes.NewReader(head), x.body)
+	return nil
+}
+
+// readOnce returns the bytes of one successful read of at most limit bytes, and io.EOF if the body
+// ended with them.
+func readOnce(r io.Reader, limit int64) ([]byte, error) {
+	buf := make([]byte, min(limit, headBytes))
+	n, err := 0, error(nil)
+	for n < len(buf) && err == nil {
+		var m int
+		m, err = r.Read(buf[n:])
+		n += m
+		if m > 0 && err == nil {
+			break
+		}
+	}
+	return buf[:n], err
+}
+
+// replayable says that the body can be sent again from its start.
+func (x *exchange) replayable() bool { return x.kept != nil || !x.touched }
+
+// nextBody returns the body for another attempt; replayable must hold.
+func (x *exchange) nextBody() io.Reader {
+	if x.kept != nil {
+		return bytes.NewReader(x.kept)
+	}
+	return readFunc(func(b []byte) (int, error) {
+		x.touched = true
+		return x.body.Read(b)
+	})
+}
+
+type readFunc func([]byte) (int, error)
+
+// Read implements io.Reader.
+func (f readFunc) Read(b []byte) (int, error) { return f(b) }
+
+// content is a hash of the request that is the same for every resend of it. It tells copies of an
+// id from other requests.
+func (x *exchange) content() uint64 {
+	h := xxhash.New()
+	for _, part := range []string{string(x.Account), x.Method, x.URI} {
+		// Writing to a hash does not fail.
+		_, _ = h.WriteString(part)
+		_, _ = h.Write([]byte{0})
+	}
+	_, _ = h.Write(x.kept)
+	_, _ = h.Write(x.head)
+	return h.Sum64()
+}
+
+// fingerprint identifies a request's content for the detection of poison requests. It is zero for
+// a body of unknown length that is not kept: a hash without the body would blame every
+// such request on the path for one of them.
+func (x *exchange) fingerprint() pool.Fingerprint {
+	if x.kept == nil && x.head == nil {
+		return 0
+	}
+	return pool.Fingerprint(x.content())
+}
+
+// remaining returns the time to the deadline in milliseconds, at least 0.
+func (x *exchange) remaining() int64 { return max(0, time.Until(x.deadline).Milliseconds()) }
--- /dev/null
+++ b/entry/join.go
@@ -0,0 +1,96 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/bilberrywood/bilberrywood/fleet"
+	"github.com/bilberrywood/bilberrywood/platform"
+	"github.com/bilberrywood/bilberrywood/settings"
+	"github.com/bilberrywood/bilberrywood/table"
+)
+
+// join asks the peers for the pair in force before the platform is trusted: a platform that serves
+// an old copy must not bring back an older revision through a replaced VM. The peers come from the
+// fleet list, if it can be read, and from the settings.
+func (e *Entry) join(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, settings.Millis(e.Settings.JoinWaitMs))
+	defer cancel()
+	if list, err := e.watcher.Client.Fleet(ctx); err == nil {
+		e.fleetList(list)
+	}
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	asked := make(map[fleet.EntryID]bool)
+	answered := 0
+	for {
+		for _, m := range e.fleet.view().Members {
+			if m.ID == e.Settings.ID || asked[m.ID] || m.PeerAddress == "" || m.Link == fleet.LinkSilent {
+				continue
+			}
+			asked[m.ID] = true
+			if err := e.fetchFrom(ctx, m); err == nil {
+				answered++
+			}
+		}
+		if answered >= joinAnswers {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// joinAnswers is how many peers are asked before an entry believes that it knows the highest
+// revision. One peer may be cut off itself; three are rarely all behind.
+const joinAnswers = 3
+
+// awaitTables waits until a pair is in force.
+func (e *Entry) awaitTables(ctx context.Context) {
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for e.config.current() == nil {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// fleetList passes the platform's fleet list on to the membership.
+func (e *Entry) fleetList(l platform.FleetList) {
+	list := make([]fleet.ListRow, 0, len(l.Entries))
+	for _, r := range l.Entries {
+		list = append(list, fleet.ListRow{
+			ID: r.ID, FailureDomain: r.FailureDomain, PeerAddress: r.PeerAddress,
+			CallerAddress: r.CallerAddress, Leaving: r.State == platform.Leaving,
+		})
+	}
+	e.fleet.update(e.sinceStart(), func(m *fleet.Membership) { m.UpdateList(e.sinceStart(), list) })
+}
+
+// platformWatcher builds the reader of the configuration service.
+func (e *Entry) platformWatcher() *platform.Watcher {
+	return &platform.Watcher{
+		Client: &platform.Client{URL: e.Settings.Platform, Log: e.Log},
+		Log:    e.Log,
+		OnSnapshot: func(s table.Snapshot) {
+			e.config.offer("platform", s)
+		},
+		OnFleet: e.fleetList,
+	}
+}
+
+// readerFresh is how old the last answer of the platform may be for an entry to call itself a
+// working reader.
+const readerFresh = 10 * time.Second
+
+// platformWorking says that this entry has read the platform lately.
+func (e *Entry) platformWorking() bool {
+	s := e.watcher.Status()
+	return s.Active && time.Since(s.LastAnswer) < readerFresh
+}
--- /dev/null
+++ b/entry/loglines.go
@@ -0,0 +1,59 @@
+package entry
+
+import "sync"
+
+// keptLines is how many log lines an operator who starts to follow is shown.
+const keptLines = 200
+
+// followerLines is how many lines a follower may be behind; further lines are dropped for it, since
+// a slow reader must not hold up requests.
+const followerLines = 1024
+
+// LogLines keeps the last log lines and passes new ones to followers. It is an io.Writer for the
+// logger; one call of Write is one line.
+type LogLines struct {
+	mu        sync.Mutex
+	last      [][]byte
+	followers map[chan []byte]struct{}
+}
+
+// Write implements io.Writer.
+func (l *LogLines) Write(line []byte) (int, error) {
+	kept := append([]byte(nil), line...)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.last = append(l.last, kept)
+	if len(l.last) >= 2*keptLines {
+		l.last = append(l.last[:0], l.last[len(l.last)-keptLines:]...)
+	}
+	for f := range l.followers {
+		select {
+		case f <- kept:
+		default:
+		}
+	}
+	return len(line), nil
+}
+
+// Last returns the last lines, oldest first.
+func (l *LogLines) Last() [][]byte {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([][]byte(nil), l.last[max(0, len(l.last)-keptLines):]...)
+}
+
+// Follow returns a channel of new lines and a function that ends the following.
+func (l *LogLines) Follow() (lines <-chan []byte, end func()) {
+	ch := make(chan []byte, followerLines)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.followers == nil {
+		l.followers = make(map[chan []byte]struct{})
+	}
+	l.followers[ch] = struct{}{}
+	return ch, func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		delete(l.followers, ch)
+	}
+}
--- /dev/null
+++ b/entry/observe.go
@@ -0,0 +1,150 @@
+package entry
+
+import (
+	"errors"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/bilberrywood/bilberrywood/fleet"
+	"github.com/bilberrywood/bilberrywood/pool"
+	"github.com/bilberrywood/bilberrywood/table"
+)
+
+// counters are the metrics of an entry. Times are in nanoseconds.
+type counters struct {
+	requests, forwarded metrics.Counter
+	run, notRun, lost   metrics.Counter
+	tick                metrics.Timer
+	// reasons counts refusals by reason.
+	registry metrics.Registry
+}
+
+func (c *counters) register(r metrics.Registry, e *Entry) {
+	c.registry = r
+	c.requests = metrics.NewRegisteredCounter("requests.attempts", r)
+	c.forwarded = metrics.NewRegisteredCounter("requests.forwarded", r)
+	c.run = metrics.NewRegisteredCounter("outcome.run", r)
+	c.notRun = metrics.NewRegisteredCounter("outcome.notRun", r)
+	c.lost = metrics.NewRegisteredCounter("outcome.unknown", r)
+	c.tick = metrics.NewRegisteredTimer("tick", r)
+	metrics.NewRegisteredFunctionalGauge("requests.inFlight", r, func() int64 { return e.requests.n.Load() })
+	metrics.NewRegisteredFunctionalGauge("notice.ids", r, func() int64 { ids, _ := e.register.Size(); return int64(ids) })
+	metrics.NewRegisteredFunctionalGauge("notice.answerBytes", r, func() int64 { _, b := e.register.Size(); return int64(b) })
+}
+
+// refused counts a refusal by its reason.
+func (c *counters) refused(reason pool.Reason) {
+	metrics.GetOrRegisterCounter("refused."+string(reason), c.registry).Inc(1)
+}
+
+// revision returns the revision in force, or 0.
+func (e *Entry) revision() table.Revision {
+	if f := e.config.current(); f != nil {
+		return f.pair.Revision
+	}
+	return 0
+}
+
+// logAttempt writes the line for the routing decision of one attempt.
+func (e *Entry) logAttempt(x *exchange, t table.TargetID, reason pool.Reason, outcome string) {
+	e.counters.requests.Inc(1)
+	if outcome == outcomeNames[pool.OutcomeSuccess] {
+		e.counters.run.Inc(1)
+	}
+	var poolName table.PoolName
+	if x.route != nil {
+		poolName = x.route.Pool
+	}
+	line := e.Log.Info().
+		Str("event", "routingDecision").
+		Str("caller", x.caller).
+		Str("account", string(x.Account)).
+		Str("route", string(x.Route)).
+		Str("pool", string(poolName)).
+		Str("target", string(t)).
+		Str("reason", string(reason)).
+		Uint64("revision", uint64(e.revision())).
+		Int("attempt", x.attempts).
+		Str("outcome", outcome)
+	if x.id != nil {
+		line = line.Stringer("id", *x.id)
+	}
+	line.Send()
+}
+
+// logForward writes the line for a request that was passed to a peer.
+func (e *Entry) logForward(x *exchange, to fleet.Member, outcome string) {
+	e.counters.forwarded.Inc(1)
+	e.Log.Info().
+		Str("event", "routingDecision").
+		Str("caller", x.caller).
+		Str("account", string(x.Account)).
+		Str("route", string(x.Route)).
+		Str("pool", string(x.Cell.Pool)).
+		Str("forwardedTo", string(to.ID)).
+		Str("via", string(to.Via)).
+		Uint64("revision", uint64(e.revision())).
+		Int("attempt", x.attempts).
+		Str("outcome", outcome).
+		Send()
+}
+
+// refuse counts and logs a refusal. cut says that an answer had begun and is cut off instead.
+func (e *Entry) refuse(x *exchange, ref *refusal, cut bool) {
+	if ref.outcome == "notRun" {
+		e.counters.notRun.Inc(1)
+	} else {
+		e.counters.lost.Inc(1)
+	}
+	e.counters.refused(ref.reason)
+	line := e.Log.Info().
+		Str("event", "routingDecision").
+		Str("caller", x.caller).
+		Str("account", string(x.Account)).
+		Str("route", string(x.Route)).
+		Str("reason", string(ref.reason)).
+		Str("detail", ref.detail).
+		Uint64("revision", uint64(e.revision())).
+		Int("attempt", x.attempts).
+		Str("outcome", ref.outcome).
+		Bool("cut", cut)
+	if x.id != nil {
+		line = line.Stringer("id", *x.id)
+	}
+	line.Send()
+}
+
+// routeStatus gives the HTTP status and the reason for each refusal of the router.
+var routeStatus = map[table.RefusalReason]struct {
+	status int
+	reason pool.Reason
+}{
+	table.RefusedPath:      {http.StatusBadRequest, reasonBadRequest},
+	table.RefusedNoRoute:   {http.StatusNotFound, "noRoute"},
+	table.RefusedMethod:    {http.StatusMethodNotAllowed, "methodNotAllowed"},
+	table.RefusedNoAccount: {http.StatusUnauthorized, "accountRequired"},
+	table.RefusedToken:     {http.StatusUnauthorized, "wrongToken"},
+	table.RefusedAccount:   {http.StatusForbidden, "accountNotAllowed"},
+}
+
+func routeRefusal(err error) *refusal {
+	var r *table.Refusal
+	if !errors.As(err, &r) {
+		return notRun(http.StatusBadRequest, reasonBadRequest, err.Error())
+	}
+	s := routeStatus[r.Reason]
+	return notRun(s.status, s.reason, r.Error())
+}
+
+// patience is how long a reused connection may stay silent before an idempotent request moves to a
+// new one: several times the usual service time of lookups and notices.
+const patience = 2 * time.Second
+
+// cutQuery returns the path of a request target.
+func cutQuery(uri string) string {
+	path, _, _ := strings.Cut(uri, "?")
+	return path
+}
--- /dev/null
+++ b/entry/operator.go
@@ -0,0 +1,182 @@
+package entry
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/bilberrywood/bilberrywood/fleet"
+	"github.com/bilberrywood/bilberrywood/platform"
+	"github.com/bilberrywood/bilberrywood/pool"
+	"github.com/bilberrywood/bilberrywood/table"
+)
+
+// Status answers GET /v1/status on the operators' endpoint.
+type Status struct {
+	Entry         fleet.EntryID       `json:"entry"`
+	Incarnation   fleet.Incarnation   `json:"incarnation"`
+	FailureDomain table.FailureDomain `json:"failureDomain"`
+	State         string              `json:"state"`
+	// Revision, Digest and InForceSince describe the pair in force; Revision is 0 if there is none.
+	Revision     table.Revision `json:"revision"`
+	Digest       uint64         `json:"digest"`
+	InForceSince time.Time      `json:"inForceSince"`
+	// Rejections are the last pairs that were not accepted, with their problems.
+	Rejections []table.Rejection `json:"rejections"`
+	Platform   platform.Status   `json:"platform"`
+	SelfDoubt  bool              `json:"selfDoubt"`
+	UpSeconds  float64           `json:"upSeconds"`
+}
+
+// CellStatus is one element of the answer of GET /v1/cells.
+type CellStatus struct {
+	Cell     fleet.CellKey `json:"cell"`
+	Standing string        `json:"standing"`
+	Report   pool.Report   `json:"report"`
+}
+
+// Explanation answers GET /v1/explain.
+type Explanation struct {
+	Route    table.RouteName `json:"route,omitempty"`
+	Pool     table.PoolName  `json:"pool,omitempty"`
+	Cells    []CellOwner     `json:"cells,omitempty"`
+	Refused  string          `json:"refused,omitempty"`
+	Revision table.Revision  `json:"revision"`
+}
+
+// CellOwner says which entry places the requests of a cell in the asked entry's view.
+type CellOwner struct {
+	Cell    fleet.CellKey   `json:"cell"`
+	Owner   fleet.EntryID   `json:"owner"`
+	Backups []fleet.EntryID `json:"backups"`
+}
+
+var standingNames = map[fleet.Standing]string{
+	fleet.NotOwner: "notOwner", fleet.Contested: "contested", fleet.Sole: "sole",
+}
+
+// operatorRoutes returns the operators' interface. All answers are JSON.
+func (e *Entry) operatorRoutes() http.Handler {
+	r := echo.New()
+	r.HideBanner, r.HidePort = true, true
+	r.GET("/v1/status", func(c echo.Context) error { return c.JSON(http.StatusOK, e.status()) })
+	r.GET("/v1/members", func(c echo.Context) error { return c.JSON(http.StatusOK, e.fleet.view().Members) })
+	r.GET("/v1/cells", func(c echo.Context) error { return c.JSON(http.StatusOK, e.cells.status()) })
+	r.GET("/v1/tables/:table", e.tableInForce)
+	r.GET("/v1/explain", e.explain)
+	r.GET("/v1/log", e.followLog)
+	r.GET("/metrics", func(c echo.Context) error {
+		c.Response().Header().Set(echo.HeaderContentType, echo.MIMEApplicationJSON)
+		metrics.WriteJSONOnce(e.Metrics, c.Response())
+		return nil
+	})
+	return r
+}
+
+func (e *Entry) status() Status {
+	s := Status{
+		Entry: e.Settings.ID, Incarnation: e.register.Incarnation, FailureDomain: e.Settings.FailureDomain,
+		State:      stateNames[fleet.State(e.state.Load())],
+		Rejections: e.config.acceptor.Rejections(), Platform: e.watcher.Status(),
+		SelfDoubt: e.fleet.view().SelfDoubt, UpSeconds: time.Since(e.start).Seconds(),
+	}
+	if f := e.config.current(); f != nil {
+		s.Revision, s.Digest, s.InForceSince = f.pair.Revision, f.pair.Digest, f.since
+	}
+	return s
+}
+
+// status returns the reports of all cells that this entry serves.
+func (s *cellSet) status() []CellStatus {
+	s.mu.Lock()
+	cells := make([]*servedCell, 0, len(s.cells))
+	for _, c := range s.cells {
+		cells = append(cells, c)
+	}
+	s.mu.Unlock()
+	out := make([]CellStatus, 0, len(cells))
+	for _, c := range cells {
+		c.do(func(_ pool.Time, cell *pool.Cell) {
+			out = append(out, CellStatus{Cell: c.key, Standing: standingNames[c.standing], Report: cell.Report()})
+		})
+	}
+	return out
+}
+
+// tableInForce answers GET /v1/tables/routes and /v1/tables/pools with the raw table.
+func (e *Entry) tableInForce(c echo.Context) error {
+	f := e.config.current()
+	if f == nil {
+		return echo.NewHTTPError(http.StatusServiceUnavailable, "no tables are in force yet")
+	}
+	raw, ok := f.pair.Values[table.Prefix+c.Param("table")]
+	if !ok {
+		return echo.NewHTTPError(http.StatusNotFound, "the tables are routes and pools")
+	}
+	return c.Blob(http.StatusOK, "application/json", raw)
+}
+
+// explain answers GET /v1/explain?method=M&path=P&account=A&token=T: what would happen to such a
+// request here, without running it.
+func (e *Entry) explain(c echo.Context) error {
+	f := e.config.current()
+	if f == nil {
+		return echo.NewHTTPError(http.StatusServiceUnavailable, "no tables are in force yet")
+	}
+	method := c.QueryParam("method")
+	if method == "" {
+		method = http.MethodGet
+	}
+	x := Explanation{Revision: f.pair.Revision}
+	m, err := f.router.Route(method, c.QueryParam("path"), table.Account(c.QueryParam("account")), c.QueryParam("token"))
+	if err != nil {
+		x.Refused = err.Error()
+		return c.JSON(http.StatusOK, x)
+	}
+	x.Route, x.Pool = m.Route.Name, m.Pool.Name
+	v := e.fleet.view()
+	for index := range table.CellCount(m.Pool) {
+		o := CellOwner{Cell: fleet.CellKey{Pool: m.Pool.Name, Index: index}}
+		if owner, ok := v.Owner(o.Cell); ok {
+			o.Owner = owner.ID
+		}
+		for _, b := range v.Backups(o.Cell, backupsNamed) {
+			o.Backups = append(o.Backups, b.ID)
+		}
+		x.Cells = append(x.Cells, o)
+	}
+	return c.JSON(http.StatusOK, x)
+}
+
+// followLog answers GET /v1/log with the last lines and, with follow=1, those that come.
+func (e *Entry) followLog(c echo.Context) error {
+	if e.LogLines == nil {
+		return echo.NewHTTPError(http.StatusNotFound, "this process keeps no log lines")
+	}
+	w := c.Response()
+	w.Header().Set(echo.HeaderContentType, "application/x-ndjson")
+	lines, end := e.LogLines.Follow()
+	defer end()
+	for _, line := range e.LogLines.Last() {
+		if _, err := w.Write(line); err != nil {
+			return Error.Wrap(err)
+		}
+	}
+	if c.QueryParam("follow") == "" {
+		return nil
+	}
+	w.Flush()
+	for {
+		select {
+		case line := <-lines:
+			if _, err := w.Write(line); err != nil {
+				return Error.Wrap(err)
+			}
+			w.Flush()
+		case <-c.Request().Context().Done():
+			return nil
+		}
+	}
+}
--- a/fleet/membership.go
+++ b/fleet/membership.go
@@ -89,6 +89,7 @@
 	state    State
 	accepted table.Revision
 	digest   uint64
+	epoch    uint32
 	reader   bool
 	claims   []CellClaim
 	poison   []uint64
@@ -190,6 +191,9 @@
 // SetReader says whether this entry read the platform lately.
 func (m *Membership) SetReader(working bool) { m.reader = working }
 
+// SetEpoch sets the epoch of run ids that callers of this entry make now.
+func (m *Membership) SetEpoch(epoch uint32) { m.epoch = epoch }
+
 // SetClaims sets the cells that this entry serves as owner, with their ejected targets. The slice is
 // not modified and must not be changed afterwards.
 func (m *Membership) SetClaims(claims []CellClaim) { m.claims = claims }
--- a/fleet/receive.go
+++ b/fleet/receive.go
@@ -19,6 +19,7 @@
 	p.State = h.State
 	p.left = h.State == StateLeaving
 	p.AcceptedRevision, p.Digest = h.AcceptedRevision, h.Digest
+	p.Epoch = h.Epoch
 	p.reader = h.Reader
 	p.poison = h.Poison
 	p.digest = h.Links
--- a/fleet/send.go
+++ b/fleet/send.go
@@ -50,6 +50,7 @@
 		State:            m.state,
 		Links:            set.digest,
 		AcceptedRevision: m.accepted,
+		Epoch:            m.epoch,
 		Digest:           m.digest,
 		Reader:           m.reader,
 		TickLateMs:       m.tickLate.Milliseconds(),
--- a/fleet/types.go
+++ b/fleet/types.go
@@ -68,6 +68,8 @@
 	// AcceptedRevision and Digest are the pair that the entry last reported in force.
 	AcceptedRevision table.Revision `json:"acceptedRevision"`
 	Digest           uint64         `json:"digest"`
+	// Epoch is the epoch of run ids that callers of the entry make now.
+	Epoch uint32 `json:"epoch"`
 }
 
 // CellClaim is one line of a heartbeat: a cell that the sender serves as owner.
@@ -113,6 +115,8 @@
 	TickLateMs int64 `cbor:"18,keyasint,omitempty"`
 	// Introduced names one peer of the sender, so that entries find peers that no list names.
 	Introduced *Introduction `cbor:"19,keyasint,omitempty"`
+	// Epoch is the epoch of run ids that callers of the sender make now.
+	Epoch uint32 `cbor:"20,keyasint,omitempty"`
 }
 
 // Introduction tells how to reach an entry.
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -99,6 +99,7 @@
 		Link:             LinkTwoWay,
 		Live:             true,
 		AcceptedRevision: m.accepted,
+		Epoch:            m.epoch,
 		Digest:           m.digest,
 	})
 	v.rows = append(v.rows, viewRow{hash: m.hash, eligible: v.mayOwn, reader: m.reader})
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -20,6 +20,9 @@
 	CallerAddress   string `json:"callerAddress"`
 	PeerAddress     string `json:"peerAddress"`
 	OperatorAddress string `json:"operatorAddress"`
+	// PeerListen is where the entry listens if that differs from the address that peers use,
+	// for instance behind a relay; empty means PeerAddress.
+	PeerListen string `json:"peerListen,omitempty"`
 	// Platform is the base URL of the configuration service, such as "http://10.0.0.5:7000".
 	Platform string `json:"platform"`
 	// Seeds are peers to contact when the fleet list can't be read.
@@ -100,6 +103,9 @@
 	if e.LogLevel == "" {
 		e.LogLevel = "info"
 	}
+	if e.PeerListen == "" {
+		e.PeerListen = e.PeerAddress
+	}
 }
 
 // Check fills in defaults and returns all rules that the settings break as one error.
@@ -116,6 +122,7 @@
 		{"callerAddress", e.CallerAddress},
 		{"peerAddress", e.PeerAddress},
 		{"operatorAddress", e.OperatorAddress},
+		{"peerListen", e.PeerListen},
 	}
 	for _, a := range addresses {
 		if _, err := netip.ParseAddrPort(a.value); err != nil {
--- /dev/null
+++ b/standin/local.go
@@ -0,0 +1,131 @@
+package standin
+
+import (
+	"encoding/json"
+	"net/netip"
+	"os"
+	"path/filepath"
+
+	"github.com/tailscale/hujson"
+	"github.com/zeebo/errs"
+
+	"github.com/bilberrywood/bilberrywood/fleet"
+	"github.com/bilberrywood/bilberrywood/peer"
+	"github.com/bilberrywood/bilberrywood/platform"
+	"github.com/bilberrywood/bilberrywood/settings"
+)
+
+// LocalError is the class of the errors of LocalFleet.
+var LocalError = errs.Class("local fleet")
+
+// operatorPortOffset separates the operators' port of an entry from its callers' port.
+const operatorPortOffset = 4000
+
+// LocalFleet writes what the entries of a fleet on this machine need: certificates, settings and the
+// fleet list. It starts nothing. All fields are set before Write.
+type LocalFleet struct {
+	// Dir receives the files; it is created if missing.
+	Dir string
+	// List has the rows of the fleet list; their addresses are loopback addresses.
+	List []platform.FleetRow
+	// Platform is the base URL of the configuration service.
+	Platform string
+	// Adjust changes the settings of an entry before they are written; it may be nil.
+	Adjust func(*settings.Entry)
+}
+
+// ReadFleetFile returns the first count rows of a fleet list in JSON with comments; 0 means all.
+func ReadFleetFile(path string, count int) ([]platform.FleetRow, error) {
+	src, err := os.ReadFile(path)
+	if err != nil {
+		return nil, LocalError.Wrap(err)
+	}
+	std, err := hujson.Standardize(src)
+	if err != nil {
+		return nil, LocalError.New("%s: %v", path, err)
+	}
+	var list platform.FleetList
+	if err := json.Unmarshal(std, &list); err != nil {
+		return nil, LocalError.New("%s: %v", path, err)
+	}
+	if count > len(list.Entries) {
+		return nil, LocalError.New("%s has %d entries, not %d", path, len(list.Entries), count)
+	}
+	if count > 0 {
+		list.Entries = list.Entries[:count]
+	}
+	return list.Entries, nil
+}
+
+// SettingsPath returns the settings file of an entry.
+func (l *LocalFleet) SettingsPath(id fleet.EntryID) string {
+	return filepath.Join(l.Dir, string(id)+".json")
+}
+
+// FleetPath returns the file with the fleet list.
+func (l *LocalFleet) FleetPath() string { return filepath.Join(l.Dir, "fleet.json") }
+
+// Write writes all files.
+func (l *LocalFleet) Write() error {
+	ids := make([]fleet.EntryID, len(l.List))
+	for i, r := range l.List {
+		ids[i] = r.ID
+	}
+	if err := os.MkdirAll(l.Dir, 0o755); err != nil {
+		return LocalError.Wrap(err)
+	}
+	certificates := filepath.Join(l.Dir, "certificates")
+	if err := peer.DevelopmentCertificates(certificates, ids); err != nil {
+		return LocalError.Wrap(err)
+	}
+	for _, r := range l.List {
+		s, err := l.settings(certificates, r)
+		if err != nil {
+			return err
+		}
+		if err := writeFile(l.SettingsPath(r.ID), s); err != nil {
+			return err
+		}
+	}
+	return writeFile(l.FleetPath(), fleetFile{l.List})
+}
+
+// fleetFile is a fleet list as the platform's stand-in reads it.
+type fleetFile struct {
+	Entries []platform.FleetRow `json:"entries"`
+}
+
+func (l *LocalFleet) settings(certificates string, r platform.FleetRow) (*settings.Entry, error) {
+	operator, err := OperatorAddress(r.CallerAddress)
+	if err != nil {
+		return nil, err
+	}
+	files := peer.DevelopmentFiles(certificates, r.ID)
+	s := &settings.Entry{
+		ID: r.ID, FailureDomain: r.FailureDomain,
+		CallerAddress: r.CallerAddress, PeerAddress: r.PeerAddress, OperatorAddress: operator,
+		Platform: l.Platform,
+		TLS:      settings.TLS{CA: files.CA, Certificate: files.Certificate, Key: files.Key},
+	}
+	if l.Adjust != nil {
+		l.Adjust(s)
+	}
+	return s, nil
+}
+
+// OperatorAddress returns the operators' address of a local entry with the given callers' address.
+func OperatorAddress(callerAddress string) (string, error) {
+	a, err := netip.ParseAddrPort(callerAddress)
+	if err != nil {
+		return "", LocalError.Wrap(err)
+	}
+	return netip.AddrPortFrom(a.Addr(), a.Port()+operatorPortOffset).String(), nil
+}
+
+func writeFile(path string, v any) error {
+	raw, err := json.MarshalIndent(v, "", "  ")
+	if err != nil {
+		return LocalError.Wrap(err)
+	}
+	return LocalError.Wrap(os.WriteFile(path, append(raw, '\n'), 0o600))
+}
