peer: deliver cut-off bodies up to the cut

Cause: resetting a stream discards frames that are still in flight, so a truncated answer looked as if none had begun, and a failed request body could overtake its own header. Change: both ends close the stream without an end frame instead, which the reader reports as truncated; a closed direction is not reset afterwards.

--- a/peer/error.go
+++ b/peer/error.go
@@ -63,7 +63,6 @@
 // Codes of reset streams and closed connections.
 const (
 	codeCancelled quic.StreamErrorCode = iota + 1
-	codeTruncated
 	codeAnswered
 	codeBodyFailed
 	codeProtocol
--- a/peer/forward.go
+++ b/peer/forward.go
@@ -35,7 +35,7 @@
 		return nil, x.fail(Sent, err)
 	}
 	if body == nil {
-		_ = x.stream.Close()
+		x.closeBody(nil)
 	} else if !n.run(func() { x.sendBody(body) }) {
 		return nil, x.fail(Sent, errorClass.New("entry stops"))
 	}
@@ -57,8 +57,9 @@
 	stop       func() bool
 	once       sync.Once
 
-	mu      sync.Mutex
-	bodyErr error
+	mu         sync.Mutex
+	bodyErr    error
+	bodyClosed bool
 }
 
 // exchange opens a stream to the peer that ends with ctx.
@@ -78,12 +79,27 @@
 	return x, nil
 }
 
-// reset gives both directions of the stream up.
+// reset gives both directions of the stream up. A direction that was closed is left alone, since a
+// reset would discard what the peer has not received yet.
 func (x *exchange) reset(code quic.StreamErrorCode) {
-	x.stream.CancelWrite(code)
+	x.mu.Lock()
+	closed := x.bodyClosed
+	x.mu.Unlock()
+	if !closed {
+		x.stream.CancelWrite(code)
+	}
 	x.stream.CancelRead(code)
 }
 
+// closeBody ends the sending direction.
+func (x *exchange) closeBody(err error) {
+	x.mu.Lock()
+	x.bodyClosed = true
+	x.bodyErr = err
+	x.mu.Unlock()
+	_ = x.stream.Close()
+}
+
 // end releases the exchange; it may be called several times.
 func (x *exchange) end(code quic.StreamErrorCode) {
 	x.once.Do(func() {
@@ -111,7 +127,7 @@
 func (x *exchange) sendBody(body io.Reader) {
 	err := copyFrames(x.stream, body)
 	if err == nil {
-		_ = x.stream.Close()
+		x.closeBody(nil)
 		return
 	}
 	var readErr *bodyReadError
@@ -119,10 +135,10 @@
 		// The other end stopped reading; its answer tells the rest.
 		return
 	}
-	x.mu.Lock()
-	x.bodyErr = readErr.err
-	x.mu.Unlock()
-	x.reset(codeBodyFailed)
+	// The stream is closed without an end frame instead of reset, because a reset may overtake
+	// the header frame. The receiver's body ends with io.ErrUnexpectedEOF.
+	x.closeBody(readErr.err)
+	x.stream.CancelRead(codeBodyFailed)
 }
 
 // answerBody is the body of an answer. It ends with io.EOF only after the answer's end frame.
@@ -177,7 +193,7 @@
 	if _, err := x.stream.Write(frame); err != nil {
 		return PairMessage{}, x.fail(Sent, err)
 	}
-	_ = x.stream.Close()
+	x.closeBody(nil)
 	pair, err := readMessage[PairMessage](x.stream, framePair)
 	if err != nil {
 		return PairMessage{}, x.fail(Sent, err)
--- a/peer/serve.go
+++ b/peer/serve.go
@@ -174,7 +174,9 @@
 	defer w.mu.Unlock()
 	if !w.finished {
 		w.finished = true
-		w.stream.CancelWrite(codeTruncated)
+		// Closing without an end frame tells the sender that the answer is truncated; a reset
+		// would discard what was already written.
+		_ = w.stream.Close()
 	}
 	w.stream.CancelRead(codeAnswered)
 }
