fleet: property tests under faults; require settled links before sole and before ejecting

Cause: simulated faults showed that a sole owner and a contested owner could eject beyond the floor together while their views differed, e.g. when a new entry is not yet on any fleet list. Change: a new owner ejects only after the settling time and once every named entry has known it; sole needs complete links for the settling time; a list that does not name this entry confirms no absence.

--- a/fleet/membership.go
+++ b/fleet/membership.go
@@ -96,12 +96,14 @@
 	lastTick   time.Duration
 	tickLate   time.Duration
 	doubtUntil time.Duration
-	soleFrom   time.Duration // sole is not possible for Handover after this
+	ownFrom    time.Duration // since when this entry can own cells without a late tick
+	unlinkedAt time.Duration // when a named entry last had no direct two-way link
 	nextBeat   time.Duration
 	sequence   uint64
 	claimPage  int
 	poisonPage int
 	listed     bool // the fleet list names this entry
+	everListed bool // some fleet list named this entry
 	listLeave  bool // the fleet list says that this entry is leaving
 	listAt     time.Duration
 	hasList    bool
@@ -118,11 +120,10 @@
 
 // faults switches rules off, so that tests can show that their checks depend on them.
 type faults struct {
-	noHandoverWait   bool
-	relayCounts      bool
-	listAbsenceOnly  bool
-	noSettle         bool
-	noRestartOfTimer bool
+	noHandoverWait  bool // a new owner is sole at once
+	relayCounts     bool // a relayed link counts as a direct one
+	listAbsenceOnly bool // absence from the fleet list counts as gone
+	noSettle        bool // a new owner ejects at once
 }
 
 // start sets up the tables at the first call of any method.
@@ -138,7 +139,8 @@
 	m.byName = make(map[nameKey]*peer)
 	m.unknown = make(map[nameKey]time.Duration)
 	m.lastTick = now
-	m.soleFrom = now
+	m.ownFrom = now
+	m.unlinkedAt = now
 	m.nextBeat = now
 	for _, s := range m.Seeds {
 		if p := m.row(now, s.ID); p != nil {
@@ -173,7 +175,7 @@
 func (m *Membership) SetState(now time.Duration, s State) {
 	m.start(now)
 	if s != m.state {
-		m.soleFrom = now
+		m.ownFrom = now
 		m.nextBeat = now
 	}
 	m.state = s
@@ -197,16 +199,20 @@
 // SetPoison sets the fingerprints that this entry refuses. The slice must not be changed afterwards.
 func (m *Membership) SetPoison(fingerprints []uint64) { m.poison = fingerprints }
 
-// UpdateList takes a new copy of the fleet list.
+// UpdateList takes a new copy of the fleet list. The list may lag by any time, name entries that are
+// gone, omit new ones and mark any as leaving. Two things are relied upon: the copies that one entry
+// gets are not older than the ones before, and no copy drops an entry that still runs and is not
+// paused. Without the second a part of a split fleet could not tell the other part from a failure.
 func (m *Membership) UpdateList(now time.Duration, rows []ListRow) {
 	m.start(now)
 	for _, p := range m.peers {
 		p.listed, p.listLeave = false, false
 	}
+	wasLeaving := m.listLeave
 	m.listed, m.listLeave = false, false
 	for _, r := range rows {
 		if r.ID == m.ID {
-			m.listed, m.listLeave = true, r.Leaving
+			m.listed, m.everListed, m.listLeave = true, true, r.Leaving
 			continue
 		}
 		if p := m.row(now, r.ID); p != nil {
@@ -216,12 +222,16 @@
 	for _, p := range m.peers {
 		p.noteListing(now)
 	}
+	if wasLeaving && !m.listLeave {
+		m.ownFrom = now
+	}
 	m.hasList = true
 	m.listAt = now
 }
 
 // noteLate detects a late tick. Time that this entry did not run is no evidence against its peers,
-// so their timers are moved by it, and the entry doubts itself for a while.
+// so their timers are moved by it, and the entry doubts itself for a while. Its peers may have taken
+// it for absent, so it must hear again that they know it.
 func (m *Membership) noteLate(now time.Duration) {
 	gap := now - m.lastTick
 	late := gap - m.Times.Tick
@@ -230,13 +240,12 @@
 		return
 	}
 	m.doubtUntil = now + m.Times.Doubt
-	m.soleFrom = now
+	m.ownFrom = now
+	m.unlinkedAt = now
 	m.lastTick = now
-	if m.faults.noRestartOfTimer {
-		return
-	}
 	for _, p := range m.peers {
 		p.moveTimers(gap)
+		p.knewMe = false
 	}
 	for n := range m.unknown {
 		m.unknown[n] += gap
@@ -263,6 +272,9 @@
 	for _, p := range m.peers {
 		m.refreshPeer(now, p)
 	}
+	if !m.linkedToAll(now) {
+		m.unlinkedAt = now
+	}
 }
 
 func (m *Membership) refreshPeer(now time.Duration, p *peer) {
--- /dev/null
+++ b/fleet/network_test.go
@@ -0,0 +1,350 @@
+package fleet
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// The network under test: entries on virtual time whose heartbeats are lost, delayed, cut one way or
+// both, and which are paused, restarted and stopped; each reads a fleet list that lags by its own time.
+const (
+	simTick  = 50 * time.Millisecond
+	simPool  = 6 // targets
+	simFloor = 3 // the first simFloor targets are protected
+)
+
+var simCells = []CellKey{{"bescheid-info", 0}, {"mengen-buch", 0}}
+
+type message struct {
+	at   time.Duration
+	to   int
+	beat Heartbeat
+}
+
+type entry struct {
+	*Membership
+	runs        bool
+	pausedUntil time.Duration
+	joinAt      time.Duration // when a starting entry serves
+	lag         time.Duration // of its fleet list
+	listAt      time.Duration // the list that it saw last; lists never go back
+	ejected     map[CellKey]map[int]bool
+	standing    map[CellKey]Standing
+}
+
+// listing is the platform's true list at a time.
+type listing struct {
+	at   time.Duration
+	rows []ListRow
+}
+
+var simTrace = func(n *network, f string, a ...any) {}
+
+type network struct {
+	now      time.Duration
+	random   *rand.Rand
+	entries  []*entry
+	inFlight []message
+	cut      map[[2]int]bool
+	loss     float64
+	delay    time.Duration
+	lists    []listing
+	leaving  map[int]bool // marks in the fleet list, right or wrong
+	faults   faults
+	started  int64
+	violated string
+}
+
+func newNetwork(random *rand.Rand, size int, f faults) *network {
+	n := &network{random: random, cut: map[[2]int]bool{}, leaving: map[int]bool{}, faults: f, delay: 20 * time.Millisecond}
+	n.now = time.Minute
+	n.entries = make([]*entry, size)
+	for i := range size {
+		n.entries[i] = &entry{}
+	}
+	return n
+}
+
+func simID(i int) EntryID { return EntryID(fmt.Sprintf("e%d", i)) }
+
+func (n *network) start(i int) {
+	n.started++
+	e := &entry{runs: true, joinAt: n.now + time.Duration(n.random.IntN(1500))*time.Millisecond, lag: n.entries[i].lag}
+	e.Membership = &Membership{
+		ID:          simID(i),
+		Incarnation: NewIncarnation(n.started, n.random.Uint64()),
+		PeerAddress: string(simID(i)),
+		Random:      n.random,
+		faults:      n.faults,
+	}
+	e.ejected = map[CellKey]map[int]bool{}
+	e.standing = map[CellKey]Standing{}
+	n.entries[i] = e
+	simTrace(n, "start %d join %v", i, e.joinAt)
+	n.noteList()
+}
+
+func (n *network) stop(i int) {
+	n.entries[i].runs = false
+	n.noteList()
+}
+
+// noteList records the list that entries will see after their lag.
+func (n *network) noteList() {
+	var rows []ListRow
+	for i, e := range n.entries {
+		if e.runs {
+			rows = append(rows, ListRow{ID: simID(i), PeerAddress: string(simID(i)), Leaving: n.leaving[i]})
+		}
+	}
+	n.lists = append(n.lists, listing{n.now, rows})
+}
+
+// listFor returns the list that an entry sees.
+func (n *network) listFor(e *entry) []ListRow {
+	var rows []ListRow
+	e.listAt = max(e.listAt, n.now-e.lag)
+	for _, l := range n.lists {
+		if l.at <= e.listAt {
+			rows = l.rows
+		}
+	}
+	return rows
+}
+
+func (n *network) paused(e *entry) bool { return n.now < e.pausedUntil }
+
+// step advances the time by one tick.
+func (n *network) step() {
+	n.now += simTick
+	n.deliver()
+	for _, i := range n.random.Perm(len(n.entries)) {
+		e := n.entries[i]
+		if !e.runs || n.paused(e) {
+			continue
+		}
+		if e.pausedUntil != 0 { // the first thing that a resumed process does is to act on its state
+			e.pausedUntil = 0
+			if n.act(e, true); n.violated != "" {
+				return
+			}
+		}
+		n.tick(i, e)
+		n.act(e, false)
+	}
+	n.check()
+}
+
+func (n *network) deliver() {
+	kept := n.inFlight[:0]
+	for _, m := range n.inFlight {
+		e := n.entries[m.to]
+		switch {
+		case !e.runs:
+		case m.at > n.now || n.paused(e): // a paused process finds old heartbeats in its socket
+			kept = append(kept, m)
+		default:
+			e.Receive(n.now, m.beat)
+		}
+	}
+	n.inFlight = kept
+}
+
+func (n *network) tick(i int, e *entry) {
+	if n.now >= e.joinAt && e.state == StateStarting {
+		e.SetState(n.now, StateServing)
+	}
+	if int(n.now/simTick)%20 == i {
+		e.UpdateList(n.now, n.listFor(e))
+	}
+	for _, o := range e.Tick(n.now) {
+		to := slices.IndexFunc(n.entries, func(t *entry) bool { return t.Membership != nil && t.ID == o.ID })
+		if to < 0 || n.cut[[2]int{i, to}] || n.random.Float64() < n.loss {
+			continue
+		}
+		delay := time.Duration(n.random.Int64N(int64(n.delay) + 1))
+		n.inFlight = append(n.inFlight, message{n.now + delay, to, o.Heartbeat})
+	}
+}
+
+// act follows the rules of the design page on ejection as eagerly as they allow.
+func (n *network) act(e *entry, beforeTick bool) {
+	v := e.View(n.now)
+	var claims []CellClaim
+	for _, c := range simCells {
+		s := v.Standing(c)
+		if beforeTick && s == Sole && n.now-e.lastTick > e.Times.Tick+e.Times.Late {
+			n.violated = fmt.Sprintf("%s is sole for %v before its first tick after a pause", e.ID, c)
+		}
+		if e.standing[c] != s {
+			simTrace(n, "%s %v standing %d mayEject %v", e.ID, c, s, v.MayEject(c))
+		}
+		e.standing[c] = s
+		if s == NotOwner || !v.MayEject(c) {
+			e.ejected[c] = map[int]bool{}
+		} else {
+			n.eject(e.ejected[c], s)
+		}
+		if s != NotOwner {
+			claims = append(claims, CellClaim{Cell: c})
+		}
+	}
+	e.SetClaims(claims)
+}
+
+func (n *network) eject(ejected map[int]bool, s Standing) {
+	first := 0
+	if s == Contested {
+		first = simFloor
+		for t := range simFloor {
+			delete(ejected, t)
+		}
+	}
+	if n.random.IntN(10) == 0 {
+		clear(ejected)
+	}
+	for len(ejected) < simPool-simFloor {
+		ejected[first+n.random.IntN(simPool-first)] = true
+	}
+}
+
+// check looks for a second sole owner and for ejections beyond the floor.
+func (n *network) check() {
+	for _, c := range simCells {
+		var sole []EntryID
+		union := map[int]bool{}
+		for _, e := range n.entries {
+			if !e.runs || n.paused(e) {
+				continue
+			}
+			if e.standing[c] == Sole {
+				sole = append(sole, e.ID)
+			}
+			for t := range e.ejected[c] {
+				union[t] = true
+			}
+		}
+		if len(sole) > 1 {
+			n.violated = fmt.Sprintf("%v: %v are sole for %v", n.now, sole, c)
+		}
+		if len(union) > simPool-simFloor {
+			n.violated = fmt.Sprintf("%v: %d targets of %v are ejected", n.now, len(union), c)
+			for _, e := range n.entries {
+				if e.runs {
+					simTrace(n, "%s paused %v %v %v", e.ID, n.paused(e), e.standing[c], e.ejected[c])
+				}
+			}
+		}
+	}
+}
+
+// run advances the time by d or until a violation.
+func (n *network) run(d time.Duration) {
+	for end := n.now + d; n.now < end && n.violated == ""; {
+		n.step()
+	}
+}
+
+// heal ends all faults except that stopped entries stay stopped.
+func (n *network) heal() {
+	simTrace(n, "heal")
+	clear(n.cut)
+	clear(n.leaving)
+	n.noteList()
+	n.loss = 0
+	n.delay = 20 * time.Millisecond
+	for _, e := range n.entries {
+		e.lag = 0
+		e.pausedUntil = min(e.pausedUntil, n.now)
+	}
+}
+
+// event draws one change of the network. pick returns a number from 0 to below its argument.
+func (n *network) event(pick func(int) int) {
+	size := len(n.entries)
+	i, j := pick(size), pick(size)
+	e := n.entries[i]
+	kind := pick(12)
+	simTrace(n, "event %d on %d %d", kind, i, j)
+	switch kind {
+	case 0, 1: // one way
+		n.cut[[2]int{i, j}] = true
+	case 2: // both ways
+		n.cut[[2]int{i, j}], n.cut[[2]int{j, i}] = true, true
+	case 3: // partition
+		side := pick(1 << size)
+		for a := range size {
+			for b := range size {
+				if side>>a&1 != side>>b&1 {
+					n.cut[[2]int{a, b}] = true
+				}
+			}
+		}
+	case 4, 5:
+		clear(n.cut)
+	case 6:
+		e.pausedUntil = n.now + time.Duration(1+pick(20))*500*time.Millisecond
+	case 7, 8:
+		n.start(i)
+	case 9:
+		if running := slices.DeleteFunc(slices.Clone(n.entries), func(e *entry) bool { return !e.runs }); len(running) > 2 {
+			n.stop(i)
+		}
+	case 10:
+		if e.runs && pick(2) == 0 {
+			e.SetState(n.now, StateLeaving)
+			return
+		}
+		n.leaving[i] = !n.leaving[i]
+		n.noteList()
+	case 11:
+		n.loss = float64(pick(5)) / 10
+		n.delay = time.Duration(1+pick(30)) * 10 * time.Millisecond
+		e.lag = time.Duration(pick(60)) * time.Second
+	}
+}
+
+// settled says why the entries don't agree, or nothing if they do.
+func (n *network) settled(wantSole bool) string {
+	var live []EntryID
+	for _, e := range n.entries {
+		if e.runs {
+			live = append(live, e.ID)
+		}
+	}
+	for _, c := range simCells {
+		owners, sole := map[EntryID]bool{}, 0
+		serving := false
+		for _, e := range n.entries {
+			if !e.runs {
+				continue
+			}
+			v := e.View(n.now)
+			var seen []EntryID
+			for _, m := range v.Members {
+				if m.Live && m.Via == "" {
+					seen = append(seen, m.ID)
+				}
+			}
+			if !slices.Equal(seen, live) {
+				return fmt.Sprintf("%s sees %v, running are %v", e.ID, seen, live)
+			}
+			serving = serving || e.state == StateServing
+			if owner, ok := v.Owner(c); ok {
+				owners[owner.ID] = true
+			}
+			if v.Standing(c) == Sole {
+				sole++
+			}
+		}
+		if serving && len(owners) != 1 {
+			return fmt.Sprintf("owners of %v are %v", c, owners)
+		}
+		if serving && wantSole && sole != 1 {
+			return fmt.Sprintf("%d sole owners of %v", sole, c)
+		}
+	}
+	return ""
+}
--- a/fleet/peer.go
+++ b/fleet/peer.go
@@ -146,7 +146,8 @@
 
 // absent reports whether the entry is confirmed not to run: it said that it was leaving and fell
 // silent, or neither this entry nor any live peer had a sign of it for the gone time and a fleet
-// list that came afterwards does not name it.
+// list that came afterwards does not name it. A list that does not name this entry either is older
+// than this entry and confirms nothing.
 func (m *Membership) absent(now time.Duration, p *peer) bool {
 	if m.faults.listAbsenceOnly && m.hasList && !p.listed {
 		return true
@@ -157,7 +158,7 @@
 	if p.left {
 		return true
 	}
-	if p.listed || !m.hasList || m.listAt <= p.lastSign() {
+	if p.listed || !m.listed || m.listAt <= p.lastSign() {
 		return false
 	}
 	return p.everListed || now-max(p.unlistedAt, p.lastSign()) > m.Times.Unlisted
--- /dev/null
+++ b/fleet/property_test.go
@@ -0,0 +1,98 @@
+package fleet
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+const (
+	// agreeWithin is how long after the last fault all entries agree on members and owners: the
+	// suspect time, two heartbeats each way, and the doubt of an entry that was paused.
+	agreeWithin = 5 * time.Second
+	// soleWithin is how long it takes until there is one sole owner: the gone time and the time that
+	// an entry which was never listed must be missing, then the handover time.
+	soleWithin = 45 * time.Second
+)
+
+// scenario runs a drawn sequence of faults and returns what was violated.
+func scenario(random *rand.Rand, pick func(int) int, f faults) string {
+	n := newNetwork(random, 5+pick(3), f)
+	for i := range n.entries {
+		n.entries[i].lag = time.Duration(pick(4)) * 10 * time.Second
+		if i < 2 || pick(3) > 0 {
+			n.start(i)
+		}
+	}
+	n.run(time.Duration(pick(30)) * time.Second)
+	for range 4 + pick(30) {
+		n.event(pick)
+		if pick(3) > 0 {
+			n.run(time.Duration(1+pick(160)) * simTick)
+		}
+		if n.violated != "" {
+			return n.violated
+		}
+	}
+	n.heal()
+	n.run(agreeWithin)
+	if why := n.settled(false); why != "" && n.violated == "" {
+		return "not agreed: " + why
+	}
+	n.run(soleWithin - agreeWithin)
+	if why := n.settled(true); why != "" && n.violated == "" {
+		return "not settled: " + why
+	}
+	return n.violated
+}
+
+// Guards against two sole owners, ejections beyond the floor, a resumed entry that acts on an old
+// standing, and views that don't converge, under loss, delay, cuts, pauses, restarts and a lagging
+// fleet list.
+func TestMembershipUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		pick := func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "pick") }
+		if why := scenario(random, pick, faults{}); why != "" {
+			t.Fatal(why)
+		}
+	})
+}
+
+// searchLimit is how many scenarios a search for a violation runs at most.
+const searchLimit = 3000
+
+// search runs scenarios with fixed seeds until one violates a property.
+func search(f faults, limit int) (int, string) {
+	for seed := range limit {
+		random := rand.New(rand.NewPCG(uint64(seed), 2))
+		if why := scenario(random, random.IntN, f); why != "" {
+			return seed, why
+		}
+	}
+	return limit, ""
+}
+
+// Guards against checks that can't fail: each rule that is switched off must lead to a violation,
+// and none with all rules in force.
+func TestFaultyVariantsAreCaught(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		faults faults
+	}{
+		{"no handover wait", faults{noHandoverWait: true}},
+		{"relayed links count for sole", faults{relayCounts: true}},
+		{"absence from the fleet list counts as gone", faults{listAbsenceOnly: true}},
+		{"a new owner ejects at once", faults{noSettle: true}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			seed, why := search(c.faults, searchLimit)
+			if why == "" {
+				t.Fatalf("no violation in %d scenarios", searchLimit)
+			}
+			t.Logf("seed %d: %s", seed, why)
+		})
+	}
+}
--- a/fleet/receive.go
+++ b/fleet/receive.go
@@ -86,7 +86,8 @@
 		p.hearsMe = p.links.has(m.key)
 	}
 	p.reportAt = now
-	p.knewMe = p.knewMe || p.hearsMe
+	// Heartbeats that waited while this entry was paused arrive during its doubt.
+	p.knewMe = p.knewMe || p.hearsMe && !m.doubting(now)
 	m.noteReported(now, p)
 }
 
--- a/fleet/send.go
+++ b/fleet/send.go
@@ -63,7 +63,7 @@
 	full.Introduced = m.nextIntroduction(now)
 	out := make([]Outgoing, 0, len(m.peers))
 	for _, p := range m.peers {
-		if p.PeerAddress == "" || p.left && now-p.heardAt > m.Times.Gone {
+		if p.PeerAddress == "" || p.left && !p.listed && now-p.heardAt > m.Times.Gone {
 			continue
 		}
 		h := full
--- a/fleet/standing.go
+++ b/fleet/standing.go
@@ -8,25 +8,39 @@
 )
 
 // maySole reports whether the conditions of a sole owner hold that don't depend on the cell: this
-// entry has served for the handover time without a late tick and has a direct two-way link with
-// every entry that is named anywhere and not known to be gone.
+// entry has been able to own cells for the handover time without a late tick, and for the settling
+// time it has had direct two-way links with every entry that is named anywhere and not known to be
+// gone. The settling time lets a peer that took itself for the owner learn of the healed link.
 func (m *Membership) maySole(now time.Duration) bool {
-	if m.state != StateServing || now-m.soleFrom < m.handover() {
+	if m.state != StateServing || !m.linkedToAll(now) || !m.informed() {
 		return false
 	}
-	linked := false
+	if !m.faults.noSettle && now-m.unlinkedAt < m.Times.Settle {
+		return false
+	}
+	return m.faults.noHandoverWait || now-m.ownFrom >= m.Times.Handover
+}
+
+// informed reports whether this entry can know who else exists. A fleet list that does not name it
+// is older than its start and may lack others too. Without any list, when the platform is down, its
+// peers tell.
+func (m *Membership) informed() bool {
+	if m.hasList {
+		return m.everListed
+	}
+	return slices.ContainsFunc(m.peers, func(p *peer) bool { return p.link == LinkTwoWay })
+}
+
+// linkedToAll reports whether there is a direct two-way link with every entry that is named
+// anywhere and not known to be gone. A relayed link does not count, so that a cut is noticed within
+// the suspect time plus one heartbeat.
+func (m *Membership) linkedToAll(now time.Duration) bool {
 	for _, p := range m.peers {
-		if m.linkOf(now, p) == LinkTwoWay {
-			linked = true
-			continue
-		}
-		if m.faults.relayCounts && p.live {
-			continue
-		}
-		if p.left && p.heardAt != never {
-			continue
-		}
-		if !m.absent(now, p) {
+		switch {
+		case m.linkOf(now, p) == LinkTwoWay:
+		case m.faults.relayCounts && p.live:
+		case p.left:
+		case !m.absent(now, p):
 			return false
 		}
 	}
@@ -35,15 +49,7 @@
 			return false
 		}
 	}
-	// Without a list and without a peer this entry can't know who else exists.
-	return linked || m.hasList
-}
-
-func (m *Membership) handover() time.Duration {
-	if m.faults.noHandoverWait {
-		return 0
-	}
-	return m.Times.Handover
+	return true
 }
 
 // mayEject reports whether an owner may eject at all: every entry that is named and not known to be
@@ -53,6 +59,9 @@
 	if m.faults.noSettle {
 		return true
 	}
+	if now-m.ownFrom < m.Times.Settle || !m.informed() {
+		return false
+	}
 	for _, p := range m.peers {
 		if !p.knewMe && !p.left && !m.absent(now, p) {
 			return false
@@ -82,7 +91,8 @@
 
 // MayEject reports whether this entry, as sole or contested owner of the cell, may eject targets. A
 // new owner first waits until a former owner that was sole has noticed that it no longer is, because
-// ejections of protected targets by that one and ejections by this one would add up.
+// ejections of protected targets by that one and ejections by this one would add up. While MayEject
+// is false, targets that are ejected already must count as avoided.
 func (v *View) MayEject(c CellKey) bool {
 	cell := c.hash()
 	if v.owner(cell) != v.self || !v.mayEject {
@@ -112,12 +122,13 @@
 // claimedByOther reports whether a peer that is heard claims the cell.
 func (v *View) claimedByOther(c CellKey) bool { return len(v.Claimants(c)) > 0 }
 
-// Claimants returns the peers that were lately heard to serve the cell.
+// Claimants returns the peers that were lately heard to serve the cell. A claim lasts for the gone
+// time, because many claims are spread over several heartbeats.
 func (v *View) Claimants(c CellKey) []EntryID {
 	var ids []EntryID
 	for i := range v.rows {
 		for _, claim := range v.rows[i].claims {
-			if claim.Cell == c && !claim.released && v.At-claim.at <= v.times.Suspect {
+			if claim.Cell == c && !claim.released && v.At-claim.at <= v.times.Gone {
 				ids = append(ids, v.Members[i].ID)
 			}
 		}
