--- /dev/null
+++ b/table/fuzz_test.go
@@ -0,0 +1,101 @@
+package table
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"testing"
+
+	"github.com/tailscale/hujson"
+)
+
+// Any bytes that the platform or a peer delivers must be either refused with positions inside the text
+// or understood exactly as the standard library's decoder understands them. A panic would end every
+// entry of the fleet with one publication.
+func FuzzNewPair(f *testing.F) {
+	seeds := []struct {
+		raw     string
+		inPools bool
+	}{
+		{smallRoutes, false},
+		{smallPools, true},
+		{`{"routes": [], /* c */ "accounts": [{"name": "\u0061", "tokenSha256": ""}],} // end`, false},
+		{`{"fleetGroups": 1, "pools": [{"name": "p", "floor": 0, "slots": 1, "maxConnections": 1,
+			"policy": {"falseEjectionEveryHours": 1.5e2}, "targets": []}]}`, true},
+		{`{"fleetGroups": 1, "pools": [{"policy": null, "targets": [[[[{}]]]]}]}`, true},
+		{"{\"routes\": [{\"name\": \"\xff\", \"methods\": [null, 1, \"\\n\"]}]}", false},
+	}
+	for _, s := range seeds {
+		f.Add([]byte(s.raw), s.inPools)
+	}
+	f.Fuzz(func(t *testing.T, raw []byte, inPools bool) {
+		v := values(`{"routes": []}`, smallPools)
+		if inPools {
+			v[PoolsValue] = raw
+		} else {
+			v[RoutesValue] = raw
+		}
+		pair, err := NewPair(1, v)
+		if err != nil {
+			checkPositions(t, err, v)
+			return
+		}
+		checkPair(t, pair)
+	})
+}
+
+// checkPair compares a pair with what the standard library's decoder reads, and uses it.
+func checkPair(t *testing.T, pair *Pair) {
+	var routes Routes
+	var pools Pools
+	decodeStandard(t, pair.Values[RoutesValue], &routes)
+	decodeStandard(t, pair.Values[PoolsValue], &pools)
+	for i := range pools.Pools {
+		pools.Pools[i].SetDefaults()
+	}
+	if !equalJSON(t, *pair.Routes, routes) || !equalJSON(t, *pair.Pools, pools) {
+		t.Fatalf("decoded %+v %+v, want %+v %+v", pair.Routes, pair.Pools, routes, pools)
+	}
+	if problems := Check(pair.Routes, pair.Pools); len(problems) > 0 {
+		t.Fatal(problems) // defaults must be valid
+	}
+	NewRouter(pair)
+	if changes := Diff(pair, pair); len(changes) > 0 {
+		t.Fatal(changes)
+	}
+}
+
+func checkPositions(t *testing.T, err error, values map[string][]byte) {
+	var problems Problems
+	if !errors.As(err, &problems) || len(problems) == 0 {
+		t.Fatalf("error %v is not a list of problems", err)
+	}
+	for _, p := range problems {
+		lines := bytes.Split(values[p.File], []byte("\n"))
+		if p.Line < 0 || p.Line > len(lines) || (p.Line > 0 && (p.Column < 1 || p.Column > len(lines[p.Line-1])+1)) {
+			t.Fatalf("position of %v is outside the text", p)
+		}
+	}
+}
+
+func decodeStandard(t *testing.T, raw []byte, to any) {
+	std, err := hujson.Standardize(bytes.Clone(raw))
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := json.NewDecoder(bytes.NewReader(std))
+	d.DisallowUnknownFields()
+	if err := d.Decode(to); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// equalJSON compares without distinguishing an empty list from an absent one.
+func equalJSON(t *testing.T, a, b any) bool {
+	rawA, errA := json.Marshal(a)
+	rawB, errB := json.Marshal(b)
+	if errA != nil || errB != nil {
+		t.Fatal(errA, errB)
+	}
+	return bytes.Equal(rawA, rawB)
+}
