--- a/standin/platform.go
+++ b/standin/platform.go
@@ -35,8 +35,10 @@
 	Revision table.Revision
 	Log      zerolog.Logger
 
-	store *platformStore
-	count platformCount
+	once   sync.Once
+	store  *platformStore
+	count  platformCount
+	closed chan struct{}
 
 	mu      sync.Mutex
 	fault   PlatformFault
@@ -44,14 +46,25 @@
 	control *http.Server
 	// address and controlAddress are known from Start on.
 	address, controlAddress string
-	closed                  chan struct{}
 	servers                 sync.WaitGroup
 }
 
+func (p *Platform) init() {
+	p.once.Do(func() {
+		p.store = newPlatformStore(p.Revision)
+		p.closed = make(chan struct{})
+	})
+}
+
+// Handler returns the service without a listener, for tests within a process.
+func (p *Platform) Handler() http.Handler {
+	p.init()
+	return p.serviceHandler()
+}
+
 // Start loads the files and serves until Close.
 func (p *Platform) Start() error {
-	p.store = newPlatformStore(p.Revision)
-	p.closed = make(chan struct{})
+	p.init()
 	if err := p.Reload(); err != nil {
 		return err
 	}
--- a/standin/platform_fault.go
+++ b/standin/platform_fault.go
@@ -59,6 +59,7 @@
 
 func (p *Platform) switchListenerLocked(was, mode PlatformMode) error {
 	switch {
+	case p.service == nil: // Handler is used without Start.
 	case was != PlatformRefused && mode == PlatformRefused:
 		return PlatformError.Wrap(p.service.Close())
 	case was == PlatformRefused && mode != PlatformRefused:
--- a/standin/platform_files.go
+++ b/standin/platform_files.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"os"
+	"slices"
 
 	"github.com/tailscale/hujson"
 
@@ -33,7 +34,7 @@
 			return err
 		}
 	}
-	if rows != nil {
+	if rows != nil && !slices.Equal(rows, newest.fleet) {
 		p.SetFleet(rows)
 	}
 	return nil
