--- a/standin/target_record.go
+++ b/standin/target_record.go
@@ -51,7 +51,10 @@
 	// Shed counts requests that were refused and not run.
 	Shed uint64 `json:"shed"`
 	// Peak is the most runs at one time.
-	Peak int         `json:"peak"`
+	Peak int `json:"peak"`
+	// Connections is the number of open connections.
+	Connections int `json:"connections"`
+	// Runs is in the order of starts.
 	Runs []TargetRun `json:"runs"`
 }
 
@@ -125,10 +128,16 @@
 
 // Record returns what the target ran, in the order of starts. A non-empty id selects its runs.
 func (t *Target) Record(id string) TargetRecord {
+	t.mu.Lock()
+	connections := t.conns.count()
+	t.mu.Unlock()
 	r := &t.record
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	out := TargetRecord{Target: t.ID, Shed: r.shed, Peak: r.peak, Runs: make([]TargetRun, 0, len(r.runs))}
+	out := TargetRecord{
+		Target: t.ID, Shed: r.shed, Peak: r.peak, Connections: connections,
+		Runs: make([]TargetRun, 0, len(r.runs)),
+	}
 	for _, run := range r.runs {
 		if id == "" || run.ID == id {
 			out.Runs = append(out.Runs, *run)
--- a/target/answer.go
+++ b/target/answer.go
@@ -70,7 +70,7 @@
 	}
 	select {
 	case <-w.done:
-		return w.bodyErr == nil && w.connErr == nil
+		return !w.bodyFailed.Load() && w.connErr == nil
 	case <-a.ctx.Done():
 	case <-expired:
 	}
--- a/target/attempt.go
+++ b/target/attempt.go
@@ -223,7 +223,7 @@
 		e.Cause = Error.Wrap(context.Cause(a.ctx))
 	case a.expired() || errors.Is(cause, os.ErrDeadlineExceeded) || a.ctx.Err() != nil:
 		e.Kind = pool.OutcomeTimeout
-	case a.bodyFailed():
+	case a.writer != nil && a.writer.bodyFailed.Load():
 		e.Kind = pool.OutcomeCancelled
 		e.Cause = ErrRequestBody
 	case a.conn.received == 0:
@@ -232,19 +232,6 @@
 	return e
 }
 
-// bodyFailed says that the body's reader ended early, which is the caller's fault.
-func (a *attempt) bodyFailed() bool {
-	if a.writer == nil {
-		return false
-	}
-	select {
-	case <-a.writer.done:
-		return a.writer.bodyErr != nil
-	default:
-		return false
-	}
-}
-
 // end gives the connection back and waits for the body's writer. It is called once.
 func (a *attempt) end(reusable bool) {
 	defer a.client.active.Done()
@@ -263,8 +250,7 @@
 	}
 	a.client.store.drop(a.request.Address, c)
 	if a.writer != nil && a.request.StopBody != nil {
-		a.request.StopBody()
-		<-a.writer.done
+		a.writer.stop()
 	}
 }
 
--- a/target/client_test.go
+++ b/target/client_test.go
@@ -29,14 +29,14 @@
 	if err := s.Start(); err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { s.Close() })
+	t.Cleanup(func() { _ = s.Close() })
 	return s
 }
 
 // newClient returns a client that is closed before the stand-ins are.
 func newClient(t testing.TB) *target.Client {
 	c := &target.Client{}
-	t.Cleanup(func() { c.Close() })
+	t.Cleanup(func() { _ = c.Close() })
 	return c
 }
 
@@ -142,7 +142,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { l.Close() })
+	t.Cleanup(func() { _ = l.Close() })
 	go func() {
 		for n := 1; ; n++ {
 			c, err := l.Accept()
--- a/target/failure_test.go
+++ b/target/failure_test.go
@@ -94,7 +94,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	closed.Close()
+	_ = closed.Close()
 	tests := map[string]struct {
 		script  func(c net.Conn, number int)
 		change  func(r *target.Request)
@@ -247,7 +247,7 @@
 	release := make(chan struct{})
 	go func() {
 		c, err := l.Accept()
-		l.Close()
+		_ = l.Close()
 		if err != nil {
 			return
 		}
--- a/target/write.go
+++ b/target/write.go
@@ -127,8 +127,9 @@
 	// last is set right before the last byte of the body is written.
 	last atomic.Bool
 	done chan struct{}
-	// bodyErr and connErr are set before done is closed; at most one of them is not nil.
-	bodyErr error
+	// bodyFailed is set before the connection is closed because the body can't be read.
+	bodyFailed atomic.Bool
+	// connErr is set before done is closed.
 	connErr error
 }
 
@@ -144,11 +145,21 @@
 	} else {
 		w.runCounted((*buffer)[:bodyBuffer])
 	}
-	if w.bodyErr != nil {
+	if w.bodyFailed.Load() {
 		w.conn.Close()
 	}
 }
 
+// stop makes an unfinished writer leave the body alone and waits for it.
+func (w *bodyWriter) stop() {
+	select {
+	case <-w.done:
+	default:
+		w.request.StopBody()
+		<-w.done
+	}
+}
+
 func (w *bodyWriter) runCounted(b []byte) {
 	left := w.request.ContentLength
 	for left > 0 {
@@ -163,7 +174,7 @@
 			}
 		}
 		if err != nil && left > 0 {
-			w.bodyErr = err
+			w.bodyFailed.Store(true)
 			return
 		}
 	}
@@ -181,7 +192,7 @@
 			break
 		}
 		if err != nil {
-			w.bodyErr = err
+			w.bodyFailed.Store(true)
 			return
 		}
 	}
