--- /dev/null
+++ b/caller/caller_test.go
@@ -0,0 +1,246 @@
+package caller
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/bilberrywood/bilberrywood/fleet"
+	"github.com/bilberrywood/bilberrywood/notice"
+	"github.com/bilberrywood/bilberrywood/target"
+)
+
+// fakeEntry answers requests by a script, one step for each, and names one address for each step.
+type fakeEntry struct {
+	server *httptest.Server
+	dead   string
+	steps  []string
+
+	mu sync.Mutex
+	// ids are the run ids of the requests that arrived, in order.
+	ids   []string
+	asked int
+}
+
+// startEntry starts an entry with a script. A step is "dead" for an address that nobody listens on,
+// "drop" for a request that is lost after it arrived, "hang", "cut" for half an answer, or an outcome
+// with a status.
+func startEntry(t testing.TB, steps ...string) *fakeEntry {
+	f := &fakeEntry{steps: steps}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.dead = l.Addr().String()
+	_ = l.Close()
+	f.server = httptest.NewServer(f)
+	t.Cleanup(f.server.Close)
+	return f
+}
+
+func (f *fakeEntry) address() string { return f.server.Listener.Addr().String() }
+
+// ServeHTTP implements http.Handler.
+func (f *fakeEntry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if r.URL.Path == addressPath {
+		f.asked++
+		_ = json.NewEncoder(w).Encode(f.addresses())
+		return
+	}
+	f.ids = append(f.ids, r.Header.Get(target.HeaderID))
+	step := "drop"
+	for len(f.steps) > 0 && f.steps[0] == "dead" {
+		f.steps = f.steps[1:]
+	}
+	if len(f.steps) > 0 {
+		step, f.steps = f.steps[0], f.steps[1:]
+	}
+	f.play(w, r, step)
+}
+
+func (f *fakeEntry) play(w http.ResponseWriter, r *http.Request, step string) {
+	switch step {
+	case "drop":
+		panic(http.ErrAbortHandler)
+	case "hang":
+		f.mu.Unlock()
+		<-r.Context().Done()
+		f.mu.Lock()
+		panic(http.ErrAbortHandler)
+	case "cut":
+		w.Header().Set(HeaderOutcome, string(OutcomeRun))
+		w.Header().Set("Content-Length", "100")
+		_, _ = io.WriteString(w, "half")
+		panic(http.ErrAbortHandler)
+	}
+	var outcome string
+	var status int
+	_, _ = fmt.Sscan(step, &outcome, &status)
+	w.Header().Set(HeaderOutcome, outcome)
+	w.WriteHeader(status)
+	_, _ = io.WriteString(w, step)
+}
+
+// addresses names one entry for each step.
+func (f *fakeEntry) addresses() *Addresses {
+	a := &Addresses{ValidForMs: 15_000, Revision: 1}
+	for i, step := range f.steps {
+		address := f.address()
+		if step == "dead" {
+			address = f.dead
+		}
+		binding := notice.Binding{Entry: fleet.EntryID(fmt.Sprintf("e%d", i+1)), Incarnation: 255, Epoch: 3}
+		a.Entries = append(a.Entries, Address{Binding: binding, Address: address})
+	}
+	return a
+}
+
+// Guards against requests that are given up although a resend is safe, against resends that are not,
+// against a new id while the former one may have run, and against a false "not run".
+func TestAttempts(t *testing.T) {
+	tests := []struct {
+		steps string
+		want  Outcome
+		// lookup is the number of attempts of an idempotent request, 0 to leave it out.
+		lookup int
+		// ids are the entries that the ids of a non-idempotent request are bound to as they
+		// arrive; equal names mean equal ids.
+		ids string
+	}{
+		{"run 200", OutcomeRun, 1, "e1"},
+		{"run 500", OutcomeRun, 1, "e1"},
+		{"drop,run 200", OutcomeRun, 2, "e1 e1"},
+		{"cut,run 200", OutcomeRun, 2, "e1 e1"},
+		{"dead,run 200", OutcomeRun, 2, "e2"},
+		{"dead,dead", OutcomeNotRun, 8, ""},
+		{"notRun 503,run 200", OutcomeRun, 2, "e1 e2"},
+		{"notRun 404,run 200", OutcomeNotRun, 1, "e1"},
+		{"unknown 504,run 200", OutcomeRun, 2, "e1 e1"},
+		{"drop,notRun 503,run 200", OutcomeRun, 3, "e1 e1 e1"},
+		{"drop,notRun 403,run 200", OutcomeUnknown, 2, "e1 e1"},
+		{"drop,dead,notRun 503,drop", OutcomeUnknown, 0, "e1 e1 e1"},
+		{"bad 200,run 200", OutcomeRun, 2, "e1 e1"},
+	}
+	for _, test := range tests {
+		t.Run(test.steps, func(t *testing.T) {
+			is := is.New(t)
+			if test.lookup > 0 {
+				c := &Caller{Entries: []string{startEntry(t, strings.Split(test.steps, ",")...).address()}, Backoff: time.Millisecond}
+				r := c.Do(t.Context(), &Request{Route: "r", Method: http.MethodGet, Path: "/a"})
+				is.Equal(r.Outcome, test.want)
+				is.Equal(len(r.Attempts), test.lookup)
+				is.Equal(r.ID, "")
+			}
+			f := startEntry(t, strings.Split(test.steps, ",")...)
+			c := &Caller{Entries: []string{f.address()}, Backoff: time.Millisecond}
+			r := c.Do(t.Context(), notice1())
+			is.Equal(r.Outcome, test.want)
+			is.Equal(boundTo(t, f.ids), test.ids)
+			is.Equal(len(r.Attempts) > 0 && r.ID == "", len(f.ids) == 0 || r.Outcome == OutcomeNotRun && r.Answer == nil)
+		})
+	}
+}
+
+func notice1() *Request {
+	return &Request{
+		Route: "r", Method: http.MethodPost, Path: "/a", ContentLength: 1,
+		Body: func() (io.ReadCloser, error) { return io.NopCloser(strings.NewReader("x")), nil },
+	}
+}
+
+// boundTo returns the entries of ids, and fails if one entry has two ids.
+func boundTo(t *testing.T, ids []string) string {
+	t.Helper()
+	var names []string
+	seen := make(map[string]string)
+	for _, id := range ids {
+		name, rest, _ := strings.Cut(id, ".")
+		if old, ok := seen[name]; ok && old != id || !strings.HasPrefix(rest, "ff.3.") {
+			t.Errorf("entry %s has the ids %s and %s", name, old, id)
+		}
+		seen[name] = id
+		names = append(names, name)
+	}
+	return strings.Join(names, " ")
+}
+
+// Guards the rule that a refusal is certain only without a lost attempt before it: with the rule
+// switched off, a request that may have run gets a second id.
+func TestRefusalAfterLoss(t *testing.T) {
+	is := is.New(t)
+	f := startEntry(t, "drop", "notRun 503", "run 200")
+	c := &Caller{Entries: []string{f.address()}, Backoff: time.Millisecond, trustRefusals: true}
+	is.Equal(c.Do(t.Context(), notice1()).Outcome, OutcomeRun)
+	is.Equal(boundTo(t, f.ids), "e1 e1 e3") // the faulty variant is noticed
+}
+
+// Guards against waiting for an entry that doesn't answer, against a resend of an id that is given up
+// early, and against advice that is ignored.
+func TestWaiting(t *testing.T) {
+	is := is.New(t)
+	f := startEntry(t, "hang", "run 200")
+	c := &Caller{Entries: []string{f.address()}, Patience: 20 * time.Millisecond}
+	is.Equal(c.Do(t.Context(), &Request{Route: "r", Method: http.MethodGet, Path: "/"}).Outcome, OutcomeRun)
+
+	f = startEntry(t, "hang", "run 200")
+	c = &Caller{Entries: []string{f.address()}, Patience: 20 * time.Millisecond}
+	request := notice1()
+	request.Deadline = time.Now().Add(200 * time.Millisecond)
+	result := c.Do(t.Context(), request)
+	is.Equal(result.Outcome, OutcomeUnknown)
+	is.Equal(len(result.Attempts), 1) // giving up would have cancelled the run
+	is.True(result.ID != "")
+
+	request = notice1()
+	request.ID = result.ID
+	is.Equal(c.Do(t.Context(), request).Outcome, OutcomeRun)
+	is.Equal(boundTo(t, f.ids), "e1 e1") // the id is sent again
+}
+
+// Guards against asking for addresses for each request, and against keeping them for ever.
+func TestAddressesAreKept(t *testing.T) {
+	is := is.New(t)
+	f := startEntry(t, "run 200", "run 200", "run 200", "run 200")
+	c := &Caller{Entries: []string{f.dead, f.address()}}
+	for range 3 {
+		is.Equal(c.Do(t.Context(), &Request{Route: "r", Method: http.MethodGet, Path: "/"}).Outcome, OutcomeRun)
+	}
+	is.Equal(f.asked, 1)
+	c.forget("r")
+	is.Equal(c.Do(t.Context(), &Request{Route: "r", Method: http.MethodGet, Path: "/"}).Outcome, OutcomeRun)
+	is.Equal(f.asked, 2)
+}
+
+// Guards against address answers and outcome fields that crash the caller or break its bounds.
+func FuzzDecoders(f *testing.F) {
+	f.Add([]byte(`{"entries":[{"entry":"e1","incarnation":1,"epoch":2,"address":"10.0.0.1:80"}],"validForMs":15000}`), "run")
+	f.Add([]byte(`{"entries":[]}`), "notRun")
+	f.Add([]byte(`{"entries":[{"entry":"a b","address":"host:80"}],"validForMs":-1}`), "x, run")
+	f.Fuzz(func(t *testing.T, body []byte, outcome string) {
+		if a, err := ParseAddresses(body); err == nil {
+			if len(a.Entries) == 0 || len(a.Entries) > maxAddresses || a.ValidForMs < 0 || a.ValidForMs > maxValid.Milliseconds() {
+				t.Errorf("%+v is out of bounds", a)
+			}
+			if id := NewID(a.Entries[0].Binding); strings.ContainsAny(id, "\r\n ") {
+				t.Errorf("id %q breaks a header", id)
+			}
+		}
+		switch ParseOutcome(http.Header{HeaderOutcome: {outcome}}) {
+		case Outcome(outcome), OutcomeUnknown:
+		default:
+			t.Errorf("%q counts as another outcome", outcome)
+		}
+	})
+}
