--- a/target/attempt.go
+++ b/target/attempt.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/bilberrywood/bilberrywood/pool"
@@ -23,8 +25,8 @@
 	unwatch func() bool
 	// writer streams the body; nil if the body was written with the head.
 	writer *bodyWriter
-	// held is the body if it was written with the head.
-	held []byte
+	// held is the body if it is written with the head, else nil.
+	held *bytes.Buffer
 	// watch looks for a dead path under a large request; nil under a small one.
 	watch *pathWatch
 	// wroteBefore says that a connection that was given up had been written to.
@@ -110,16 +112,9 @@
 
 // start calls the hook and writes the head, with the body if it is held in memory.
 func (a *attempt) start() error {
-	b := heads.Get().(*bytes.Buffer)
-	defer heads.Put(b)
-	b.Reset()
-	inMemory, err := heldBody(b, a.request)
-	if err != nil {
+	if err := a.hold(); err != nil {
 		return a.giveBack(err)
 	}
-	if inMemory && b.Len() > 0 {
-		a.held = bytes.Clone(b.Bytes())
-	}
 	if a.request.BeforeWrite != nil {
 		if err := a.request.BeforeWrite(); err != nil {
 			return a.giveBack(err)
@@ -128,29 +123,56 @@
 	if a.expired() {
 		return a.giveBack(ErrDeadline)
 	}
-	if large := !inMemory || len(a.held) > maxUnwatched; large && !a.client.noPathWatch {
+	streamed := a.request.hasBody() && a.held == nil
+	large := streamed || a.held != nil && a.held.Len() > maxUnwatched
+	if large && !a.client.noPathWatch {
+		var err error
 		if a.watch, err = watchPath(a.conn, a.client.DeadPath); err != nil {
 			return a.giveBack(err)
 		}
 	}
-	if err := a.writeHead(b); err != nil {
+	if err := a.writeHead(); err != nil {
 		return a.fail(err)
 	}
-	if !inMemory {
+	if streamed {
 		a.writer = &bodyWriter{conn: a.conn, request: a.request, done: make(chan struct{})}
 		a.client.active.Go(a.writer.run)
 	}
 	return nil
 }
 
+// hold reads a body that is in memory and small, so that it goes out in one write and can be written
+// again.
+func (a *attempt) hold() error {
+	r := a.request
+	if !r.hasBody() || r.ContentLength < 0 || r.ContentLength > maxHeld {
+		return nil
+	}
+	switch r.Body.(type) {
+	case *bytes.Reader, *bytes.Buffer, *strings.Reader:
+	default:
+		return nil
+	}
+	a.held = buffers.Get().(*bytes.Buffer)
+	a.held.Reset()
+	if _, err := io.CopyN(a.held, r.Body, r.ContentLength); err != nil {
+		return ErrRequestBody
+	}
+	return nil
+}
+
 // writeHead writes the head and the held body in one write.
-func (a *attempt) writeHead(b *bytes.Buffer) error {
-	b.Reset()
+func (a *attempt) writeHead() error {
+	head := buffers.Get().(*bytes.Buffer)
+	defer buffers.Put(head)
+	head.Reset()
 	a.firstWrite = time.Now()
-	appendHead(b, a.request, a.deadline, a.firstWrite)
-	b.Write(a.held)
-	_, err := a.conn.Write(b.Bytes())
-	return err
+	appendHead(head, a.request, a.deadline, a.firstWrite)
+	var body []byte
+	if a.held != nil {
+		body = a.held.Bytes()
+	}
+	return a.conn.writeBoth(head.Bytes(), body)
 }
 
 // giveBack ends an attempt whose connection is untouched.
@@ -235,6 +257,10 @@
 // end gives the connection back and waits for the body's writer. It is called once.
 func (a *attempt) end(reusable bool) {
 	defer a.client.active.Done()
+	if a.held != nil {
+		buffers.Put(a.held)
+		a.held = nil
+	}
 	if a.conn == nil {
 		return
 	}
--- /dev/null
+++ b/target/bench_test.go
@@ -0,0 +1,116 @@
+package target_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"testing"
+
+	"github.com/bilberrywood/bilberrywood/target"
+)
+
+// benchSizes are body sizes of a lookup, a notice and a piece of an upload.
+var benchSizes = []int{0, 4 << 10, 64 << 10, 1 << 20}
+
+// benchServer answers every request with its body.
+func benchServer(b *testing.B) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Length", r.Header.Get("Content-Length"))
+		var body bytes.Buffer
+		_, _ = body.ReadFrom(r.Body)
+		_, _ = w.Write(body.Bytes())
+	})}
+	go func() { _ = s.Serve(l) }()
+	b.Cleanup(func() { _ = s.Close() })
+	return l.Addr().String()
+}
+
+// BenchmarkDo measures a request on a reused connection; the server's cost is part of it.
+func BenchmarkDo(b *testing.B) {
+	for _, size := range benchSizes {
+		body := make([]byte, size)
+		address := benchServer(b)
+		b.Run(fmt.Sprintf("client=target/bytes=%d", size), func(b *testing.B) {
+			c := newClient(b)
+			b.ReportAllocs()
+			for b.Loop() {
+				r := &target.Request{
+					Address: address, Method: http.MethodPost, Path: "/", Host: "pool", Idempotent: true,
+					Body: bytes.NewReader(body), ContentLength: int64(size),
+				}
+				a, err := c.Do(context.Background(), r)
+				if err != nil {
+					b.Fatal(err)
+				}
+				if n, err := io.Copy(io.Discard, a.Body); err != nil || n != int64(size) {
+					b.Fatal(n, err)
+				}
+			}
+		})
+		b.Run(fmt.Sprintf("client=http/bytes=%d", size), func(b *testing.B) {
+			c := &http.Client{Transport: &http.Transport{DisableCompression: true}}
+			defer c.CloseIdleConnections()
+			b.ReportAllocs()
+			for b.Loop() {
+				a, err := c.Post("http://"+address, "", bytes.NewReader(body))
+				if err != nil {
+					b.Fatal(err)
+				}
+				if n, err := io.Copy(io.Discard, a.Body); err != nil || n != int64(size) {
+					b.Fatal(n, err)
+				}
+				_ = a.Body.Close()
+			}
+		})
+	}
+}
+
+// BenchmarkIdleConnection measures the heap of one idle connection at this end.
+func BenchmarkIdleConnection(b *testing.B) {
+	for _, count := range []int{10, 100, 400} {
+		b.Run(fmt.Sprintf("connections=%d", count), func(b *testing.B) {
+			address := rawTarget(b, func(c net.Conn, _ int) {
+				// A server without buffers, so that only this end's memory counts.
+				head := make([]byte, 512)
+				_, _ = c.Read(head)
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx")
+				_, _ = c.Read(head)
+			})
+			for b.Loop() {
+				c := &target.Client{MaxConnections: count}
+				before := heap()
+				answers := make([]*target.Answer, count)
+				for i := range answers {
+					a, err := c.Do(context.Background(), get(address, "", ""))
+					if err != nil {
+						b.Fatal(err)
+					}
+					answers[i] = a
+				}
+				for i, a := range answers {
+					_, _ = io.Copy(io.Discard, a.Body)
+					answers[i] = nil
+				}
+				b.ReportMetric(float64(heap()-before)/float64(count), "B/connection")
+				_ = c.Close()
+			}
+		})
+	}
+}
+
+// heap returns the bytes that are in use after a collection.
+func heap() int64 {
+	runtime.GC()
+	runtime.GC() // the second collection empties sync.Pool
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
--- a/target/conn.go
+++ b/target/conn.go
@@ -89,6 +89,20 @@
 	return n, err
 }
 
+// writeBoth writes a head and a body, which may be empty, in one system call.
+func (c *conn) writeBoth(head, body []byte) error {
+	if len(body) == 0 {
+		_, err := c.Write(head)
+		return err
+	}
+	both := net.Buffers{head, body}
+	n, err := both.WriteTo(c.Conn)
+	if n > 0 {
+		c.written.Store(true)
+	}
+	return err
+}
+
 // quiet says that the connection is open and that no byte waits to be read.
 func (c *conn) quiet() bool {
 	var n int
--- a/target/fuzz_test.go
+++ b/target/fuzz_test.go
@@ -69,9 +69,7 @@
 		}
 		var b bytes.Buffer
 		appendHead(&b, r, time.Time{}, time.Time{})
-		if ok, err := heldBody(&b, r); !ok || err != nil {
-			return
-		}
+		b.Write(body)
 		in := bufio.NewReader(&b)
 		got, err := http.ReadRequest(in)
 		if err != nil {
--- a/target/silent.go
+++ b/target/silent.go
@@ -1,7 +1,6 @@
 package target
 
 import (
-	"bytes"
 	"errors"
 	"os"
 	"time"
@@ -56,12 +55,10 @@
 	s.drop(a.request.Address, old)
 	a.use(c)
 	a.silent = true
-	b := heads.Get().(*bytes.Buffer)
-	defer heads.Put(b)
 	if a.expired() {
 		return os.ErrDeadlineExceeded
 	}
-	return a.writeHead(b)
+	return a.writeHead()
 }
 
 // Patience returns a patience for a target whose service times have the given high quantile, so that
--- a/target/write.go
+++ b/target/write.go
@@ -24,8 +24,9 @@
 )
 
 var (
-	heads  = sync.Pool{New: func() any { return new(bytes.Buffer) }}
-	pieces = sync.Pool{New: func() any { b := make([]byte, chunkRoom+bodyBuffer+2); return &b }}
+	// buffers holds *bytes.Buffer for heads and held bodies, pieces *[]byte for streamed bodies.
+	buffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
+	pieces  = sync.Pool{New: func() any { b := make([]byte, chunkRoom+bodyBuffer+2); return &b }}
 )
 
 // notSent are the fields that are not taken from a request's header: hop-by-hop fields, and those
@@ -109,26 +110,6 @@
 	return names
 }
 
-// heldBody appends a request's body to b if it is in memory and small, so that it goes out in one
-// write and can be written again. ok is false if the body has to be streamed.
-func heldBody(b *bytes.Buffer, r *Request) (ok bool, err error) {
-	if !r.hasBody() {
-		return true, nil
-	}
-	if r.ContentLength < 0 || r.ContentLength > maxHeld {
-		return false, nil
-	}
-	switch r.Body.(type) {
-	case *bytes.Reader, *bytes.Buffer, *strings.Reader:
-	default:
-		return false, nil
-	}
-	if _, err := io.CopyN(b, r.Body, r.ContentLength); err != nil {
-		return false, ErrRequestBody
-	}
-	return true, nil
-}
-
 // bodyWriter streams a request's body to a connection while the answer may already arrive.
 type bodyWriter struct {
 	conn    *conn
