--- /dev/null
+++ b/target/prober_test.go
@@ -0,0 +1,147 @@
+package target_test
+
+import (
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/bilberrywood/bilberrywood/pool"
+	"github.com/bilberrywood/bilberrywood/standin"
+	"github.com/bilberrywood/bilberrywood/target"
+)
+
+// signals keeps the last signal of each kind, and counts all, for each target.
+type signals struct {
+	mu   sync.Mutex
+	last map[target.ProbeTarget]map[pool.SignalKind]pool.Signal
+	all  map[target.ProbeTarget]int
+}
+
+func (s *signals) add(t target.ProbeTarget, signal pool.Signal) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.last[t] == nil {
+		s.last[t] = make(map[pool.SignalKind]pool.Signal)
+	}
+	s.last[t][signal.Kind] = signal
+	s.all[t]++
+}
+
+// seen says whether a signal came since the last call of clear.
+func (s *signals) seen(t target.ProbeTarget, want pool.Signal) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	got, ok := s.last[t][want.Kind]
+	return ok && got == want
+}
+
+func (s *signals) clear() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	clear(s.last)
+}
+
+func (s *signals) count(t target.ProbeTarget) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.all[t]
+}
+
+// Guards against signals that are lost, given for the wrong target, or given after the target left
+// the set, and against a slow endpoint that holds up the others.
+func TestProber(t *testing.T) {
+	is := is.New(t)
+	a := startTarget(t, &standin.Target{ID: "a"})
+	b := startTarget(t, &standin.Target{ID: "b"})
+	slow := startTarget(t, &standin.Target{ID: "slow", ProbeDelay: time.Second})
+	got := &signals{last: make(map[target.ProbeTarget]map[pool.SignalKind]pool.Signal), all: make(map[target.ProbeTarget]int)}
+	p := &target.Prober{Interval: 10 * time.Millisecond, Timeout: 200 * time.Millisecond, Signal: got.add}
+	defer func() { _ = p.Close() }()
+	row := func(s *standin.Target, load string) target.ProbeTarget {
+		return target.ProbeTarget{ID: "x", Address: s.Address(), ProbePath: "/health", LoadPath: load}
+	}
+	rows := []target.ProbeTarget{row(a, "/load"), row(b, ""), row(slow, "")}
+	p.SetTargets(rows)
+	wait(t, "signals of healthy targets", func() bool {
+		return got.seen(rows[0], pool.Signal{Kind: pool.SignalProbeOK}) &&
+			got.seen(rows[0], pool.Signal{Kind: pool.SignalLoad}) && got.seen(rows[1], pool.Signal{Kind: pool.SignalProbeOK})
+	})
+	wait(t, "slow probe fails", func() bool { return got.seen(rows[2], pool.Signal{Kind: pool.SignalProbeFailed}) })
+
+	load := 7
+	a.SetFault(standin.TargetFault{Drain: true, LyingLoad: &load})
+	b.SetFault(standin.TargetFault{LyingProbe: "fail"})
+	got.clear()
+	wait(t, "signals of faults", func() bool {
+		return got.seen(rows[0], pool.Signal{Kind: pool.SignalDraining}) &&
+			got.seen(rows[0], pool.Signal{Kind: pool.SignalLoad, Load: 7}) &&
+			got.seen(rows[1], pool.Signal{Kind: pool.SignalProbeFailed})
+	})
+
+	p.SetTargets(rows[1:])
+	left := got.count(rows[0]) + 1 // one may have been in delivery
+	other := got.count(rows[1])
+	wait(t, "the others go on", func() bool { return got.count(rows[1]) > other+5 })
+	is.True(got.count(rows[0]) <= left)
+	is.NoErr(p.Close())
+	is.Equal(slow.Record("").Runs, []standin.TargetRun{}) // probes are no work
+}
+
+// Guards against a crash that leaves the target half up, and against a record that loses a run: the
+// failure tests are judged by it.
+func TestStandinCrash(t *testing.T) {
+	is := is.New(t)
+	s := startTarget(t, &standin.Target{})
+	s.SetFault(standin.TargetFault{CrashOnHeader: "X-Poison: 1", RestartMs: 50})
+	c := newClient(t)
+	r := get(s.Address(), "n", "")
+	r.Header.Set("X-Poison", "1")
+	r.Header.Set(target.HeaderID, "e.1.2.abc")
+	_, err := c.Do(t.Context(), r)
+	e := attemptError(t, err)
+	is.Equal(e.Kind, pool.OutcomeConnectionLost)
+	is.True(e.Written)
+	wait(t, "restart", func() bool {
+		_, ok, err := do(t.Context(), c, get(s.Address(), "m", ""), 64)
+		return err == nil && ok
+	})
+	runs := s.Record("e.1.2.abc").Runs
+	is.Equal(len(runs), 1)
+	is.Equal(runs[0].State, standin.RunCrashed)
+	is.Equal(runs[0].Runs, 1)
+}
+
+// Guards against a stand-in that runs more than its slots or doesn't mark what it refuses.
+func TestStandinSheds(t *testing.T) {
+	is := is.New(t)
+	s := startTarget(t, &standin.Target{Slots: 2, Queue: 1, Service: 50 * time.Millisecond})
+	c := newClient(t)
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	kinds := make(map[pool.OutcomeKind]int)
+	for range 10 {
+		wg.Go(func() {
+			a, err := c.Do(t.Context(), get(s.Address(), "n", ""))
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer a.Body.Close()
+			mu.Lock()
+			defer mu.Unlock()
+			kinds[a.Outcome().Kind]++
+			if a.Shed && (a.RetryAfter == 0 || a.Status != http.StatusServiceUnavailable) {
+				t.Errorf("shed with status %d and advice %v", a.Status, a.RetryAfter)
+			}
+		})
+	}
+	wg.Wait()
+	record := s.Record("")
+	is.Equal(kinds[pool.OutcomeSuccess]+kinds[pool.OutcomeShed], 10)
+	is.Equal(kinds[pool.OutcomeSuccess], len(record.Runs))
+	is.True(record.Peak <= 2)
+	is.Equal(int(record.Shed), kinds[pool.OutcomeShed])
+}
