Refuse an answer that echoes the nonce of another request

The look for late bytes leaves a moment between the look and the write. With both rules switched off TestNoMisdeliveryUnderFaults sees answers go astray, with them none (go test -race -count 5).

--- a/target/attempt.go
+++ b/target/attempt.go
@@ -220,12 +220,21 @@
 			continue
 		case unframed(response):
 			return nil, ErrUnframed
+		case a.misdelivered(response.Header):
+			return nil, ErrMisdelivered
 		}
 		a.conn.headLeft = -1
 		return response, nil
 	}
 }
 
+// misdelivered says that the target echoed another nonce than it was sent. HTTP/1.1 has no other means
+// to notice a late answer that arrives between the look for late bytes and the write.
+func (a *attempt) misdelivered(answer http.Header) bool {
+	sent, echoed := a.request.Header.Get(HeaderNonce), answer.Get(HeaderNonce)
+	return sent != "" && echoed != "" && sent != echoed && !a.client.store.trustIdle
+}
+
 // unframed says that only the end of the connection would end the answer's body.
 func unframed(r *http.Response) bool {
 	return r.Body != http.NoBody && r.ContentLength < 0 && len(r.TransferEncoding) == 0
--- a/target/error.go
+++ b/target/error.go
@@ -25,6 +25,8 @@
 	ErrUnframed = Error.New("answer has neither a length nor chunks")
 	// ErrHeadTooLarge says that the answer's head exceeds Client.MaxHeadBytes.
 	ErrHeadTooLarge = Error.New("answer head is too large")
+	// ErrMisdelivered says that the answer carries the nonce of another request.
+	ErrMisdelivered = Error.New("answer belongs to another request")
 	// ErrSwitchingProtocols says that the target tried to leave HTTP/1.1.
 	ErrSwitchingProtocols = Error.New("target switched protocols unasked")
 )
--- a/target/request.go
+++ b/target/request.go
@@ -17,7 +17,8 @@
 	// Path is the path with the query, as it stands in the request line.
 	Path string
 	Host string
-	// Header may contain hop-by-hop fields; they are not sent.
+	// Header may contain hop-by-hop fields; they are not sent. If it has a HeaderNonce, an answer
+	// that echoes another one is refused.
 	Header http.Header
 	// Body is nil if there is none. It is read until Do returns an error or the answer's body is
 	// closed.
--- a/target/store.go
+++ b/target/store.go
@@ -14,7 +14,7 @@
 	maxOpen     int
 	idleTimeout time.Duration
 	freshness   time.Duration
-	// trustIdle switches the look for late bytes off; only tests set it.
+	// trustIdle switches the look for late bytes and the check of nonces off; only tests set it.
 	trustIdle bool
 
 	mu     sync.Mutex
