--- a/target/write.go
+++ b/target/write.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"maps"
 	"net/http"
 	"net/textproto"
 	"slices"
@@ -23,17 +24,16 @@
 )
 
 var (
-	heads  = sync.Pool{New: func() any { return new(bytes.Buffer) }}
-	pieces = sync.Pool{New: func() any { b := make([]byte, chunkRoom+bodyBuffer+2); return &b }}
+	// buffers holds *bytes.Buffer for heads and held bodies, pieces *[]byte for streamed bodies.
+	buffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
+	pieces  = sync.Pool{New: func() any { b := make([]byte, chunkRoom+bodyBuffer+2); return &b }}
 )
 
 // notSent are the fields that are not taken from a request's header: hop-by-hop fields, and those
 // that the head is given from other parts of the request.
 var notSent = func() map[string]bool {
 	m := map[string]bool{"Host": true, "Content-Length": true, "Expect": true, HeaderDeadline: true}
-	for _, name := range hopByHop {
-		m[name] = true
-	}
+	maps.Copy(m, hopByHop)
 	return m
 }()
 
@@ -49,20 +49,30 @@
 		appendField(b, HeaderDeadline, FormatDeadline(deadline.Sub(now)))
 	}
 	appendFraming(b, r)
+	// Writing to a buffer does not fail. WriteSubset leaves out fields with invalid names and
+	// replaces line ends in values.
+	_ = r.Header.WriteSubset(b, excluded(r.Header))
+	b.WriteString("\r\n")
+}
+
+// excluded returns the keys of h that are not sent. It copies notSent only if h has a Connection
+// field or keys in another spelling, such as "content-length".
+func excluded(h http.Header) map[string]bool {
 	exclude := notSent
-	if _, ok := r.Header["Connection"]; ok {
-		exclude = make(map[string]bool, len(notSent)+1)
-		for name := range notSent {
-			exclude[name] = true
+	add := func(name string) {
+		if len(exclude) == len(notSent) {
+			exclude = maps.Clone(notSent)
 		}
-		for _, name := range connectionOptions(r.Header) {
-			exclude[name] = true
+		exclude[name] = true
+	}
+	options := connectionOptions(h)
+	for name := range h {
+		canonical := textproto.CanonicalMIMEHeaderKey(name)
+		if canonical != name && notSent[canonical] || slices.Contains(options, canonical) && !notSent[name] {
+			add(name)
 		}
 	}
-	// Writing to a buffer does not fail. WriteSubset leaves out fields with invalid names and
-	// replaces line ends in values.
-	_ = r.Header.WriteSubset(b, exclude)
-	b.WriteString("\r\n")
+	return exclude
 }
 
 func appendField(b *bytes.Buffer, name, value string) {
@@ -100,26 +110,6 @@
 	return names
 }
 
-// heldBody appends a request's body to b if it is in memory and small, so that it goes out in one
-// write and can be written again. ok is false if the body has to be streamed.
-func heldBody(b *bytes.Buffer, r *Request) (ok bool, err error) {
-	if !r.hasBody() {
-		return true, nil
-	}
-	if r.ContentLength < 0 || r.ContentLength > maxHeld {
-		return false, nil
-	}
-	switch r.Body.(type) {
-	case *bytes.Reader, *bytes.Buffer, *strings.Reader:
-	default:
-		return false, nil
-	}
-	if _, err := io.CopyN(b, r.Body, r.ContentLength); err != nil {
-		return false, ErrRequestBody
-	}
-	return true, nil
-}
-
 // bodyWriter streams a request's body to a connection while the answer may already arrive.
 type bodyWriter struct {
 	conn    *conn
@@ -127,8 +117,9 @@
 	// last is set right before the last byte of the body is written.
 	last atomic.Bool
 	done chan struct{}
-	// bodyErr and connErr are set before done is closed; at most one of them is not nil.
-	bodyErr error
+	// bodyFailed is set before the connection is closed because the body can't be read.
+	bodyFailed atomic.Bool
+	// connErr is set before done is closed.
 	connErr error
 }
 
@@ -144,11 +135,21 @@
 	} else {
 		w.runCounted((*buffer)[:bodyBuffer])
 	}
-	if w.bodyErr != nil {
+	if w.bodyFailed.Load() {
 		w.conn.Close()
 	}
 }
 
+// stop makes an unfinished writer leave the body alone and waits for it.
+func (w *bodyWriter) stop() {
+	select {
+	case <-w.done:
+	default:
+		w.request.StopBody()
+		<-w.done
+	}
+}
+
 func (w *bodyWriter) runCounted(b []byte) {
 	left := w.request.ContentLength
 	for left > 0 {
@@ -163,7 +164,7 @@
 			}
 		}
 		if err != nil && left > 0 {
-			w.bodyErr = err
+			w.bodyFailed.Store(true)
 			return
 		}
 	}
@@ -181,7 +182,7 @@
 			break
 		}
 		if err != nil {
-			w.bodyErr = err
+			w.bodyFailed.Store(true)
 			return
 		}
 	}
@@ -203,7 +204,7 @@
 	var b bytes.Buffer
 	b.WriteString("0\r\n")
 	if len(trailer) > 0 {
-		_ = trailer.WriteSubset(&b, notSent) // writing to a buffer does not fail
+		_ = trailer.WriteSubset(&b, excluded(trailer)) // writing to a buffer does not fail
 	}
 	b.WriteString("\r\n")
 	return b.Bytes()
