--- a/pool/evidence.go
+++ b/pool/evidence.go
@@ -190,19 +190,23 @@
 	if c.history.ratioDue(now) {
 		c.history.baseRatio = c.peerRatio()
 	}
+	for i := range c.targets.len() {
+		c.observeLate(now, c.targets.at(i))
+	}
+}
+
+// observeLate takes the evidence of one target's attempts in flight.
+func (c *Cell) observeLate(now Time, t *target) {
+	t.evidence.late = 0
 	if !c.history.known() {
 		return
 	}
-	for i := range c.targets.len() {
-		t := c.targets.at(i)
-		t.evidence.late = 0
-		for _, r := range t.attempts {
-			age := now - r.started
-			if age < c.history.lateAfter || r.Upload || r.cold || r.started < c.doubt.evidenceFrom {
-				continue
-			}
-			t.evidence.late += max(0, c.history.late(binOf(timeOf(age))))
+	for _, r := range t.attempts {
+		age := now - r.started
+		if age < c.history.lateAfter || r.Upload || r.cold || r.started < c.doubt.evidenceFrom {
+			continue
 		}
+		t.evidence.late += max(0, c.history.late(binOf(timeOf(age))))
 	}
 }
 
