pool: requests that can't be repeated don't use failing targets at saturation

Cause: at peak, orders and uploads waited briefly and then went to avoided targets that fail. Change: they wait or are refused as not run, unless nothing else is in service; suspicion also follows connection faults; avoided at 45% of the threshold; some failures are remembered over a restore.

--- a/pool/judge.go
+++ b/pool/judge.go
@@ -7,7 +7,7 @@
 // Shares of the threshold of ejection.
 const (
 	// avoidShare is where a target is avoided. Avoiding costs little, so it may happen by chance.
-	avoidShare = 0.5
+	avoidShare = 0.45
 	// restoreShare is where an avoided target's evidence is spent.
 	restoreShare = 0.1
 	// testsPerSample is the number of tests that each sample may trip by chance.
@@ -30,7 +30,7 @@
 	}
 	samples := max(minRate, c.history.rate) * 3600 * hours * testsPerSample
 	base := max(leastThreshold, math.Log(samples))
-	return max(base*avoidShare, base-flapRelief*float64(t.trial.flaps))
+	return max(base/2, base-flapRelief*float64(t.trial.flaps))
 }
 
 // avoidThreshold is the evidence that makes a target avoided.
--- a/pool/pick.go
+++ b/pool/pick.go
@@ -9,13 +9,16 @@
 // Bounds of the time that a request waits for a serving target before an avoided one is used.
 const (
 	minAvoidWait = 50 * time.Millisecond
-	maxAvoidWait = time.Second
+	maxAvoidWait = 5 * time.Second
 )
 
 // suspicionWeight is how much a target one step below being avoided loses against its peers, in units
 // of a full target's load: with 4 slots, two requests in flight.
 const suspicionWeight = 0.5
 
+// connectionSuspicion is the suspicion after a connection fault that is no evidence yet.
+const connectionSuspicion = 0.5
+
 // suspicionHolds is how long suspicion counts, in mean service times.
 const suspicionHolds = 4
 
@@ -50,6 +53,12 @@
 	return now-r.submitted >= Time(limit)
 }
 
+// wasteful says that the request would probably be lost at the avoided target. A request that can't be
+// repeated rather waits, or is refused as not run.
+func (c *Cell) wasteful(t *target, r *request) bool {
+	return t.state == TargetAvoided && c.servingTargets > 0 && !r.replaceable() && t.reason != ReasonSlow
+}
+
 // leastInFlight returns the target in the given state with the lowest share of its slots in use. A
 // target with some evidence against it counts as more loaded. Ties go to a random target.
 func (c *Cell) leastInFlight(now Time, r *request, state TargetState) *target {
@@ -69,7 +78,7 @@
 		if t.state != state || now < t.shedUntil || t.freeSlots() <= 0 {
 			continue
 		}
-		if r.suspect && t.suspectsInFlight > 0 {
+		if (r.suspect && t.suspectsInFlight > 0) || c.wasteful(t, r) {
 			continue
 		}
 		if r.attempt > 0 && t.id == r.lastTarget {
@@ -87,14 +96,20 @@
 	return best
 }
 
-// suspicion is how much a target counts as more loaded because of evidence against it. It applies for a
-// few service times after the last failure only: a target that got no work could never clear itself, nor
-// be found bad.
+// suspicion is how much a target counts as more loaded because of evidence against it. Except for requests
+// that are late at present, it applies for a few service times after the last fault only: a target that got
+// no work could never clear itself, nor be found bad.
 func (c *Cell) suspicion(now Time, t *target) float64 {
-	if t.evidence.suspicion == 0 || now-t.evidence.failedAt > Time(suspicionHolds*c.queue.hold) {
-		return 0
+	e := &t.evidence
+	recent := now - Time(suspicionHolds*c.queue.hold)
+	level := 0.0
+	if e.late > 0 || (e.failedAt > 0 && e.failedAt >= recent) {
+		level = e.suspicion
+	}
+	if s := &t.connection; s.streak > 0 && s.lastFault >= recent {
+		level = max(level, connectionSuspicion)
 	}
-	return suspicionWeight * t.evidence.suspicion
+	return suspicionWeight * level
 }
 
 // anotherExists says that a serving target other than t exists, free or not.
--- a/pool/trial.go
+++ b/pool/trial.go
@@ -21,6 +21,9 @@
 	returnEvidence = 3.0
 	// minReturnTrials is the least number of successes in a row for a return.
 	minReturnTrials = 2
+	// restoredShare bounds the evidence of some failures that an avoided target keeps when it returns, as a
+	// share of what makes it avoided.
+	restoredShare = 0.8
 	// requestsPerTrial bounds the share of requests that are used as trials.
 	requestsPerTrial = 20
 	// flapMemory is the time in service after which one return is forgotten.
@@ -173,7 +176,13 @@
 		t.trial.returnedAt = now
 		t.rampWarm(now)
 	}
+	some := t.evidence.some
 	t.evidence.reset()
+	if kind == EventRestored {
+		// Few successes don't clear a target that fails now and then; its next failure counts fully.
+		some.sum = min(some.sum, restoredShare*avoidThreshold(c.threshold(t)))
+		t.evidence.some = some
+	}
 	t.trial.recovered, t.trial.successes = 0, 0
 	c.setState(now, t, TargetServing, ReasonRecovered, kind, 0, 0, samples)
 	c.refreshLimits(now)
