pool: return after ten successes; slow targets are tried with any request

Cause: two successes restored targets that fail one request in five; orders pools tried slow targets only after 30 s; uploads went to targets with a recent fault.

--- a/pool/evidence.go
+++ b/pool/evidence.go
@@ -105,7 +105,10 @@
 		c.queue.observeHold(o.Service)
 		progress = c.answered(now, t, false)
 		if !r.Upload {
-			progress = min(progress, -c.collectTime(t, r, o))
+			slow := c.collectTime(t, r, o)
+			if slow > 0 || t.reason == ReasonSlow {
+				progress = -slow
+			}
 		}
 	case OutcomeFailed, OutcomeTruncated:
 		progress = c.answered(now, t, true)
@@ -134,13 +137,10 @@
 	}
 	e.ratio += (share - e.ratio) * ratioSmoothing
 	base := c.history.baseRatio
-	e.some.add(llrFailure20.of(failed, base))
-	most := llrFailure90.of(failed, base)
-	e.most.add(most)
-	if t.reason == ReasonSomeFailures {
-		return -llrFailure20.of(failed, base)
-	}
-	return -most
+	some := llrFailure20.of(failed, base)
+	e.some.add(some)
+	e.most.add(llrFailure90.of(failed, base))
+	return -some
 }
 
 // collectTime compares the service time of an answer with the peers' and returns its evidence of slowness.
--- a/pool/pick.go
+++ b/pool/pick.go
@@ -49,14 +49,24 @@
 	if c.servingSlots == 0 {
 		return true
 	}
-	limit := min(max(2*c.queue.hold, minAvoidWait), maxAvoidWait)
-	return now-r.submitted >= Time(limit)
+	return c.waitedLong(now, r)
 }
 
-// wasteful says that the request would probably be lost at the avoided target. A request that can't be
-// repeated rather waits, or is refused as not run.
-func (c *Cell) wasteful(t *target, r *request) bool {
-	return t.state == TargetAvoided && c.servingTargets > 0 && !r.replaceable() && t.reason != ReasonSlow
+func (c *Cell) waitedLong(now Time, r *request) bool {
+	return now-r.submitted >= Time(min(max(2*c.queue.hold, minAvoidWait), maxAvoidWait))
+}
+
+// wasteful says that a request that can't be repeated would risk being lost at the target, so that it
+// rather waits, or is refused as not run. An upload holds its slot for so long that few of them are
+// evidence in time, so it also passes over targets with a recent fault.
+func (c *Cell) wasteful(now Time, t *target, r *request) bool {
+	if r.replaceable() {
+		return false
+	}
+	if t.state == TargetAvoided {
+		return c.servingTargets > 0 && !t.onlySlow()
+	}
+	return r.Upload && c.suspicion(now, t) > 0 && !c.waitedLong(now, r)
 }
 
 // leastInFlight returns the target in the given state with the lowest share of its slots in use. A
@@ -78,7 +88,7 @@
 		if t.state != state || now < t.shedUntil || t.freeSlots() <= 0 {
 			continue
 		}
-		if (r.suspect && t.suspectsInFlight > 0) || c.wasteful(t, r) {
+		if (r.suspect && t.suspectsInFlight > 0) || c.wasteful(now, t, r) {
 			continue
 		}
 		if r.attempt > 0 && t.id == r.lastTarget {
@@ -96,14 +106,14 @@
 	return best
 }
 
-// suspicion is how much a target counts as more loaded because of evidence against it. Except for requests
-// that are late at present, it applies for a few service times after the last fault only: a target that got
-// no work could never clear itself, nor be found bad.
+// suspicion is how much a target counts as more loaded because of evidence against it. It applies for a
+// few service times after the last fault only: a target that got no work could never clear itself, nor be
+// found bad.
 func (c *Cell) suspicion(now Time, t *target) float64 {
 	e := &t.evidence
 	recent := now - Time(suspicionHolds*c.queue.hold)
 	level := 0.0
-	if e.late > 0 || (e.failedAt > 0 && e.failedAt >= recent) {
+	if e.failedAt > 0 && e.failedAt >= recent {
 		level = e.suspicion
 	}
 	if s := &t.connection; s.streak > 0 && s.lastFault >= recent {
--- a/pool/target.go
+++ b/pool/target.go
@@ -66,6 +66,9 @@
 	return !t.listed || t.tableLeaving || t.drainSignalled
 }
 
+// onlySlow says that the target is out of service because it is slow, and that none of its requests hangs.
+func (t *target) onlySlow() bool { return t.reason == ReasonSlow && t.evidence.late == 0 }
+
 func (t *target) freeSlots() int { return t.limit - t.inFlight }
 
 func (t *target) removeAttempt(r *request) {
--- a/pool/trial.go
+++ b/pool/trial.go
@@ -18,14 +18,17 @@
 	firstHoldOff = 5 * time.Second
 	maxHoldOff   = 5 * time.Minute
 	// returnEvidence is how much likelier the target must be healthy than bad, as a log, to return.
-	returnEvidence = 3.0
+	// Failures count by the test for 20%, so that a return takes 10 successes in a row.
+	returnEvidence = 2.15
 	// minReturnTrials is the least number of successes in a row for a return.
 	minReturnTrials = 2
 	// restoredShare bounds the evidence of some failures that an avoided target keeps when it returns, as a
 	// share of what makes it avoided.
 	restoredShare = 0.8
-	// requestsPerTrial bounds the share of requests that are used as trials.
-	requestsPerTrial = 20
+	// requestsPerTrial bounds the share of requests that are used as trials; minRequestsPerTrial applies
+	// after several successes.
+	requestsPerTrial    = 20
+	minRequestsPerTrial = 4
 	// flapMemory is the time in service after which one return is forgotten.
 	flapMemory = 10 * time.Minute
 	// maxFlaps bounds the returns that are remembered.
@@ -69,6 +72,12 @@
 	s.recovered, s.successes, s.failures, s.urgent = 0, 0, 0, false
 }
 
+// share is the number of requests per trial. It falls with each success, because the risk to the next
+// request falls too.
+func (s *trialState) share() int {
+	return max(minRequestsPerTrial, requestsPerTrial>>s.successes)
+}
+
 // holdOff is the time from an ejection or a failed trial to the next trial.
 func (s *trialState) holdOff() time.Duration {
 	return min(maxHoldOff, firstHoldOff<<min(s.flaps+s.failures, maxFlaps))
@@ -101,11 +110,11 @@
 	if s.inFlight || now < s.due || now < t.shedUntil || t.freeSlots() <= 0 {
 		return false
 	}
-	if c.servingTargets > 0 && (c.budget.tokens < 1 || (c.trials.requests < requestsPerTrial && !s.urgent)) {
+	if c.servingTargets > 0 && (c.budget.tokens < 1 || (c.trials.requests < s.share() && !s.urgent)) {
 		return false
 	}
-	if r.replaceable() || t.state == TargetUnreachable {
-		// A connection that is refused has not run the request.
+	if r.replaceable() || t.state == TargetUnreachable || t.onlySlow() {
+		// A refused connection does not run the request, and a slow target does not lose it.
 		return true
 	}
 	return now-c.trials.lastSafe >= Time(riskyAfter) && now-t.since >= Time(riskyAfter)
