pool: successes of requests that started before the last fault don't clear a target

Cause: when a target starts to fail, the requests already in flight still succeed and hid the failures.

--- a/pool/connection.go
+++ b/pool/connection.go
@@ -55,9 +55,12 @@
 		c.connectionFault(now, t, r, o.NewConnection, freeSilent)
 	case OutcomeNotStarted, OutcomeCancelled, OutcomeTimeout:
 	default:
-		s.streak, s.refused = 0, 0
+		s.refused = 0
 		c.reachable(now, t)
-		t.evidence.connections.add(llrFailure90.of(false, baseFailureRatio))
+		if r.started > s.lastFault {
+			s.streak = 0
+			t.evidence.connections.add(llrFailure90.of(false, baseFailureRatio))
+		}
 		if o.Kind == OutcomeSuccess {
 			c.poison.clear(r.Fingerprint)
 		}
--- a/pool/evidence.go
+++ b/pool/evidence.go
@@ -65,8 +65,8 @@
 	late float64
 	// suspicion is the strongest evidence as a share of what makes a target avoided, 0 to 1.
 	suspicion float64
-	// failedAt is the time of the last failure.
-	failedAt Time
+	// failedAt is the time of the last failure, and failedStart when that request started.
+	failedAt, failedStart Time
 	// ratio is the smoothed share of failures.
 	ratio float64
 	// samples counts the answers since the target's state last changed.
@@ -103,7 +103,7 @@
 	switch o.Kind {
 	case OutcomeSuccess:
 		c.queue.observeHold(o.Service)
-		progress = c.answered(now, t, false)
+		progress = c.answered(now, t, r, false)
 		if !r.Upload {
 			slow := c.collectTime(t, r, o)
 			if slow > 0 || t.reason == ReasonSlow {
@@ -111,7 +111,7 @@
 			}
 		}
 	case OutcomeFailed, OutcomeTruncated:
-		progress = c.answered(now, t, true)
+		progress = c.answered(now, t, r, true)
 	case OutcomeTimeout:
 		progress = c.collectTimeout(now, t, r, o)
 	case OutcomeCancelled:
@@ -126,18 +126,23 @@
 }
 
 // answered counts a success or a failure and returns how far it speaks for the target's health.
-func (c *Cell) answered(now Time, t *target, failed bool) float64 {
+func (c *Cell) answered(now Time, t *target, r *request, failed bool) float64 {
 	e := &t.evidence
 	c.history.count()
 	e.samples++
 	share := 0.0
 	if failed {
 		share = 1
-		e.failedAt = now
+		e.failedAt, e.failedStart = now, r.started
 	}
 	e.ratio += (share - e.ratio) * ratioSmoothing
 	base := c.history.baseRatio
 	some := llrFailure20.of(failed, base)
+	if !failed && r.started < e.failedStart {
+		// The success of a request that started before the last failed one does not show that the target
+		// has recovered since.
+		return -some
+	}
 	e.some.add(some)
 	e.most.add(llrFailure90.of(failed, base))
 	return -some
@@ -162,13 +167,13 @@
 // only where the peers would have answered long before; else the deadline was too short.
 func (c *Cell) collectTimeout(now Time, t *target, r *request, o *Outcome) float64 {
 	if r.Upload || !c.history.known() {
-		return c.answered(now, t, true)
+		return c.answered(now, t, r, true)
 	}
 	ratio := c.collectCensored(t, r, o)
 	if ratio < overdue {
 		return 0
 	}
-	return c.answered(now, t, true)
+	return c.answered(now, t, r, true)
 }
 
 // collectCensored takes a request that ended without an answer after the given time in flight.
--- a/pool/history.go
+++ b/pool/history.go
@@ -24,7 +24,7 @@
 	refreshEvery = 128
 	// priorWeight is how many answers the assumed heavy-tailed shape counts for, so that service times
 	// not seen yet are rare but not impossible.
-	priorWeight = 20
+	priorWeight = 12
 	// priorScale is the scale of that shape in log time: a tail that falls with the square of time.
 	priorScale = 0.5
 	// stuckShare is the part of a bad target's answers that take far longer than the slow factor.
--- a/pool/trial.go
+++ b/pool/trial.go
@@ -18,8 +18,8 @@
 	firstHoldOff = 5 * time.Second
 	maxHoldOff   = 5 * time.Minute
 	// returnEvidence is how much likelier the target must be healthy than bad, as a log, to return.
-	// Failures count by the test for 20%, so that a return takes 10 successes in a row.
-	returnEvidence = 2.15
+	// Failures count by the test for 20%, so that a return takes 16 successes in a row.
+	returnEvidence = 3.4
 	// minReturnTrials is the least number of successes in a row for a return.
 	minReturnTrials = 2
 	// restoredShare bounds the evidence of some failures that an avoided target keeps when it returns, as a
