--- a/pool/sim_test.go
+++ b/pool/sim_test.go
@@ -152,7 +152,7 @@
 	s.nextID++
 	r := Request{
 		ID: s.nextID, Idempotent: s.pool.idempotent, Replayable: s.pool.idempotent, Upload: s.pool.upload,
-		Deadline: now + Time(s.pool.deadline), Account: table.Account(fmt.Sprint("a", s.nextID%7)),
+		Deadline: now + Time(s.pool.deadline), Account: accounts[s.nextID%7],
 		Fingerprint: Fingerprint(s.nextID),
 	}
 	if s.random.Float64() < s.poison {
@@ -162,6 +162,8 @@
 	s.cell.Submit(now, r)
 }
 
+var accounts = [7]table.Account{"a", "b", "c", "d", "e", "f", "g"}
+
 const poisonPrint = Fingerprint(1 << 60)
 
 // service draws a service time: log-normal, with one answer in a hundred from a heavy tail.
