measure: add virtual clock, fake targets, baselines and experiments

The decision code needs to be judged on virtual time against published baselines. Adds the event queue, fake targets with switchable faults, four baselines and the experiments.

--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -1,4 +1,68 @@
 // Command measure runs the experiments and prints one JSON object a line.
 package main
 
-func main() {}
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"os"
+	"runtime/debug"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/bilberrywood/bilberrywood/measure"
+)
+
+// Exit codes.
+const (
+	exitMissed = 1
+	exitUsage  = 2
+)
+
+type options struct {
+	Only    string  `long:"only" value-name:"NAME" description:"run one experiment"`
+	Seed    uint64  `long:"seed" default:"1" description:"seed of all runs"`
+	SVG     string  `long:"svg" value-name:"FILE" description:"draw the curves to this file"`
+	Runs    int     `long:"runs" default:"30" description:"runs behind each quantile"`
+	Workers int     `long:"workers" default:"6" description:"runs at the same time"`
+	Noise   float64 `long:"noise-share" default:"0.05" description:"simulated share of each day of healthy noise"`
+}
+
+// gcPercent trades memory for speed: a run holds little, but allocates for each request.
+const gcPercent = 800
+
+func main() {
+	debug.SetGCPercent(gcPercent)
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		var f *flags.Error
+		if errors.As(err, &f) && f.Type == flags.ErrHelp {
+			return
+		}
+		os.Exit(exitUsage)
+	}
+	missed, err := run(o)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitUsage)
+	}
+	if missed > 0 {
+		fmt.Fprintf(os.Stderr, "%d figures miss their bounds\n", missed)
+		os.Exit(exitMissed)
+	}
+}
+
+// run prints all figures and returns how many miss their bounds.
+func run(o options) (missed int, err error) {
+	out := bufio.NewWriter(os.Stdout)
+	emit := measure.Print(out)
+	err = measure.Run(measure.Options{
+		Seed: o.Seed, Workers: o.Workers, Runs: o.Runs, NoiseShare: o.Noise, Only: o.Only, SVG: o.SVG,
+	}, func(l measure.Line) error {
+		if l.Failed() {
+			missed++
+		}
+		return emit(l)
+	})
+	return missed, errors.Join(err, out.Flush())
+}
--- /dev/null
+++ b/measure/chooser.go
@@ -0,0 +1,62 @@
+package measure
+
+import (
+	"math/rand/v2"
+
+	"github.com/bilberrywood/bilberrywood/fleet"
+	"github.com/bilberrywood/bilberrywood/pool"
+	"github.com/bilberrywood/bilberrywood/table"
+)
+
+// Chooser decides which target runs which request. pool.Cell and the baselines implement it.
+type Chooser interface {
+	// Update replaces the targets and the least number of them that must stay in service.
+	Update(now pool.Time, targets []table.Target, floor int)
+	// SetStanding says how sure this observer may be that it is the only one.
+	SetStanding(now pool.Time, standing fleet.Standing)
+	// Submit asks for a decision about a request.
+	Submit(now pool.Time, request pool.Request)
+	// Finish reports the end of an attempt.
+	Finish(now pool.Time, id pool.RequestID, outcome pool.Outcome)
+	// Cancel withdraws a request that is not running.
+	Cancel(now pool.Time, id pool.RequestID)
+	// Signal reports what a target's own endpoints say.
+	Signal(now pool.Time, target table.TargetID, signal pool.Signal)
+	// Tick runs the periodic work, every tickInterval.
+	Tick(now pool.Time)
+	// Decisions returns and forgets the decisions made since the last call.
+	Decisions() []pool.Decision
+	// Events returns and forgets the changes of targets since the last call.
+	Events() []pool.Event
+}
+
+// PolicyName names a way of choosing.
+type PolicyName string
+
+// The policies.
+const (
+	// Own is package pool.
+	Own PolicyName = "own"
+	// RoundRobin takes targets in turn and never ejects.
+	RoundRobin PolicyName = "roundRobin"
+	// Consecutive5 ejects after five failures in a row.
+	Consecutive5 PolicyName = "consecutive5"
+	// Sweep10s ejects by the success ratio over 10 s.
+	Sweep10s PolicyName = "sweep10s"
+	// LeastInFlight takes the target with the fewest requests in flight and never ejects.
+	LeastInFlight PolicyName = "leastInFlight"
+)
+
+// Baselines are the policies that Own is compared with.
+var Baselines = []PolicyName{RoundRobin, Consecutive5, Sweep10s, LeastInFlight}
+
+// Maker builds a chooser for a pool.
+type Maker func(p Profile, random *rand.Rand) Chooser
+
+// Makers hold every policy.
+var Makers = map[PolicyName]Maker{
+	RoundRobin:    func(Profile, *rand.Rand) Chooser { return &Baseline{Pick: pickInTurn} },
+	LeastInFlight: func(Profile, *rand.Rand) Chooser { return &Baseline{Pick: pickLeastInFlight} },
+	Consecutive5:  func(Profile, *rand.Rand) Chooser { return &Baseline{Pick: pickInTurn, Judge: &consecutive{}} },
+	Sweep10s:      func(Profile, *rand.Rand) Chooser { return &Baseline{Pick: pickInTurn, Judge: &sweep{}} },
+}
--- /dev/null
+++ b/measure/clock.go
@@ -0,0 +1,138 @@
+package measure
+
+import (
+	"time"
+
+	"github.com/bilberrywood/bilberrywood/pool"
+)
+
+// Clock is a virtual clock: it runs scheduled functions in the order of their times, and in the
+// order of scheduling for equal times.
+type Clock struct {
+	now    pool.Time
+	serial uint64
+	events []event
+	// inOrder are events whose times never decrease, such as deadlines a constant time away.
+	// They wait outside the heap, which stays small.
+	inOrder queue
+}
+
+// queue is a first-in, first-out queue of events.
+type queue struct {
+	events []event
+	head   int
+}
+
+func (q *queue) empty() bool { return q.head == len(q.events) }
+
+func (q *queue) push(e event) { q.events = append(q.events, e) }
+
+func (q *queue) pop() event {
+	e := q.events[q.head]
+	q.events[q.head] = event{}
+	q.head++
+	if q.head > len(q.events)/2 {
+		n := copy(q.events, q.events[q.head:])
+		clear(q.events[n:])
+		q.events, q.head = q.events[:n], 0
+	}
+	return e
+}
+
+type event struct {
+	at     pool.Time
+	serial uint64
+	run    func()
+}
+
+func (e event) before(o event) bool {
+	if e.at != o.at {
+		return e.at < o.at
+	}
+	return e.serial < o.serial
+}
+
+// Now returns the virtual time.
+func (c *Clock) Now() pool.Time { return c.now }
+
+// After schedules run at d from now; a negative d counts as 0.
+func (c *Clock) After(d time.Duration, run func()) {
+	c.serial++
+	c.push(event{at: c.now + pool.Time(max(d, 0)), serial: c.serial, run: run})
+}
+
+// AfterInOrder is After for times that never decrease from call to call.
+func (c *Clock) AfterInOrder(d time.Duration, run func()) {
+	c.serial++
+	c.inOrder.push(event{at: c.now + pool.Time(d), serial: c.serial, run: run})
+}
+
+// RunUntil runs everything scheduled up to and including end, or until stop returns true. A nil
+// stop never stops.
+func (c *Clock) RunUntil(end pool.Time, stop func() bool) {
+	for {
+		if stop != nil && stop() {
+			return
+		}
+		e, ok := c.next(end)
+		if !ok {
+			c.now = end
+			return
+		}
+		c.now = e.at
+		e.run()
+	}
+}
+
+// next takes the earliest event up to and including end.
+func (c *Clock) next(end pool.Time) (event, bool) {
+	fromQueue := !c.inOrder.empty() &&
+		(len(c.events) == 0 || c.inOrder.events[c.inOrder.head].before(c.events[0]))
+	switch {
+	case fromQueue && c.inOrder.events[c.inOrder.head].at <= end:
+		return c.inOrder.pop(), true
+	case !fromQueue && len(c.events) > 0 && c.events[0].at <= end:
+		return c.pop(), true
+	default:
+		return event{}, false
+	}
+}
+
+func (c *Clock) push(e event) {
+	c.events = append(c.events, e)
+	i := len(c.events) - 1
+	for i > 0 {
+		parent := (i - 1) / 2
+		if !c.events[i].before(c.events[parent]) {
+			break
+		}
+		c.events[i], c.events[parent] = c.events[parent], c.events[i]
+		i = parent
+	}
+}
+
+func (c *Clock) pop() event {
+	top := c.events[0]
+	last := len(c.events) - 1
+	c.events[0] = c.events[last]
+	c.events[last] = event{}
+	c.events = c.events[:last]
+	c.sink(0)
+	return top
+}
+
+func (c *Clock) sink(i int) {
+	for {
+		least := i
+		for child := 2*i + 1; child <= 2*i+2 && child < len(c.events); child++ {
+			if c.events[child].before(c.events[least]) {
+				least = child
+			}
+		}
+		if least == i {
+			return
+		}
+		c.events[i], c.events[least] = c.events[least], c.events[i]
+		i = least
+	}
+}
--- /dev/null
+++ b/measure/fault.go
@@ -0,0 +1,132 @@
+package measure
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/bilberrywood/bilberrywood/pool"
+)
+
+// FaultName names a fault of a target.
+type FaultName string
+
+// Fault describes how a target misbehaves while the fault is switched on.
+type Fault struct {
+	Name FaultName
+	// FailRatio is the share of requests that end with Outcome.
+	FailRatio float64
+	Outcome   pool.OutcomeKind
+	// Fast says that a failure takes failTime; otherwise it takes the usual service time.
+	Fast bool
+	// Hang says that requests get no answer until their deadline.
+	Hang bool
+	// HangLooksSilent says that a hanging request is reported as a silent connection, because
+	// the target still answers its probe on a new connection.
+	HangLooksSilent bool
+	// Slow multiplies the service time; 0 means 1.
+	Slow float64
+	// On and Off are the alternating times of a flapping fault; 0 means always on.
+	On, Off time.Duration
+	// Crash kills the process; it restarts after restartTime and is then cold.
+	Crash bool
+	// Cold makes the target slow for coldTime, as after a start.
+	Cold bool
+	// Silent makes the connections that are open go silent, while new ones work.
+	Silent bool
+	// Partition drops answers, so that requests and new connections hang.
+	Partition bool
+	// ProbeFails makes the probe fail, and HighLoad makes the load signal report highLoad,
+	// although the target works.
+	ProbeFails, HighLoad bool
+	// Drain makes the target announce that it is leaving.
+	Drain bool
+}
+
+// Harmful says that the fault harms work, so that ejecting the target is right.
+func (f Fault) Harmful() bool {
+	return f.FailRatio > 0 || f.Hang || f.Slow > 1 || f.Partition || f.Crash
+}
+
+// Times of fakes.
+const (
+	// failTime is how long a target takes to fail a request fast.
+	failTime = 2 * time.Millisecond
+	// restartTime is how long a crashed target refuses connections.
+	restartTime = 5 * time.Second
+	// coldTime is how long a target is slower after a start; it begins coldFactor times slower.
+	coldTime   = 10 * time.Second
+	coldFactor = 5.0
+	// poisonTime is how long a poison request runs before it crashes its target.
+	poisonTime = 20 * time.Millisecond
+	highLoad   = 1_000
+)
+
+// Faults are all faults by name.
+var Faults = faultsByName([]Fault{
+	{Name: "failsFast", FailRatio: 1, Outcome: pool.OutcomeFailed, Fast: true},
+	{Name: "failsHanging", Hang: true},
+	{Name: "failsHangingProbeAnswers", Hang: true, HangLooksSilent: true},
+	{Name: "slow4", Slow: 4},
+	{Name: "fails20", FailRatio: 0.2, Outcome: pool.OutcomeFailed},
+	{Name: "flapping", FailRatio: 1, Outcome: pool.OutcomeFailed, Fast: true, On: 5 * time.Second, Off: 5 * time.Second},
+	{Name: "truncates", FailRatio: 1, Outcome: pool.OutcomeTruncated},
+	{Name: "coldStart", Cold: true},
+	{Name: "crash", Crash: true},
+	{Name: "silentConnections", Silent: true},
+	{Name: "probeLiesSick", ProbeFails: true, HighLoad: true},
+	{Name: "drain", Drain: true},
+	{Name: "partition", Partition: true},
+})
+
+func faultsByName(list []Fault) map[FaultName]Fault {
+	m := make(map[FaultName]Fault, len(list))
+	for _, f := range list {
+		m[f.Name] = f
+	}
+	return m
+}
+
+// activeFault is a fault that is switched on at a target.
+type activeFault struct {
+	Fault
+	since pool.Time
+}
+
+// acts says whether a flapping fault is in its bad part.
+func (f activeFault) acts(now pool.Time) bool {
+	if f.On == 0 {
+		return true
+	}
+	return time.Duration(now-f.since)%(f.On+f.Off) < f.On
+}
+
+// effect is what the faults of a target do to one request.
+type effect struct {
+	outcome pool.OutcomeKind
+	service time.Duration
+	hang    bool
+	// silentHang says that a hanging request looks like a silent connection.
+	silentHang bool
+	// harmed says that a fault changed the result.
+	harmed bool
+}
+
+// apply changes e by the fault f.
+func (f activeFault) apply(e *effect, now pool.Time, random *rand.Rand) {
+	if !f.acts(now) {
+		return
+	}
+	if f.Slow > 1 {
+		e.service = time.Duration(float64(e.service) * f.Slow)
+		e.harmed = true
+	}
+	if f.Hang {
+		e.hang, e.harmed, e.silentHang = true, true, f.HangLooksSilent
+	}
+	if f.FailRatio > 0 && random.Float64() < f.FailRatio {
+		e.outcome, e.harmed = f.Outcome, true
+		if f.Fast {
+			e.service = failTime
+		}
+	}
+}
--- /dev/null
+++ b/measure/goal.go
@@ -0,0 +1,61 @@
+package measure
+
+// Goals of section 9 of docs/design.md.
+const (
+	goalFailingPeak       = 1.0  // s
+	goalFailingDayKruzes  = 2.0  // s
+	goalFailingDayKiesban = 3.0  // s
+	goalSlowPeak          = 2.0  // s
+	goalSlowDay           = 6.0  // s
+	goalPartPeak          = 10.0 // s
+	goalPartDay           = 30.0 // s
+	goalAffected          = 4.0  // requests, at night and for uploads
+	goalGoodput           = 0.95 // of the capacity
+	goalRetries           = 10.0 // % of requests
+	goalPoisonCrashes     = 2.0  // targets
+	goalDrain             = 3.0  // s, invariant I5
+)
+
+// faultClass groups faults that share a goal.
+type faultClass uint8
+
+const (
+	classOther faultClass = iota
+	classFailing
+	classSlow
+	classPart
+)
+
+// classes say which goal a fault falls under. "Failing all real work" covers each way of failing.
+var classes = map[string]faultClass{
+	"failsFast":                classFailing,
+	"failsHanging":             classFailing,
+	"failsHangingProbeAnswers": classFailing,
+	"truncates":                classFailing,
+	"slow4":                    classSlow,
+	"fails20":                  classPart,
+}
+
+// goalSeconds returns the bound on detection time in seconds.
+func goalSeconds(p Profile, l Load, scenario string) (bound float64, ok bool) {
+	if p.Upload || l == Night {
+		return 0, false
+	}
+	dayFailing := goalFailingDayKiesban
+	if p.Firm == Kruzes {
+		dayFailing = goalFailingDayKruzes
+	}
+	bounds := map[faultClass]map[Load]float64{
+		classFailing: {Peak: goalFailingPeak, Day: dayFailing},
+		classSlow:    {Peak: goalSlowPeak, Day: goalSlowDay},
+		classPart:    {Peak: goalPartPeak, Day: goalPartDay},
+	}
+	bound, ok = bounds[classes[scenario]][l]
+	return bound, ok
+}
+
+// goalRequests returns the bound on affected requests.
+func goalRequests(p Profile, l Load, scenario string) (bound float64, ok bool) {
+	c := classes[scenario]
+	return goalAffected, (p.Upload || l == Night) && (c == classFailing || c == classSlow)
+}
--- /dev/null
+++ b/measure/target.go
@@ -0,0 +1,280 @@
+package measure
+
+import (
+	"slices"
+	"time"
+
+	"github.com/bilberrywood/bilberrywood/pool"
+	"github.com/bilberrywood/bilberrywood/table"
+)
+
+// Target is a fake target: slots, a short first-in, first-out queue, and switchable faults.
+type Target struct {
+	ID    table.TargetID
+	index int
+	slots int
+	// queueLimit is how many requests wait beyond the slots; more are shed.
+	queueLimit int
+	world      *World
+	faults     []activeFault
+	inService  []*attempt
+	waiting    []*attempt
+	down       bool
+	// coldSince is the time of the last cold start; negative means never.
+	coldSince   pool.Time
+	connections connections
+	// harmfulUntil is the end of the last harmful fault.
+	harmfulUntil pool.Time
+	crashes      int
+}
+
+// attempt is one try of a request at a target.
+type attempt struct {
+	observer *Observer
+	request  *request
+	target   *Target
+	trial    bool
+	started  pool.Time
+	// harmed says that a fault changed the result.
+	harmed bool
+	// silent says that the connection went silent while the request was running.
+	silent bool
+	// newConnection says that the attempt is the first on its connection.
+	newConnection bool
+	done          bool
+}
+
+// switchOn starts the fault now.
+func (t *Target) switchOn(f Fault) {
+	now := t.world.clock.Now()
+	t.faults = append(t.faults, activeFault{Fault: f, since: now})
+	if f.Crash {
+		t.crash()
+	}
+	if f.Cold {
+		t.coldSince = now
+	}
+	if f.Silent {
+		t.silence()
+	}
+}
+
+// switchOff ends all faults with the name.
+func (t *Target) switchOff(name FaultName) {
+	t.faults = slices.DeleteFunc(t.faults, func(f activeFault) bool {
+		if f.Name == name && f.Harmful() {
+			t.harmfulUntil = t.world.clock.Now()
+		}
+		return f.Name == name
+	})
+}
+
+// harmful says whether a fault harms work now or did within the last grace.
+func (t *Target) harmful(grace time.Duration) bool {
+	if t.down || slices.ContainsFunc(t.faults, func(f activeFault) bool { return f.Harmful() }) {
+		return true
+	}
+	return t.harmfulUntil > 0 && t.world.clock.Now() <= t.harmfulUntil+pool.Time(grace)
+}
+
+func (t *Target) has(test func(Fault) bool) bool {
+	return slices.ContainsFunc(t.faults, func(f activeFault) bool { return test(f.Fault) })
+}
+
+func (t *Target) partitioned() bool { return t.has(func(f Fault) bool { return f.Partition }) }
+func (t *Target) draining() bool    { return t.has(func(f Fault) bool { return f.Drain }) }
+
+// accept receives a request from an observer.
+func (t *Target) accept(a *attempt) {
+	now := t.world.clock.Now()
+	a.newConnection, a.silent = t.connections.open(now, a.request.Idempotent)
+	switch {
+	case t.partitioned():
+		a.harmed = true
+		t.world.watchHarm(a)
+	case t.down:
+		t.world.clock.After(connectTime, func() { t.answer(a, pool.Outcome{Kind: pool.OutcomeConnectFailed}) })
+	case a.silent:
+		t.reportSilent(a)
+	case len(t.inService) < t.slots:
+		t.serve(a)
+	case len(t.waiting) < t.queueLimit:
+		t.waiting = append(t.waiting, a)
+	default:
+		t.world.clock.After(connectTime, func() {
+			t.answer(a, pool.Outcome{Kind: pool.OutcomeShed, Written: true, RetryAfter: shedRetryAfter})
+		})
+	}
+}
+
+// serve starts a request in a free slot.
+func (t *Target) serve(a *attempt) {
+	now := t.world.clock.Now()
+	t.inService = append(t.inService, a)
+	if a.request.poison {
+		t.world.clock.After(poisonTime, func() {
+			if !a.done {
+				t.crash()
+			}
+		})
+		return
+	}
+	e := t.effect(now)
+	if e.harmed {
+		a.harmed = true
+		t.world.watchHarm(a)
+	}
+	if e.silentHang {
+		t.reportSilent(a)
+	}
+	if e.hang {
+		return
+	}
+	t.world.clock.After(e.service, func() {
+		if a.silent {
+			return
+		}
+		t.answer(a, pool.Outcome{Kind: e.outcome, Written: true, Draining: t.draining()})
+	})
+}
+
+// effect draws what happens to one request.
+func (t *Target) effect(now pool.Time) effect {
+	random := t.world.random
+	e := effect{outcome: pool.OutcomeSuccess, service: serviceTime(random, t.world.profile.Median)}
+	if random.Float64() < genuineFailed {
+		e.outcome = pool.OutcomeFailed
+	}
+	if age := time.Duration(now - t.coldSince); t.coldSince >= 0 && age < coldTime {
+		remaining := 1 - float64(age)/float64(coldTime)
+		e.service = time.Duration(float64(e.service) * (1 + (coldFactor-1)*remaining))
+	}
+	for _, f := range t.faults {
+		f.apply(&e, now, random)
+	}
+	return e
+}
+
+// answer ends an attempt and reports it, unless it ended before.
+func (t *Target) answer(a *attempt, o pool.Outcome) {
+	if a.done {
+		return
+	}
+	t.release(a)
+	if o.Kind <= pool.OutcomeFailed || o.Kind == pool.OutcomeShed {
+		t.connections.close(t.world.clock.Now())
+	}
+	a.observer.report(a, o)
+}
+
+// release frees the place that the attempt took and starts the next waiting one.
+func (t *Target) release(a *attempt) {
+	a.done = true
+	t.waiting = slices.DeleteFunc(t.waiting, func(o *attempt) bool { return o == a })
+	i := slices.Index(t.inService, a)
+	if i < 0 {
+		return
+	}
+	t.inService = slices.Delete(t.inService, i, i+1)
+	if len(t.waiting) > 0 && !t.down && len(t.inService) < t.slots {
+		next := t.waiting[0]
+		t.waiting = t.waiting[1:]
+		t.serve(next)
+	}
+}
+
+// crash loses everything in service and refuses connections until the restart.
+func (t *Target) crash() {
+	if t.down {
+		return
+	}
+	t.down = true
+	t.crashes++
+	lost := append(slices.Clone(t.inService), t.waiting...)
+	t.inService, t.waiting = nil, nil
+	for _, a := range lost {
+		a.done = true
+		a.observer.report(a, pool.Outcome{Kind: pool.OutcomeConnectionLost, Written: true})
+	}
+	t.world.clock.After(restartTime, func() {
+		t.down = false
+		t.harmfulUntil = t.world.clock.Now()
+		t.coldSince = t.world.clock.Now()
+	})
+}
+
+// silence makes all open connections deliver nothing more, those in use included. The entry finds
+// a silent connection after silentAfter.
+func (t *Target) silence() {
+	t.connections.silent = t.connections.idle
+	for _, a := range t.inService {
+		a.silent = true
+		t.reportSilent(a)
+	}
+}
+
+func (t *Target) reportSilent(a *attempt) {
+	t.world.clock.After(silentAfter, func() {
+		t.answer(a, pool.Outcome{Kind: pool.OutcomeConnectionSilent, Written: true})
+	})
+}
+
+// probe returns what the target's health and load endpoints say.
+func (t *Target) probe() []pool.Signal {
+	var signals []pool.Signal
+	switch {
+	case t.down, t.partitioned(), t.has(func(f Fault) bool { return f.ProbeFails }):
+		signals = append(signals, pool.Signal{Kind: pool.SignalProbeFailed})
+	default:
+		// Gray targets pass their probes.
+		signals = append(signals, pool.Signal{Kind: pool.SignalProbeOK})
+	}
+	if t.down || t.partitioned() {
+		return signals
+	}
+	load := len(t.inService)
+	if t.has(func(f Fault) bool { return f.HighLoad }) {
+		load = highLoad
+	}
+	if t.has(func(f Fault) bool { return f.Harmful() }) {
+		// A gray target also reports no load, which attracts work.
+		load = 0
+	}
+	signals = append(signals, pool.Signal{Kind: pool.SignalLoad, Load: load})
+	if t.draining() {
+		signals = append(signals, pool.Signal{Kind: pool.SignalDraining})
+	}
+	return signals
+}
+
+// connections are the idle connections between the observers and a target.
+type connections struct {
+	idle int
+	// silent is how many of the idle ones deliver nothing more.
+	silent   int
+	lastUsed pool.Time
+}
+
+// open takes an idle connection, a silent one first, or dials. Non-idempotent work takes only
+// connections on which bytes arrived lately.
+func (c *connections) open(now pool.Time, idempotent bool) (dialled, silent bool) {
+	age := time.Duration(now - c.lastUsed)
+	if age > idleConnectionTime {
+		c.idle, c.silent = 0, 0
+	}
+	if c.idle == 0 || !idempotent && age > freshConnectionTime {
+		return true, false
+	}
+	c.idle--
+	if c.silent > 0 {
+		c.silent--
+		return false, true
+	}
+	return false, false
+}
+
+// close puts a connection back after a whole answer.
+func (c *connections) close(now pool.Time) {
+	c.idle++
+	c.lastUsed = now
+}
