--- a/measure/baseline.go
+++ b/measure/baseline.go
@@ -71,7 +71,7 @@
 }
 
 // SetStanding implements Chooser; baselines know no standing.
-func (b *Baseline) SetStanding(pool.Time, fleet.Standing) {}
+func (b *Baseline) SetStanding(pool.Time, fleet.Standing, bool) {}
 
 // Submit implements Chooser.
 func (b *Baseline) Submit(_ pool.Time, r pool.Request) {
@@ -125,7 +125,7 @@
 		if t.ejectedUntil > 0 && now >= t.ejectedUntil {
 			t.ejectedUntil = 0
 			t.consecutive, t.good, t.bad = 0, 0, 0
-			b.events = append(b.events, pool.Event{At: now, Kind: eventReturned, Target: t.id})
+			b.events = append(b.events, pool.Event{At: now, Kind: pool.EventReturned, Target: t.id})
 		}
 	}
 	b.Judge.tick(b, now)
@@ -160,7 +160,7 @@
 	}
 	t.ejections++
 	t.ejectedUntil = now + pool.Time(ejectionTime)*pool.Time(t.ejections)
-	b.events = append(b.events, pool.Event{At: now, Kind: eventEjected, Target: t.id})
+	b.events = append(b.events, pool.Event{At: now, Kind: pool.EventEjected, Target: t.id})
 }
 
 func (t *baselineTarget) usable() bool { return t.ejectedUntil == 0 && !t.leaving }
--- /dev/null
+++ b/measure/cell.go
@@ -0,0 +1,22 @@
+package measure
+
+import (
+	"math/rand/v2"
+
+	"github.com/bilberrywood/bilberrywood/fleet"
+	"github.com/bilberrywood/bilberrywood/pool"
+	"github.com/bilberrywood/bilberrywood/table"
+)
+
+func init() { Makers[Own] = newCell }
+
+// newCell builds the decision code of package pool as the daemon does.
+func newCell(p Profile, random *rand.Rand) Chooser {
+	return &pool.Cell{
+		Key:    fleet.CellKey{Pool: p.Pool},
+		Policy: table.Policy{FalseEjectionEveryHours: p.FalseEjectionEveryHours},
+		Slots:  p.Slots,
+		Floor:  p.Floor,
+		Random: random,
+	}
+}
--- a/measure/detection.go
+++ b/measure/detection.go
@@ -68,6 +68,18 @@
 	Night: {warm: 30 * time.Second, night: 10 * time.Minute, fault: 2 * time.Hour, after: 30 * time.Minute},
 }
 
+// uploadMedians lengthens the fault for uploads, whose deadlines are longer than the usual fault.
+const uploadMedians = 100
+
+// timesFor returns the times of a run at the pool.
+func timesFor(p Profile, l Load) runTimes {
+	times := timesOf[l]
+	if p.Upload {
+		times.fault = max(times.fault, uploadMedians*p.Median)
+	}
+	return times
+}
+
 // detectionJob is all runs of one scenario.
 type detectionJob struct {
 	subject
@@ -122,7 +134,7 @@
 
 // run makes one run of the scenario.
 func (j detectionJob) run(seed uint64, number int) detectionRun {
-	times := timesOf[j.load]
+	times := timesFor(j.profile, j.load)
 	w := NewWorld(j.profile, seed, Makers[j.policy])
 	w.warmUp(j.load, times)
 	first := number * 7 % len(w.targets)
@@ -185,7 +197,7 @@
 	if !Faults[j.scenario.first].Harmful() {
 		return
 	}
-	window := timesOf[j.load].fault.Seconds()
+	window := timesFor(j.profile, j.load).fault.Seconds()
 	var out, ejected, affected []float64
 	undetected := 0
 	for _, r := range runs {
--- a/measure/events.go
+++ b/measure/events.go
@@ -2,18 +2,14 @@
 
 import "github.com/bilberrywood/bilberrywood/pool"
 
-// Kinds of event that change a target's placement, and the reason of refused poison requests.
-const (
-	eventEjected  = pool.EventKind("ejected")
-	eventReturned = pool.EventKind("returned")
-	reasonPoison  = pool.Reason("poison")
-)
-
-// placements says what the events mean for ordinary work.
+// placements says what the events mean for ordinary work. A target that accepts no connections
+// gets single attempts only, but does not count as ejected.
 var placements = map[pool.EventKind]Placement{
-	"avoided":     Avoided,
-	"demoted":     Avoided,
-	eventEjected:  Ejected,
-	eventReturned: Serving,
-	"restored":    Serving,
+	pool.EventAvoided:     Avoided,
+	pool.EventDemoted:     Avoided,
+	pool.EventUnreachable: Avoided,
+	pool.EventEjected:     Ejected,
+	pool.EventReturned:    Serving,
+	pool.EventRestored:    Serving,
+	pool.EventReachable:   Serving,
 }
--- a/measure/fault.go
+++ b/measure/fault.go
@@ -44,7 +44,7 @@
 
 // Harmful says that the fault harms work, so that ejecting the target is right.
 func (f Fault) Harmful() bool {
-	return f.FailRatio > 0 || f.Hang || f.Slow > 1 || f.Partition || f.Crash
+	return f.FailRatio > 0 || f.Hang || f.Slow > 1 || f.Partition || f.Crash || f.Cold
 }
 
 // Times of fakes.
--- a/measure/observer.go
+++ b/measure/observer.go
@@ -5,7 +5,6 @@
 
 	"github.com/bilberrywood/bilberrywood/fleet"
 	"github.com/bilberrywood/bilberrywood/pool"
-	"github.com/bilberrywood/bilberrywood/table"
 )
 
 // Times of an entry, as in section 9 of the design page.
@@ -42,6 +41,7 @@
 type Observer struct {
 	world     *World
 	chooser   Chooser
+	standing  fleet.Standing
 	requests  map[pool.RequestID]*request
 	placement []Placement
 	inFlight  []int
@@ -67,6 +67,7 @@
 	o := &Observer{
 		world:     w,
 		chooser:   c,
+		standing:  fleet.Sole,
 		requests:  make(map[pool.RequestID]*request),
 		placement: make([]Placement, n),
 		inFlight:  make([]int, n),
@@ -76,7 +77,7 @@
 		o.drainSeen[i] = -1
 	}
 	c.Update(0, w.rows, w.profile.Floor)
-	c.SetStanding(0, fleet.Sole)
+	c.SetStanding(0, fleet.Sole, false)
 	return o
 }
 
@@ -111,13 +112,20 @@
 		for _, run := range backlog {
 			o.do(run)
 		}
-		o.do(func() { o.chooser.Tick(o.world.clock.Now()) })
+		o.do(o.tickOnce)
 	})
 }
 
+// tickOnce reports the standing without self-doubt: the chooser must notice its own late ticks.
+func (o *Observer) tickOnce() {
+	now := o.world.clock.Now()
+	o.chooser.SetStanding(now, o.standing, false)
+	o.chooser.Tick(now)
+}
+
 func (o *Observer) tick() {
 	if !o.paused {
-		o.do(func() { o.chooser.Tick(o.world.clock.Now()) })
+		o.do(o.tickOnce)
 	}
 	o.world.clock.After(tickInterval, o.tick)
 }
@@ -175,6 +183,7 @@
 func (o *Observer) report(a *attempt, outcome pool.Outcome) {
 	o.do(func() {
 		now := o.world.clock.Now()
+		outcome.NewConnection = a.newConnection
 		outcome.Service = time.Duration(now - a.started)
 		if now > a.request.Deadline && outcome.Kind == pool.OutcomeSuccess {
 			// The answer was read after the deadline, because the process was paused.
@@ -246,7 +255,7 @@
 	if r.poison {
 		o.world.stats.poisonRefused++
 	}
-	if d.Reason == reasonPoison && !r.poison {
+	if d.Reason == pool.ReasonPoison && !r.poison {
 		o.world.stats.innocentRefused++
 	}
 }
@@ -272,6 +281,9 @@
 
 // place follows the events of targets.
 func (o *Observer) place(e pool.Event) {
+	if o.world.Trace != nil {
+		o.world.Trace(e)
+	}
 	placement, ok := placements[e.Kind]
 	if !ok {
 		return
@@ -286,14 +298,3 @@
 	w.checkFloor()
 	w.placed(t.index, placement)
 }
-
-// ids returns the targets that the observer has ejected.
-func (o *Observer) ejectedIDs() []table.TargetID {
-	var ids []table.TargetID
-	for i, p := range o.placement {
-		if p == Ejected {
-			ids = append(ids, o.world.targets[i].ID)
-		}
-	}
-	return ids
-}
--- a/measure/target.go
+++ b/measure/target.go
@@ -63,7 +63,7 @@
 func (t *Target) switchOff(name FaultName) {
 	t.faults = slices.DeleteFunc(t.faults, func(f activeFault) bool {
 		if f.Name == name && f.Harmful() {
-			t.harmfulUntil = t.world.clock.Now()
+			t.harmfulUntil = max(t.harmfulUntil, t.world.clock.Now())
 		}
 		return f.Name == name
 	})
@@ -198,8 +198,8 @@
 	}
 	t.world.clock.After(restartTime, func() {
 		t.down = false
-		t.harmfulUntil = t.world.clock.Now()
 		t.coldSince = t.world.clock.Now()
+		t.harmfulUntil = t.coldSince + pool.Time(coldTime)
 	})
 }
 
--- a/measure/world.go
+++ b/measure/world.go
@@ -23,6 +23,9 @@
 	stats     Stats
 	watches   map[int]*watch
 
+	// Trace is called for every event, when it is set.
+	Trace func(pool.Event)
+
 	lastID pool.RequestID
 	// rate is the callers' requests per second; generation discards arrivals that were
 	// scheduled at a former rate.
@@ -148,7 +151,8 @@
 // SetStanding changes the standing of the observer i.
 func (w *World) SetStanding(i int, s fleet.Standing) {
 	o := w.observers[i]
-	o.do(func() { o.chooser.SetStanding(w.clock.Now(), s) })
+	o.standing = s
+	o.do(func() { o.chooser.SetStanding(w.clock.Now(), s, false) })
 }
 
 // checkFloor counts a violation when all observers' ejections together leave fewer targets than
