--- a/process/harness_test.go
+++ b/process/harness_test.go
@@ -178,23 +178,35 @@
 	w.platform.SetFleet(w.list)
 }
 
-// freePort returns a loopback address that was free a moment ago.
+// Ports for entries lie below those that the kernel gives to outgoing connections, so that none of
+// them is taken between the choice of a port and the start of its entry.
+const (
+	firstPort = 10_000
+	lastPort  = 20_000
+)
+
+var nextPort = firstPort
+
+// freePort returns a loopback address that nobody listens on.
 func freePort(t *testing.T, network string) string {
 	t.Helper()
-	if network == "udp" {
-		c, err := net.ListenPacket("udp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
+	for nextPort < lastPort {
+		nextPort++
+		address := fmt.Sprintf("127.0.0.1:%d", nextPort)
+		var c io.Closer
+		var err error
+		if network == "udp" {
+			c, err = net.ListenPacket(network, address)
+		} else {
+			c, err = net.Listen(network, address)
+		}
+		if err == nil {
+			c.Close()
+			return address
 		}
-		defer c.Close()
-		return c.LocalAddr().String()
-	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
 	}
-	defer l.Close()
-	return l.Addr().String()
+	t.Fatal("no free port")
+	return ""
 }
 
 // start starts the process of an entry.
