Let the target stand-in cut its path in the kernel

Failure tests need paths on which nothing is acknowledged and connections can't be opened. A socket filter does that for a single process on loopback. Target.SetFault now returns an error, as Platform.SetFault does.

--- a/standin/target.go
+++ b/standin/target.go
@@ -79,7 +79,10 @@
 
 // serveLocked opens the listener and serves it in the background.
 func (t *Target) serveLocked() error {
-	listener, err := net.Listen("tcp", t.address)
+	// Multipath TCP sockets, Go's default for listeners, take no socket filters.
+	var config net.ListenConfig
+	config.SetMultipathTCP(false)
+	listener, err := config.Listen(context.Background(), "tcp", t.address)
 	if err != nil {
 		return TargetError.Wrap(err)
 	}
--- a/standin/target_fault.go
+++ b/standin/target_fault.go
@@ -32,6 +32,9 @@
 	// SilentConnections makes the connections that are open when it is set go silent for good.
 	// Connections that are opened later work.
 	SilentConnections bool `json:"silentConnections,omitempty"`
+	// CutMs cuts the path to the target for a time: the kernel drops all that arrives for it, and
+	// sends what the target still has to say.
+	CutMs int64 `json:"cutMs,omitempty"`
 	// LyingProbe forces the probe's answer: "ok" or "fail". Empty means the truth.
 	LyingProbe string `json:"lyingProbe,omitempty"`
 	// LyingLoad forces the reported load.
@@ -45,17 +48,21 @@
 	LateMs      int64 `json:"lateMs,omitempty"`
 }
 
-// SetFault replaces the faults.
-func (t *Target) SetFault(f TargetFault) { t.setFault(f, nil) }
+// SetFault replaces the faults. Errors are of class TargetError.
+func (t *Target) SetFault(f TargetFault) error { return t.setFault(f, nil) }
 
 // setFault replaces the faults on an order that came on the connection by, which stays usable.
-func (t *Target) setFault(f TargetFault, by *targetConn) {
+func (t *Target) setFault(f TargetFault, by *targetConn) error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.fault = f
 	if f.SilentConnections {
 		t.conns.silence(by)
 	}
+	if f.CutMs > 0 {
+		return t.cutLocked(time.Duration(f.CutMs) * time.Millisecond)
+	}
+	return nil
 }
 
 // Fault returns the faults in force.
@@ -80,7 +87,10 @@
 		http.Error(w, fmt.Sprintf("lyingProbe: %q is neither ok nor fail", f.LyingProbe), http.StatusBadRequest)
 		return
 	}
-	t.setFault(f, connOf(r))
+	if err := t.setFault(f, connOf(r)); err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
 	writeJSON(w, f)
 }
 
--- a/target/client_test.go
+++ b/target/client_test.go
@@ -117,8 +117,9 @@
 
 // Guards against a truncated answer that is taken for a whole one.
 func TestTruncatedAnswers(t *testing.T) {
+	is := is.New(t)
 	s := startTarget(t, &standin.Target{})
-	s.SetFault(standin.TargetFault{Truncate: true})
+	is.NoErr(s.SetFault(standin.TargetFault{Truncate: true}))
 	for _, query := range []string{"bytes=1000", "bytes=1000&chunked=1", "bytes=100000", "bytes=100000&chunked=1"} {
 		t.Run(query, func(t *testing.T) {
 			is := is.New(t)
--- a/target/failure_test.go
+++ b/target/failure_test.go
@@ -216,7 +216,7 @@
 			c.Freshness = limit
 			_, _, err := do(t.Context(), c, get(s.Address(), "first", ""), 64)
 			is.NoErr(err)
-			s.SetFault(standin.TargetFault{SilentConnections: true})
+			is.NoErr(s.SetFault(standin.TargetFault{SilentConnections: true}))
 			r := get(s.Address(), "second", "")
 			r.Idempotent, r.Patience = test.idempotent, test.patience
 			if !test.moved {
@@ -319,6 +319,24 @@
 	}
 }
 
+// Guards against a cut path that is taken for a request that may have run, and against a target that
+// stays unreachable after the path works again.
+func TestCutPath(t *testing.T) {
+	is := is.New(t)
+	s := startTarget(t, &standin.Target{})
+	c := newClient(t)
+	c.DialTimeout = 100 * time.Millisecond
+	is.NoErr(s.SetFault(standin.TargetFault{CutMs: 500}))
+	_, _, err := do(t.Context(), c, get(s.Address(), "n", ""), 64)
+	e := attemptError(t, err)
+	is.Equal(e.Kind, pool.OutcomeConnectFailed)
+	is.True(!e.Written)
+	wait(t, "path works", func() bool {
+		_, ok, err := do(t.Context(), c, get(s.Address(), "n", ""), 64)
+		return err == nil && ok
+	})
+}
+
 // Guards against an upload that is cut off because the target reads nothing for a few seconds. The
 // variant with the kernel's user timeout alone must be cut off.
 func TestPausedReaderKeepsUpload(t *testing.T) {
--- a/target/prober_test.go
+++ b/target/prober_test.go
@@ -72,8 +72,8 @@
 	wait(t, "slow probe fails", func() bool { return got.seen(rows[2], pool.Signal{Kind: pool.SignalProbeFailed}) })
 
 	load := 7
-	a.SetFault(standin.TargetFault{Drain: true, LyingLoad: &load})
-	b.SetFault(standin.TargetFault{LyingProbe: "fail"})
+	is.NoErr(a.SetFault(standin.TargetFault{Drain: true, LyingLoad: &load}))
+	is.NoErr(b.SetFault(standin.TargetFault{LyingProbe: "fail"}))
 	got.clear()
 	wait(t, "signals of faults", func() bool {
 		return got.seen(rows[0], pool.Signal{Kind: pool.SignalDraining}) &&
@@ -95,7 +95,7 @@
 func TestStandinCrash(t *testing.T) {
 	is := is.New(t)
 	s := startTarget(t, &standin.Target{})
-	s.SetFault(standin.TargetFault{CrashOnHeader: "X-Poison: 1", RestartMs: 50})
+	is.NoErr(s.SetFault(standin.TargetFault{CrashOnHeader: "X-Poison: 1", RestartMs: 50}))
 	c := newClient(t)
 	r := get(s.Address(), "n", "")
 	r.Header.Set("X-Poison", "1")
--- a/target/stress_test.go
+++ b/target/stress_test.go
@@ -23,7 +23,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			s := startTarget(t, &standin.Target{Slots: 64, Service: time.Millisecond, Spread: 1})
-			s.SetFault(standin.TargetFault{LateAnswers: true, LateMs: 1})
+			is.NoErr(s.SetFault(standin.TargetFault{LateAnswers: true, LateMs: 1}))
 			c := newClient(t)
 			if faulty {
 				target.TrustIdleConnections(c)
