--- a/fleet/receive.go
+++ b/fleet/receive.go
@@ -19,6 +19,7 @@
 	p.State = h.State
 	p.left = h.State == StateLeaving
 	p.AcceptedRevision, p.Digest = h.AcceptedRevision, h.Digest
+	p.Epoch = h.Epoch
 	p.reader = h.Reader
 	p.poison = h.Poison
 	p.digest = h.Links
@@ -86,7 +87,8 @@
 		p.hearsMe = p.links.has(m.key)
 	}
 	p.reportAt = now
-	p.knewMe = p.knewMe || p.hearsMe
+	// Heartbeats that waited while this entry was paused arrive during its doubt.
+	p.knewMe = p.knewMe || p.hearsMe && !m.doubting(now)
 	m.noteReported(now, p)
 }
 
--- a/fleet/send.go
+++ b/fleet/send.go
@@ -50,6 +50,7 @@
 		State:            m.state,
 		Links:            set.digest,
 		AcceptedRevision: m.accepted,
+		Epoch:            m.epoch,
 		Digest:           m.digest,
 		Reader:           m.reader,
 		TickLateMs:       m.tickLate.Milliseconds(),
@@ -63,7 +64,7 @@
 	full.Introduced = m.nextIntroduction(now)
 	out := make([]Outgoing, 0, len(m.peers))
 	for _, p := range m.peers {
-		if p.PeerAddress == "" || p.left && now-p.heardAt > m.Times.Gone {
+		if p.PeerAddress == "" || p.left && !p.listed && now-p.heardAt > m.Times.Gone {
 			continue
 		}
 		h := full
--- a/pool/pick.go
+++ b/pool/pick.go
@@ -9,13 +9,16 @@
 // Bounds of the time that a request waits for a serving target before an avoided one is used.
 const (
 	minAvoidWait = 50 * time.Millisecond
-	maxAvoidWait = time.Second
+	maxAvoidWait = 5 * time.Second
 )
 
 // suspicionWeight is how much a target one step below being avoided loses against its peers, in units
 // of a full target's load: with 4 slots, two requests in flight.
 const suspicionWeight = 0.5
 
+// connectionSuspicion is the suspicion after a connection fault that is no evidence yet.
+const connectionSuspicion = 0.5
+
 // suspicionHolds is how long suspicion counts, in mean service times.
 const suspicionHolds = 4
 
@@ -46,8 +49,24 @@
 	if c.servingSlots == 0 {
 		return true
 	}
-	limit := min(max(2*c.queue.hold, minAvoidWait), maxAvoidWait)
-	return now-r.submitted >= Time(limit)
+	return c.waitedLong(now, r)
+}
+
+func (c *Cell) waitedLong(now Time, r *request) bool {
+	return now-r.submitted >= Time(min(max(2*c.queue.hold, minAvoidWait), maxAvoidWait))
+}
+
+// wasteful says that a request that can't be repeated would risk being lost at the target, so that it
+// rather waits, or is refused as not run. An upload holds its slot for so long that few of them are
+// evidence in time, so it also passes over targets with a recent fault.
+func (c *Cell) wasteful(now Time, t *target, r *request) bool {
+	if r.replaceable() {
+		return false
+	}
+	if t.state == TargetAvoided {
+		return c.servingTargets > 0 && !t.onlySlow()
+	}
+	return r.Upload && c.suspicion(now, t) > 0 && !c.waitedLong(now, r)
 }
 
 // leastInFlight returns the target in the given state with the lowest share of its slots in use. A
@@ -69,7 +88,7 @@
 		if t.state != state || now < t.shedUntil || t.freeSlots() <= 0 {
 			continue
 		}
-		if r.suspect && t.suspectsInFlight > 0 {
+		if (r.suspect && t.suspectsInFlight > 0) || c.wasteful(now, t, r) {
 			continue
 		}
 		if r.attempt > 0 && t.id == r.lastTarget {
@@ -88,13 +107,19 @@
 }
 
 // suspicion is how much a target counts as more loaded because of evidence against it. It applies for a
-// few service times after the last failure only: a target that got no work could never clear itself, nor
-// be found bad.
+// few service times after the last fault only: a target that got no work could never clear itself, nor be
+// found bad.
 func (c *Cell) suspicion(now Time, t *target) float64 {
-	if t.evidence.suspicion == 0 || now-t.evidence.failedAt > Time(suspicionHolds*c.queue.hold) {
-		return 0
+	e := &t.evidence
+	recent := now - Time(suspicionHolds*c.queue.hold)
+	level := 0.0
+	if e.failedAt > 0 && e.failedAt >= recent {
+		level = e.suspicion
+	}
+	if s := &t.connection; s.streak > 0 && s.lastFault >= recent {
+		level = max(level, connectionSuspicion)
 	}
-	return suspicionWeight * t.evidence.suspicion
+	return suspicionWeight * level
 }
 
 // anotherExists says that a serving target other than t exists, free or not.
