Keep the connection of an answer whose rest has arrived

Under overload every shed whose text was not read closed its connection and cost the target a new one. The stand-in names its targets with two digits, as the example tables do; run ids are written by notice.ID.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -7,8 +7,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -124,13 +122,8 @@
 
 // NewID makes a run id from a binding.
 func NewID(b notice.Binding) string {
-	parts := []string{
-		string(b.Entry),
-		strconv.FormatUint(uint64(b.Incarnation), 16),
-		strconv.FormatUint(uint64(b.Epoch), 10),
-		crand.Text(),
-	}
-	return strings.Join(parts, ".")
+	id := notice.ID{Entry: b.Entry, Incarnation: b.Incarnation, Epoch: b.Epoch, Random: crand.Text()}
+	return id.String()
 }
 
 // authorize adds the account to a header.
--- a/cmd/target-standin/main.go
+++ b/cmd/target-standin/main.go
@@ -20,7 +20,7 @@
 type options struct {
 	Listen      string  `long:"listen" default:"127.0.0.1:9000" description:"IP address and port of the first target"`
 	Count       int     `long:"count" default:"1" description:"number of targets, on consecutive ports"`
-	Name        string  `long:"name" default:"target" description:"prefix of the targets' ids; the number follows from 1"`
+	Name        string  `long:"name" default:"target" description:"prefix of the targets' ids; a number of two digits from 01 follows"`
 	Slots       int     `long:"slots" default:"4" description:"requests that run at a time"`
 	Queue       int     `long:"queue" default:"2" description:"requests that wait for a slot; more are shed"`
 	ServiceMs   float64 `long:"service-ms" default:"50" description:"median service time in milliseconds"`
@@ -72,7 +72,7 @@
 func (o *options) target(i int, address netip.AddrPort) *standin.Target {
 	t := &standin.Target{
 		Listen:     address.String(),
-		ID:         fmt.Sprintf("%s-%d", o.Name, i+1),
+		ID:         fmt.Sprintf("%s-%02d", o.Name, i+1),
 		Slots:      o.Slots,
 		Queue:      o.Queue,
 		Service:    time.Duration(o.ServiceMs * float64(time.Millisecond)),
--- a/standin/target_work.go
+++ b/standin/target_work.go
@@ -123,7 +123,9 @@
 // do runs the request and answers it.
 func (j *job) do(ctx context.Context) {
 	query := j.r.URL.Query()
-	j.w.Header().Set(target.HeaderNonce, j.nonce)
+	if j.nonce != "" {
+		j.w.Header().Set(target.HeaderNonce, j.nonce)
+	}
 	j.w.Header().Set(HeaderTarget, j.ID)
 	if query.Has(ParamEcho) || query.Has(ParamEarly) {
 		j.duplex(query.Has(ParamEcho))
--- a/target/answer.go
+++ b/target/answer.go
@@ -12,7 +12,9 @@
 	attempt  *attempt
 	answer   *Answer
 	response *http.Response
-	ended    sync.Once
+	// read counts the bytes of the body that were read.
+	read  int64
+	ended sync.Once
 	// err is what every later Read returns.
 	err error
 }
@@ -23,6 +25,7 @@
 		return 0, b.err
 	}
 	n, err := b.response.Body.Read(p)
+	b.read += int64(n)
 	switch {
 	case err == io.EOF:
 		b.whole()
@@ -45,12 +48,23 @@
 	})
 }
 
-// Close implements io.Closer. If the answer has not been read to its end it closes the connection.
+// Close implements io.Closer. It closes the connection unless the rest of the answer is there already,
+// as it is with the short text of a shed: otherwise every refusal under overload would cost the target
+// a new connection.
 func (b *answerBody) Close() error {
+	if b.err == nil && b.restArrived() {
+		_, _ = io.Copy(io.Discard, b) // an error has closed the connection
+	}
 	b.ended.Do(func() { b.attempt.end(false) })
 	return nil
 }
 
+// restArrived says that the rest of the answer is in the read buffer.
+func (b *answerBody) restArrived() bool {
+	return b.attempt.writer == nil && b.response.ContentLength >= 0 &&
+		b.response.ContentLength-b.read <= int64(b.attempt.conn.reader.Buffered())
+}
+
 // finishBody waits for the rest of the request's body, if the target may still want it, and says
 // whether all of it was sent. A target that answers a success early may go on reading; one that
 // refuses does not.
--- a/target/prober_test.go
+++ b/target/prober_test.go
@@ -1,6 +1,7 @@
 package target_test
 
 import (
+	"context"
 	"net/http"
 	"sync"
 	"testing"
@@ -145,3 +146,23 @@
 	is.True(record.Peak <= 2)
 	is.Equal(int(record.Shed), kinds[pool.OutcomeShed])
 }
+
+// Guards against a refusal that costs a connection because nobody reads its text.
+func TestShedKeepsConnection(t *testing.T) {
+	is := is.New(t)
+	s := startTarget(t, &standin.Target{Slots: 1})
+	c := newClient(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	wg.Go(func() { _, _, _ = do(ctx, c, get(s.Address(), "n", "serviceMs=60000"), 64) })
+	wait(t, "the slot is taken", func() bool { return len(s.Record("").Runs) == 1 })
+	for i := range 3 {
+		a, err := c.Do(t.Context(), get(s.Address(), "n", ""))
+		is.NoErr(err)
+		is.True(a.Shed)
+		is.Equal(a.Reused, i > 0)
+		is.NoErr(a.Body.Close())
+	}
+	cancel()
+	wg.Wait()
+}
--- a/target/request.go
+++ b/target/request.go
@@ -78,6 +78,7 @@
 	ContentLength int64
 	// Body returns io.EOF only if the answer is whole; every other end is an *AttemptError. Close
 	// before that closes the connection, which tells the target that the answer isn't wanted.
+	// Read and Close are not called at the same time; to stop a Read, end the context.
 	Body io.ReadCloser
 	// Trailer has its values after Body returned io.EOF.
 	Trailer http.Header
