--- a/table/check.go
+++ b/table/check.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"net/netip"
-	"strconv"
 	"strings"
 )
 
@@ -45,28 +44,43 @@
 	problems Problems
 }
 
-// place is a row of a table. Its pointer is built only when the row has a problem, which keeps the
-// check of a valid table cheap.
+// place is a row of a table, or a row inside a row. It is small, because one is kept for each name and
+// address while a table is checked; its pointer is built only when the row has a problem.
 type place struct {
-	list  string
-	index int
-	// inner is a list inside the row, with an index; empty means the row itself.
-	inner      string
-	innerIndex int
+	list, inner       listID
+	index, innerIndex int32
 }
 
-func (p place) in(list string, index int) place {
-	p.inner, p.innerIndex = list, index
+// listID names a list of rows.
+type listID uint8
+
+const (
+	noList listID = iota
+	routesList
+	accountsList
+	poolsList
+	targetsList
+	methodsList
+)
+
+var listNames = [...]string{
+	routesList: "routes", accountsList: "accounts", poolsList: "pools", targetsList: "targets", methodsList: "methods",
+}
+
+func row(list listID, index int) place { return place{list: list, index: int32(index)} }
+
+func (p place) in(list listID, index int) place {
+	p.inner, p.innerIndex = list, int32(index)
 	return p
 }
 
 func (p place) pointer(fieldName string) string {
 	var b strings.Builder
-	if p.list != "" {
-		b.WriteString("/" + p.list + "/" + strconv.Itoa(p.index))
+	if p.list != noList {
+		fmt.Fprintf(&b, "/%s/%d", listNames[p.list], p.index)
 	}
-	if p.inner != "" {
-		b.WriteString("/" + p.inner + "/" + strconv.Itoa(p.innerIndex))
+	if p.inner != noList {
+		fmt.Fprintf(&b, "/%s/%d", listNames[p.inner], p.innerIndex)
 	}
 	if fieldName != "" {
 		b.WriteString("/" + fieldName)
@@ -102,18 +116,26 @@
 		c.refuse(at, fieldName, "%s is empty", lastName(fieldName))
 	case len(name) > maxNameLength:
 		c.refuse(at, fieldName, "%s is longer than %d bytes", lastName(fieldName), maxNameLength)
-	case strings.IndexFunc(string(name), unusableInName) >= 0:
+	case !usableName(string(name)):
 		c.refuse(at, fieldName, "%s %q may hold only letters, digits, and . _ - : @", lastName(fieldName), string(name))
 	}
 }
 
-func unusableInName(r rune) bool {
-	switch {
-	case r >= 'a' && r <= 'z', r >= 'A' && r <= 'Z', r >= '0' && r <= '9':
-		return false
-	default:
-		return !strings.ContainsRune("._-:@", r)
+// nameBytes marks the bytes that names may hold.
+var nameBytes = func() (marks [256]bool) {
+	for _, b := range []byte("abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789._-:@") {
+		marks[b] = true
+	}
+	return marks
+}()
+
+func usableName(name string) bool {
+	for i := range len(name) {
+		if !nameBytes[name[i]] {
+			return false
+		}
 	}
+	return true
 }
 
 // checkUnique refuses a key that an earlier row has, and remembers this one.
--- a/table/check_pools.go
+++ b/table/check_pools.go
@@ -13,7 +13,7 @@
 	// counted by two owners.
 	addresses := make(map[netip.AddrPort]place, len(t.Pools))
 	for i := range t.Pools {
-		at := place{list: "pools", index: i}
+		at := row(poolsList, i)
 		p := &t.Pools[i]
 		checkName(c, at, "name", p.Name)
 		checkUnique(c, names, p.Name, at, "name")
@@ -67,7 +67,7 @@
 	ids := make(map[TargetID]place, len(targets))
 	for i := range targets {
 		t := &targets[i]
-		at := pool.in("targets", i)
+		at := pool.in(targetsList, i)
 		checkName(c, at, "id", t.ID)
 		checkUnique(c, ids, t.ID, at, "id")
 		checkName(c, at, "failureDomain", t.FailureDomain)
--- a/table/check_routes.go
+++ b/table/check_routes.go
@@ -8,7 +8,7 @@
 	accounts := make(map[Account]place, len(t.Accounts))
 	for i := range t.Accounts {
 		a := &t.Accounts[i]
-		at := place{list: "accounts", index: i}
+		at := row(accountsList, i)
 		checkName(c, at, "name", a.Name)
 		checkUnique(c, accounts, a.Name, at, "name")
 		if !isSHA256(a.TokenSHA256) {
@@ -19,7 +19,7 @@
 	prefixes := make(map[string]place, len(t.Routes))
 	for i := range t.Routes {
 		r := &t.Routes[i]
-		at := place{list: "routes", index: i}
+		at := row(routesList, i)
 		checkName(c, at, "name", r.Name)
 		checkUnique(c, names, r.Name, at, "name")
 		c.checkPrefix(at, r.PathPrefix)
@@ -42,7 +42,7 @@
 	}
 	for i := range t.Routes {
 		if !names[t.Routes[i].Pool] {
-			c.refuse(place{list: "routes", index: i}, "pool", "pool %q is not in the pools table", t.Routes[i].Pool)
+			c.refuse(row(routesList, i), "pool", "pool %q is not in the pools table", t.Routes[i].Pool)
 		}
 	}
 }
@@ -64,7 +64,7 @@
 func (c *checker) checkMethods(route place, methods []string) {
 	seen := make(map[string]place, len(methods))
 	for i, m := range methods {
-		at := route.in("methods", i)
+		at := route.in(methodsList, i)
 		if m == "" || strings.IndexFunc(m, notUpper) >= 0 {
 			c.refuse(at, "", "method %q is not a word in capital letters", m)
 		}
@@ -83,7 +83,7 @@
 	}
 	seen := make(map[Account]place, len(names))
 	for i, a := range names {
-		at := route.in("accounts", i)
+		at := route.in(accountsList, i)
 		if _, ok := accounts[a]; !ok {
 			c.refuse(at, "", "account %q is not in the routes table's accounts", a)
 		}
@@ -95,5 +95,10 @@
 	if len(s) != sha256HexLength {
 		return false
 	}
-	return strings.IndexFunc(s, func(r rune) bool { return (r < '0' || r > '9') && (r < 'a' || r > 'f') }) < 0
+	for i := range len(s) {
+		if (s[i] < '0' || s[i] > '9') && (s[i] < 'a' || s[i] > 'f') {
+			return false
+		}
+	}
+	return true
 }
--- a/table/source.go
+++ b/table/source.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"strconv"
 	"strings"
+	"unsafe"
 
 	"github.com/tailscale/hujson"
 )
@@ -16,8 +17,9 @@
 type source struct {
 	file string
 	raw  []byte
-	// text is a copy of raw; strings of the tables are substrings of it, which saves one
-	// allocation per string.
+	// text is raw as a string without a copy. The strings of the tables are substrings of it: the
+	// raw values are kept with the pair anyway, and at the target size a copy would take 190 MB of
+	// the 256 MB that the control plane may use. Raw values are never modified.
 	text string
 	root hujson.Value
 }
@@ -32,7 +34,7 @@
 	if err != nil {
 		return nil, Problems{s.syntaxProblem(err)}
 	}
-	s.text = string(raw)
+	s.text = unsafe.String(unsafe.SliceData(raw), len(raw))
 	s.root = root
 	return s, nil
 }
