--- /dev/null
+++ b/standin/platform_test.go
@@ -0,0 +1,128 @@
+package standin
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/bilberrywood/bilberrywood/platform"
+	"github.com/bilberrywood/bilberrywood/table"
+)
+
+func startPlatform(t *testing.T) *Platform {
+	t.Helper()
+	directory := t.TempDir()
+	p := &Platform{
+		Listen: "127.0.0.1:0", Control: "127.0.0.1:0", Revision: 10,
+		Files: map[string]string{
+			table.RoutesValue: filepath.Join(directory, "routes.json"), table.PoolsValue: filepath.Join(directory, "pools.json"),
+		},
+	}
+	for _, path := range p.Files {
+		if err := os.WriteFile(path, []byte("{}"), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := p.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = p.Close() })
+	return p
+}
+
+// post sends a control request and returns the status.
+func post(t *testing.T, p *Platform, path, body string) int {
+	t.Helper()
+	response, err := http.Post(p.ControlURL()+path, "application/json", strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	if answer, _ := io.ReadAll(response.Body); response.StatusCode != http.StatusOK {
+		t.Logf("%s: %s", path, answer)
+	}
+	return response.StatusCode
+}
+
+// The stand-in must keep what the brief says of the platform, or the entries would be tested against
+// another service: one revision, values up to 1 MB, changes of files together.
+func TestPlatformStore(t *testing.T) {
+	is := is.New(t)
+	p := startPlatform(t)
+	c := &platform.Client{URL: p.URL()}
+	index, err := c.Index(t.Context(), table.Prefix)
+	is.NoErr(err)
+	is.Equal(index, platform.Index{Revision: 11, Values: []platform.IndexRow{
+		{Name: table.PoolsValue, Revision: 11}, {Name: table.RoutesValue, Revision: 11},
+	}})
+	is.NoErr(os.WriteFile(p.Files[table.PoolsValue], []byte("{} "), 0o600))
+	is.Equal(post(t, p, "/control/reload", ""), http.StatusOK)
+	raw, revision, err := c.Value(t.Context(), table.PoolsValue)
+	is.NoErr(err)
+	is.Equal(string(raw), "{} ")
+	is.Equal(revision, table.Revision(12))
+	is.Equal(post(t, p, "/control/put?name=x", strings.Repeat("x", platform.MaxValueBytes)), http.StatusOK)
+	is.Equal(post(t, p, "/control/put?name=x", strings.Repeat("x", platform.MaxValueBytes+1)), http.StatusBadRequest)
+	is.Equal(post(t, p, "/control/put", "x"), http.StatusBadRequest)
+	is.Equal(post(t, p, "/control/delete?name=x", ""), http.StatusOK)
+	is.Equal(post(t, p, "/control/delete?name=x", ""), http.StatusBadRequest)
+	is.Equal(p.CurrentRevision(), table.Revision(14))
+}
+
+// Each fault must show to callers and end when it is switched off; a waiting watch is one operation.
+func TestPlatformFaults(t *testing.T) {
+	is := is.New(t)
+	p := startPlatform(t)
+	c := &platform.Client{URL: p.URL(), HTTP: &http.Client{Timeout: 300 * time.Millisecond}}
+	rows := `{"entries": [{"id": "a", "peerAddress": "127.0.0.1:1", "callerAddress": "127.0.0.1:2", "failureDomain": "d", "state": "live"},]} // list` + "\n"
+	is.Equal(post(t, p, "/control/fleet", rows), http.StatusOK)
+	for _, mode := range []PlatformMode{PlatformRefused, PlatformHung, PlatformUnavailable} {
+		raw, err := json.Marshal(PlatformFault{Mode: mode})
+		is.NoErr(err)
+		is.Equal(post(t, p, "/control/fault", string(raw)), http.StatusOK)
+		_, err = c.Fleet(t.Context())
+		is.True(err != nil)
+		is.Equal(post(t, p, "/control/fault", "{}"), http.StatusOK)
+		list, err := c.Fleet(t.Context())
+		is.NoErr(err)
+		is.Equal(len(list.Entries), 1)
+	}
+	is.Equal(post(t, p, "/control/fault", `{"stale": {"revision": 11, "every": 1}}`), http.StatusOK)
+	list, err := c.Fleet(t.Context())
+	is.NoErr(err)
+	is.Equal(list, platform.FleetList{Revision: 11, Entries: []platform.FleetRow{}})
+	is.Equal(post(t, p, "/control/fault", `{"mode": "gone"}`), http.StatusBadRequest)
+	before := p.Operations()
+	_, err = c.Watch(t.Context(), table.Prefix, 11, 50*time.Millisecond)
+	is.NoErr(err)
+	is.Equal(p.Operations().Total, before.Total+1)
+	is.Equal(p.Operations().Watch, before.Watch+1)
+}
+
+// Every byte string must either be refused as a fleet list or survive a round trip.
+func FuzzParseFleet(f *testing.F) {
+	f.Add([]byte("{\"entries\": [{\"id\": \"a\", \"state\": \"live\"}, /* c */]} // end\n"))
+	f.Add([]byte(`{"entries": null}`))
+	f.Add([]byte(`{"entries": [], "x": 1}`))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		rows, err := ParseFleet(raw)
+		if err != nil {
+			return
+		}
+		again, err := json.Marshal(platform.FleetList{Entries: rows})
+		if err != nil {
+			t.Fatal(err)
+		}
+		var list platform.FleetList
+		if err := json.Unmarshal(again, &list); err != nil || len(list.Entries) != len(rows) {
+			t.Fatal(err, list)
+		}
+	})
+}
