table: call OnRuling in the order of the rulings; benchmarks of router, cells and offers

A caller that sets derived state after Offer returned could overwrite that of a later offer from another source and so go back. OnRuling runs before the next offer is ruled on (TestOnRuling, -race).

--- a/table/acceptor.go
+++ b/table/acceptor.go
@@ -66,6 +66,12 @@
 // Acceptor holds the pair in force and decides whether a snapshot replaces it. Its revision never
 // falls. The zero value is ready; methods may be called concurrently.
 type Acceptor struct {
+	// OnRuling, if it is set before the first offer, is called with each ruling before the next
+	// offer is ruled on. What is derived from the pair in force must be set there: after Offer has
+	// returned, a later offer may already have been accepted, and setting it then could go back.
+	// It must not call Offer.
+	OnRuling func(now time.Time, r Ruling)
+
 	// offers makes rulings one after the other, since each depends on the one before.
 	offers sync.Mutex
 	// mu guards the fields below. It is not held while a snapshot is parsed, so that requests
@@ -82,6 +88,14 @@
 func (a *Acceptor) Offer(now time.Time, source string, s Snapshot) Ruling {
 	a.offers.Lock()
 	defer a.offers.Unlock()
+	ruling := a.rule(now, source, s)
+	if a.OnRuling != nil {
+		a.OnRuling(now, ruling)
+	}
+	return ruling
+}
+
+func (a *Acceptor) rule(now time.Time, source string, s Snapshot) Ruling {
 	previous, _ := a.InForce()
 	ruling := Ruling{Revision: s.Revision, Source: source, Previous: previous, Pair: previous}
 	if previous != nil && s.Revision < previous.Revision {
--- a/table/bench_test.go
+++ b/table/bench_test.go
@@ -7,6 +7,7 @@
 	"runtime"
 	"strings"
 	"testing"
+	"time"
 )
 
 // benchSizes are a firm of today, a tenth of the target size and the target size.
@@ -188,3 +189,45 @@
 		})
 	}
 }
+
+// BenchmarkNewRouter measures building the router per row; it is built for each accepted pair.
+func BenchmarkNewRouter(b *testing.B) {
+	for _, size := range benchSizes {
+		b.Run(size.name, func(b *testing.B) {
+			pair := benchPair(b, size.routes, size.pools, size.targets, size.accounts)
+			for b.Loop() {
+				NewRouter(pair)
+			}
+			rows := float64(size.routes + size.pools + size.accounts)
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/rows, "ns/row")
+		})
+	}
+}
+
+// BenchmarkCells measures the partition of a pool per target.
+func BenchmarkCells(b *testing.B) {
+	for _, targets := range []int{20, 640, 5_000} {
+		b.Run(fmt.Sprint(targets), func(b *testing.B) {
+			p := newPool(targets, DefaultCellSize, targets*7/10)
+			for b.Loop() {
+				Cells(p)
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/float64(targets), "ns/target")
+		})
+	}
+}
+
+// BenchmarkOffer measures a whole acceptance for tables of one value of 1 MB, half of it and a tenth.
+func BenchmarkOffer(b *testing.B) {
+	for _, pools := range []int{45, 225, 450} {
+		v := benchValues(pools, pools, pools*22, 0)
+		b.Run(fmt.Sprintf("%dKB", (len(v[RoutesValue])+len(v[PoolsValue]))/1000), func(b *testing.B) {
+			var a Acceptor
+			for revision := Revision(1); b.Loop(); revision++ {
+				if r := a.Offer(time.Time{}, "", Snapshot{revision, v}); r.Verdict != Accepted {
+					b.Fatal(r.Problems)
+				}
+			}
+		})
+	}
+}
--- a/table/rules_test.go
+++ b/table/rules_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -203,3 +204,29 @@
 	is.Equal(rejections[2].Problems[0].Line, 2)
 	is.Equal(rejections[2].Last.Sub(rejections[2].First), time.Second)
 }
+
+// What is derived from the pair in force must never go back either, however many sources offer pairs at
+// the same time.
+func TestOnRuling(t *testing.T) {
+	is := is.New(t)
+	var derived Revision // written by OnRuling only, which runs for one offer at a time
+	a := Acceptor{OnRuling: func(_ time.Time, r Ruling) {
+		if r.Verdict != Accepted {
+			return
+		}
+		is.True(r.Revision > derived)
+		derived = r.Revision
+	}}
+	var group sync.WaitGroup
+	for source := range 8 {
+		group.Go(func() {
+			for i := range 20 {
+				revision := Revision(1 + (i*7+source*3)%50)
+				a.Offer(time.Time{}, fmt.Sprint(source), Snapshot{revision, values(smallRoutes, smallPools)})
+			}
+		})
+	}
+	group.Wait()
+	pair, _ := a.InForce()
+	is.Equal(pair.Revision, derived)
+}
