--- /dev/null
+++ b/fleet/fleet_bench_test.go
@@ -0,0 +1,158 @@
+package fleet
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/matryer/is"
+)
+
+var groupSizes = []int{11, 44, 176}
+
+// settledGroup returns a group of serving entries that all hear each other. Its ids and addresses are
+// as long as real ones.
+func settledGroup(size int) []*Membership {
+	group := make([]*Membership, size)
+	var seeds []Seed
+	for i := range size {
+		seeds = append(seeds, Seed{EntryID(fmt.Sprintf("donau-ost-%03d", i)), fmt.Sprintf("10.0.3.%d:7443", i)})
+	}
+	for i := range size {
+		group[i] = &Membership{
+			ID: seeds[i].ID, Incarnation: NewIncarnation(1_780_000_000_000, uint64(i)), FailureDomain: "donau-ost",
+			PeerAddress: seeds[i].PeerAddress, CallerAddress: fmt.Sprintf("10.0.3.%d:8080", i),
+			Seeds: seeds, Random: rand.New(rand.NewPCG(uint64(i), 3)),
+		}
+		group[i].SetState(0, StateServing)
+		group[i].SetAccepted(123_456, 0xfedcba9876543210)
+	}
+	for now := time.Duration(0); now < 3*time.Second; now += simTick {
+		exchange(now, group)
+	}
+	return group
+}
+
+func exchange(now time.Duration, group []*Membership) {
+	byID := make(map[EntryID]*Membership, len(group))
+	for _, m := range group {
+		byID[m.ID] = m
+	}
+	for _, m := range group {
+		for _, o := range m.Tick(now) {
+			byID[o.ID].Receive(now, o.Heartbeat)
+		}
+	}
+}
+
+// heartbeatOf returns one brief and one full heartbeat of a settled group.
+func heartbeatsOf(m *Membership, now time.Duration) (brief, full Heartbeat) {
+	m.refresh(now)
+	brief = m.heartbeats(now)[0].Heartbeat
+	m.peers[0].digest++
+	full = m.heartbeats(now)[0].Heartbeat
+	m.peers[0].digest--
+	return brief, full
+}
+
+// Guards against heartbeats that exceed a datagram or the control-plane budget of 28 KB/s a node.
+func TestHeartbeatBytes(t *testing.T) {
+	is := is.New(t)
+	m := settledGroup(44)[0]
+	var claims []CellClaim
+	for i := range 300 {
+		claims = append(claims, CellClaim{Cell: CellKey{"bescheid-info", i}})
+	}
+	brief, full := heartbeatsOf(m, 3*time.Second)
+	m.SetClaims(claims)
+	m.SetPoison(make([]uint64, 100))
+	_, loaded := heartbeatsOf(m, 3*time.Second)
+	size := func(h Heartbeat) int {
+		b, err := cbor.Marshal(h)
+		is.NoErr(err)
+		return len(b)
+	}
+	t.Logf("bytes at 44 entries: brief %d, full %d, full with more claims and poison than fit %d", size(brief), size(full), size(loaded))
+	is.True(!brief.Full && full.Full && loaded.MoreClaims)
+	is.True(size(loaded) <= 1150)       // datagram of 1,200 bytes with its headers
+	is.True(size(brief)*43*2 < 28*1024) // 43 peers twice a second
+}
+
+func BenchmarkTick(b *testing.B) {
+	for _, size := range groupSizes {
+		b.Run(fmt.Sprintf("members=%d", size), func(b *testing.B) {
+			m := settledGroup(size)[0]
+			for b.Loop() {
+				m.Tick(3 * time.Second) // a tick without heartbeats; 9 of 10 are
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/float64(size), "ns/member")
+		})
+	}
+}
+
+func BenchmarkHeartbeats(b *testing.B) {
+	for _, size := range groupSizes {
+		b.Run(fmt.Sprintf("members=%d", size), func(b *testing.B) {
+			m := settledGroup(size)[0]
+			for b.Loop() {
+				m.nextBeat = 0
+				m.Tick(3 * time.Second)
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/float64(size), "ns/member")
+		})
+	}
+}
+
+func BenchmarkReceive(b *testing.B) {
+	for _, size := range groupSizes {
+		for _, form := range []string{"brief", "full"} {
+			b.Run(fmt.Sprintf("%s/members=%d", form, size), func(b *testing.B) {
+				group := settledGroup(size)
+				beat, full := heartbeatsOf(group[1], 3*time.Second)
+				if form == "full" {
+					beat = full
+				}
+				for b.Loop() {
+					beat.Sequence++
+					group[0].Receive(3*time.Second, beat)
+				}
+			})
+		}
+	}
+}
+
+func BenchmarkView(b *testing.B) {
+	for _, size := range groupSizes {
+		b.Run(fmt.Sprintf("members=%d", size), func(b *testing.B) {
+			m := settledGroup(size)[0]
+			b.ReportAllocs()
+			for b.Loop() {
+				m.View(3 * time.Second)
+			}
+		})
+	}
+}
+
+func BenchmarkOwner(b *testing.B) {
+	for _, size := range groupSizes {
+		b.Run(fmt.Sprintf("members=%d", size), func(b *testing.B) {
+			v := settledGroup(size)[0].View(3 * time.Second)
+			for b.Loop() {
+				v.Owner(simCells[0])
+			}
+		})
+	}
+}
+
+func BenchmarkStanding(b *testing.B) {
+	for _, size := range groupSizes {
+		b.Run(fmt.Sprintf("members=%d", size), func(b *testing.B) {
+			v := settledGroup(size)[0].View(3 * time.Second)
+			for b.Loop() {
+				v.Standing(simCells[0])
+			}
+		})
+	}
+}
--- a/fleet/membership.go
+++ b/fleet/membership.go
@@ -28,9 +28,10 @@
 	// Settle is how long a new owner waits before it ejects anything; 3 s. A former owner that
 	// was sole notices within Suspect plus one heartbeat plus Late that it no longer is.
 	Settle time.Duration
-	// Unlisted is how long an entry that was never on the fleet list must be missing from it
-	// before the list confirms its absence; 30 s. The list lags behind new entries.
-	Unlisted time.Duration
+	// ListLag is by how much the fleet list may lag behind the start of an entry; 60 s. An entry
+	// that started less than this ago must be missing from the list for as long before the list
+	// confirms its absence, because the list may speak of the time before its start.
+	ListLag time.Duration
 }
 
 func (t Times) withDefaults() Times {
@@ -46,7 +47,7 @@
 		{&t.Late, 500 * time.Millisecond},
 		{&t.Doubt, 2 * time.Second},
 		{&t.Settle, 3 * time.Second},
-		{&t.Unlisted, 30 * time.Second},
+		{&t.ListLag, 60 * time.Second},
 	}
 	for _, d := range defaults {
 		if *d.field == 0 {
@@ -199,10 +200,11 @@
 // SetPoison sets the fingerprints that this entry refuses. The slice must not be changed afterwards.
 func (m *Membership) SetPoison(fingerprints []uint64) { m.poison = fingerprints }
 
-// UpdateList takes a new copy of the fleet list. The list may lag by any time, name entries that are
-// gone, omit new ones and mark any as leaving. Two things are relied upon: the copies that one entry
-// gets are not older than the ones before, and no copy drops an entry that still runs and is not
-// paused. Without the second a part of a split fleet could not tell the other part from a failure.
+// UpdateList takes a new copy of the fleet list. The list may name entries that are gone for any
+// time, omit new ones, and mark any as leaving. Three things are relied upon: the copies that one
+// entry gets are not older than the ones before, entries that start appear within Times.ListLag, and
+// the platform drops no entry that still runs and is not paused. Without them a part of a split
+// fleet could not tell the other part from a failure.
 func (m *Membership) UpdateList(now time.Duration, rows []ListRow) {
 	m.start(now)
 	for _, p := range m.peers {
@@ -220,7 +222,7 @@
 		}
 	}
 	for _, p := range m.peers {
-		p.noteListing(now)
+		p.noteListing(now, m.Times.ListLag)
 	}
 	if wasLeaving && !m.listLeave {
 		m.ownFrom = now
--- a/fleet/peer.go
+++ b/fleet/peer.go
@@ -16,9 +16,12 @@
 	seed bool
 	// listed and listLeave come from the latest fleet list.
 	listed, listLeave bool
-	// everListed says that some fleet list named the entry; unlistedAt is since when none did.
-	everListed bool
+	// unlistedAt is since when no fleet list named the entry.
 	unlistedAt time.Duration
+	// listSure says that a list named the current incarnation and not only a former one.
+	listSure bool
+	// firstHeard is the time of the current incarnation's first heartbeat, or of the row's start.
+	firstHeard time.Duration
 	addedAt    time.Duration
 
 	// heardAt is the time of the last heartbeat of the current incarnation.
@@ -63,6 +66,7 @@
 		hash:          hashOf(string(id)),
 		addedAt:       now,
 		unlistedAt:    now,
+		firstHeard:    now,
 		heardAt:       never,
 		reportAt:      never,
 		reportedAt:    never,
@@ -73,7 +77,7 @@
 
 // fromList takes what the fleet list says. What the entry says of itself comes first.
 func (p *peer) fromList(r ListRow) {
-	p.listed, p.listLeave, p.everListed = true, r.Leaving, true
+	p.listed, p.listLeave = true, r.Leaving
 	if p.heardAt == never || p.PeerAddress == "" {
 		p.FailureDomain = r.FailureDomain
 		p.PeerAddress = r.PeerAddress
@@ -81,11 +85,15 @@
 	}
 }
 
-// noteListing keeps since when the entry is missing from the list.
-func (p *peer) noteListing(now time.Duration) {
-	if p.listed {
+// noteListing keeps since when the entry is missing from the list. A list that begins to name the
+// entry after its incarnation was heard means this incarnation, and so does one that still names it
+// when it must have caught up.
+func (p *peer) noteListing(now, lag time.Duration) {
+	switch {
+	case p.listed:
+		p.listSure = p.listSure || p.unlistedAt != never || now-p.firstHeard >= lag
 		p.unlistedAt = never
-	} else if p.unlistedAt == never {
+	case p.unlistedAt == never:
 		p.unlistedAt = now
 	}
 }
@@ -107,7 +115,9 @@
 }
 
 // replace starts over with a new incarnation. Claims stay as released ones.
-func (p *peer) replace(i Incarnation) {
+func (p *peer) replace(now time.Duration, i Incarnation) {
+	p.firstHeard = now
+	p.listSure = false
 	p.Incarnation = i
 	p.sequence = 0
 	p.hearsMe, p.knewMe, p.left = false, false, false
@@ -161,5 +171,5 @@
 	if p.listed || !m.listed || m.listAt <= p.lastSign() {
 		return false
 	}
-	return p.everListed || now-max(p.unlistedAt, p.lastSign()) > m.Times.Unlisted
+	return p.listSure || now-max(p.unlistedAt, p.lastSign()) > m.Times.ListLag
 }
--- a/fleet/receive.go
+++ b/fleet/receive.go
@@ -42,7 +42,7 @@
 	case h.Incarnation < p.Incarnation && now-p.heardAt <= m.Times.Gone:
 		return false
 	}
-	p.replace(h.Incarnation)
+	p.replace(now, h.Incarnation)
 	return true
 }
 
--- /dev/null
+++ b/spec/floor.pml
@@ -0,0 +1,178 @@
+/*
+ * Ejection against the floor with differing views (design page, sections 8 and 9).
+ *
+ * ENTRIES entries could own one cell; entry 0 ranks highest. Targets 0..FLOOR-1 are protected. Links
+ * are cut and healed one way at a time, entries are paused at any time. Time passes in ticks without end: within
+ * a tick every entry that is not paused first receives what was sent in the last tick (or nothing if
+ * the link is cut), then judges its standing and ejects as much as the rules allow. All periods are
+ * smaller than in the product and keep their order: SUSPECT + 1 < SETTLE, HANDOVER > SETTLE.
+ *
+ * Safety: the ejections of all entries that are not paused never leave fewer targets than FLOOR.
+ *
+ * Faulty variants, each of which breaks safety:
+ *   KEEP_PROTECTED  an entry that loses sole keeps protected targets ejected
+ *   NO_SETTLE       a new owner ejects at once
+ *   NO_LINKS        sole does not need two-way links with all entries
+ *   NO_DOUBT        a resumed entry trusts its old standing
+ */
+#define ENTRIES 2
+#define TARGETS 4
+#define FLOOR 2
+#define SUSPECT 1   /* ticks without a heartbeat until a link is silent */
+#define SETTLE 4    /* ticks that a new owner waits before it ejects */
+#define HANDOVER 5  /* ticks until an owner may be sole */
+#define FAULTS 5    /* cuts, heals, pauses and resumptions together, at any times */
+
+#define ALL 15       /* all targets */
+#define PROTECTED 3  /* targets 0..FLOOR-1 */
+
+byte faultsLeft = FAULTS;
+bool cut[ENTRIES];        /* cut[i]: what entry i sends is lost */
+bool sentHears[ENTRIES];  /* what entry i sent in the last tick: whether it hears the other one */
+bool sent[ENTRIES];
+bool sentClaim[ENTRIES];
+byte silent[ENTRIES];     /* ticks since entry i heard the other one, up to SUSPECT + 1 */
+bool heardBy[ENTRIES];    /* the other one reported hearing entry i */
+bool claimed[ENTRIES];    /* the other one claimed the cell in its latest heartbeat */
+byte owned[ENTRIES];      /* ticks for which entry i has been the owner, up to HANDOVER */
+byte linked[ENTRIES];     /* ticks for which the link has been two-way, up to SETTLE */
+byte ejected[ENTRIES];    /* bit set of targets */
+byte paused[ENTRIES];     /* 1: paused */
+bool late[ENTRIES];       /* was paused since its last tick */
+
+#define twoWay(i) (silent[i] <= SUSPECT && heardBy[i])
+#define count(s) ((s & 1) + ((s >> 1) & 1) + ((s >> 2) & 1) + ((s >> 3) & 1))
+
+byte me, other, lost;
+bool owner, sole, mayEject;
+
+/* Faults between two ticks, as many as are left. */
+inline faults() {
+	do
+	:: faultsLeft > 0 -> faultsLeft--;
+		if
+		:: cut[0] = !cut[0]
+		:: cut[1] = !cut[1]
+		:: paused[0] = !paused[0]; late[0] = 1
+		:: paused[1] = !paused[1]; late[1] = 1
+		fi
+	:: break
+	od
+}
+
+inline receive() {
+	if
+	:: sent[other] ->
+		silent[me] = 0; heardBy[me] = sentHears[other]; claimed[me] = sentClaim[other]
+	:: else ->
+		if
+		:: silent[me] <= SUSPECT -> silent[me]++
+		:: else
+		fi
+	fi
+}
+
+/* A late entry restarts its periods; until it has ticked it is no more than contested. */
+inline resume() {
+	if
+	:: late[me] ->
+		late[me] = 0;
+#ifndef NO_DOUBT
+		owned[me] = 0; linked[me] = 0
+#endif
+	:: else
+	fi
+}
+
+inline judge() {
+	/* Entry 0 ranks above entry 1, which owns the cell only if entry 0 is not live for it. */
+	owner = (me == 0 || !twoWay(me));
+	if
+	:: owner && owned[me] < HANDOVER -> owned[me]++
+	:: !owner -> owned[me] = 0
+	:: else
+	fi;
+	if
+	:: twoWay(me) && linked[me] < SETTLE -> linked[me]++
+	:: !twoWay(me) -> linked[me] = 0
+	:: else
+	fi;
+	sole = owner && owned[me] >= HANDOVER && !claimed[me];
+#ifndef NO_LINKS
+	sole = sole && twoWay(me) && linked[me] >= SETTLE;
+#endif
+	mayEject = owner;
+#ifndef NO_SETTLE
+	mayEject = owner && owned[me] >= SETTLE;
+#endif
+}
+
+/*
+ * Ejects as many targets as the local floor allows. A contested owner has only the unprotected ones to
+ * choose from. Of a sole owner's choices the two extremes are explored.
+ */
+inline eject() {
+	if
+	:: !mayEject -> ejected[me] = 0
+	:: mayEject && !sole ->
+#ifdef KEEP_PROTECTED
+		if
+		:: ejected[me] == 0 -> ejected[me] = ALL - PROTECTED
+		:: else
+		fi
+#else
+		ejected[me] = ALL - PROTECTED
+#endif
+	:: mayEject && sole ->
+		if
+		:: ejected[me] = ALL - PROTECTED
+		:: ejected[me] = PROTECTED
+		fi
+	fi
+}
+
+/* lost: targets that running entries keep out of service. */
+inline check() {
+	lost = 0;
+	if :: !paused[0] -> lost = lost | ejected[0] :: else fi;
+	if :: !paused[1] -> lost = lost | ejected[1] :: else fi;
+	assert(TARGETS - count(lost) >= FLOOR)
+}
+
+inline tick(i) {
+	me = i; other = 1 - i;
+	if
+	:: !paused[me] ->
+		resume();
+		receive();
+		judge();
+		eject()
+	:: else
+	fi
+}
+
+inline send(i) {
+	sent[i] = !paused[i] && !cut[i];
+	sentHears[i] = silent[i] <= SUSPECT;
+	sentClaim[i] = owned[i] > 0
+}
+
+init {
+	/* At the start the group is settled and entry 0 is sole. */
+	d_step {
+		heardBy[0] = 1; heardBy[1] = 1;
+		owned[0] = HANDOVER; linked[0] = SETTLE; linked[1] = SETTLE;
+		sent[0] = 1; sent[1] = 1; sentHears[0] = 1; sentHears[1] = 1; sentClaim[0] = 1
+	}
+	do
+	:: atomic {
+		faults();
+		tick(0);
+		tick(1);
+		d_step {
+			send(0); send(1); check();
+			owner = 0; sole = 0; mayEject = 0; lost = 0; me = 0; other = 0
+		}
+	}
+	od
+}
