Measure the latency that an entry adds, with real processes

Change: experiment addedLatency interleaves lookups straight to targets and through an entry at 1,000 requests/s each.

--- a/measure/experiment.go
+++ b/measure/experiment.go
@@ -35,15 +35,16 @@
 
 // Experiments are all experiments by name; programs may add to them before Run.
 var Experiments = map[string]Experiment{
-	"detection": {"time and requests until a faulty target is out, and the cost for callers", runDetection},
-	"noise":     {"false ejections over 30 days of healthy work", runNoise},
-	"quiet":     {"false ejections in troubles that are no target's fault", runQuiet},
-	"overload":  {"goodput under twice the capacity", runOverload},
-	"outage":    {"retries, floor and recovery when the whole pool is bad", runOutage},
-	"poison":    {"targets crashed by a poison request", runPoison},
-	"drain":     {"new work at leaving targets", runDrain},
-	"views":     {"floor and slots with several observers of one cell", runViews},
-	"curve":     {"detection time against false ejections as the setting varies", runCurve},
+	"addedLatency": {"time that an entry adds to a lookup, with real processes", runAddedLatency},
+	"detection":    {"time and requests until a faulty target is out, and the cost for callers", runDetection},
+	"noise":        {"false ejections over 30 days of healthy work", runNoise},
+	"quiet":        {"false ejections in troubles that are no target's fault", runQuiet},
+	"overload":     {"goodput under twice the capacity", runOverload},
+	"outage":       {"retries, floor and recovery when the whole pool is bad", runOutage},
+	"poison":       {"targets crashed by a poison request", runPoison},
+	"drain":        {"new work at leaving targets", runDrain},
+	"views":        {"floor and slots with several observers of one cell", runViews},
+	"curve":        {"detection time against false ejections as the setting varies", runCurve},
 }
 
 // Run runs the chosen experiments in the order of their names and calls out for each figure.
--- /dev/null
+++ b/measure/latency.go
@@ -0,0 +1,271 @@
+package measure
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/bilberrywood/bilberrywood/platform"
+	"github.com/bilberrywood/bilberrywood/standin"
+	"github.com/bilberrywood/bilberrywood/table"
+)
+
+// Setting of the addedLatency experiment. All processes run on loopback.
+const (
+	latencyRate     = 1000 // requests per second on each of the two paths
+	latencyDuration = 10 * time.Second
+	latencyWarmUp   = 2 * time.Second
+	latencyTargets  = 10
+	latencySlots    = 64
+	// latencyService is the targets' service time.
+	latencyService = 5 * time.Millisecond
+	// addedBoundMs is the bound of the target size for 99 in 100 requests.
+	addedBoundMs = 2.1
+	// latencyStart bounds the start of the processes.
+	latencyStart = 20 * time.Second
+)
+
+// Addresses of the addedLatency experiment, below the ports of outgoing connections.
+const (
+	latencyTargetPort = 20100
+	latencyPlatform   = "127.0.0.1:20001"
+	latencyCaller     = "127.0.0.1:20010"
+	latencyPeer       = "127.0.0.1:20011"
+	latencyPath       = "/lookup/1?bytes=1024"
+)
+
+// runAddedLatency sends the same lookups straight to targets and through an entry, in turn, and
+// compares the quantiles of the two. The entry, the targets and the platform are processes of their
+// own, started from the programs under bin.
+func runAddedLatency(o Options) ([]Line, error) {
+	b, err := startLatencyBench()
+	if err != nil {
+		return nil, err
+	}
+	defer b.close()
+	if err := b.run(latencyWarmUp); err != nil {
+		return nil, err
+	}
+	b.direct.Reset()
+	b.through.Reset()
+	before, err := cpuTime(b.entry.Process.Pid)
+	if err != nil {
+		return nil, err
+	}
+	if err := b.run(latencyDuration); err != nil {
+		return nil, err
+	}
+	after, err := cpuTime(b.entry.Process.Pid)
+	if err != nil {
+		return nil, err
+	}
+	return b.lines(o.Seed, after-before), nil
+}
+
+// latencyBench is the set of processes and the times that were measured.
+type latencyBench struct {
+	dir       string
+	processes []*exec.Cmd
+	entry     *exec.Cmd
+	client    *http.Client
+
+	mu              sync.Mutex
+	direct, through *hdrhistogram.Histogram
+	failed          int
+}
+
+func startLatencyBench() (*latencyBench, error) {
+	dir, err := os.MkdirTemp("", "bilberrywood-latency")
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	b := &latencyBench{
+		dir:     dir,
+		client:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}, Timeout: 5 * time.Second},
+		direct:  hdrhistogram.New(1, 10_000_000, 3),
+		through: hdrhistogram.New(1, 10_000_000, 3),
+	}
+	if err := b.start(); err != nil {
+		b.close()
+		return nil, err
+	}
+	return b, nil
+}
+
+// start writes tables and settings, starts the processes and waits until the entry serves.
+func (b *latencyBench) start() error {
+	routes, pools := latencyTables()
+	for name, t := range map[string]any{"routes.json": routes, "pools.json": pools} {
+		raw, err := json.Marshal(t)
+		if err != nil {
+			return Error.Wrap(err)
+		}
+		if err := os.WriteFile(filepath.Join(b.dir, name), raw, 0o600); err != nil {
+			return Error.Wrap(err)
+		}
+	}
+	local := &standin.LocalFleet{Dir: b.dir, Platform: "http://" + latencyPlatform, List: []platform.FleetRow{{
+		ID: "kb-01", PeerAddress: latencyPeer, CallerAddress: latencyCaller, FailureDomain: "donau-ost", State: platform.Live,
+	}}}
+	if err := local.Write(); err != nil {
+		return Error.Wrap(err)
+	}
+	commands := [][]string{
+		{
+			"target-standin", "--listen", fmt.Sprintf("127.0.0.1:%d", latencyTargetPort), "--count", strconv.Itoa(latencyTargets),
+			"--slots", strconv.Itoa(latencySlots), "--service-ms", strconv.Itoa(int(latencyService.Milliseconds())),
+		},
+		{
+			"platform-standin", "--listen", latencyPlatform, "--routes", filepath.Join(b.dir, "routes.json"),
+			"--pools", filepath.Join(b.dir, "pools.json"), "--fleet", local.FleetPath(),
+		},
+		{"entry", "--settings", local.SettingsPath("kb-01")},
+	}
+	for _, c := range commands {
+		p := exec.Command(filepath.Join("bin", c[0]), c[1:]...)
+		if err := p.Start(); err != nil {
+			return Error.Wrap(err)
+		}
+		b.processes = append(b.processes, p)
+		b.entry = p
+	}
+	for began := time.Now(); b.get(latencyCaller) != nil; time.Sleep(50 * time.Millisecond) {
+		if time.Since(began) > latencyStart {
+			return Error.New("the entry does not serve after %v", latencyStart)
+		}
+	}
+	return nil
+}
+
+func latencyTables() (table.Routes, table.Pools) {
+	p := table.Pool{
+		Name: "lookup", Floor: latencyTargets * 2 / 3, Slots: latencySlots, MaxConnections: 400,
+		Policy: table.Policy{FalseEjectionEveryHours: 8760},
+	}
+	for i := range latencyTargets {
+		p.Targets = append(p.Targets, table.Target{
+			ID: table.TargetID(fmt.Sprintf("lookup-%02d", i)), Address: fmt.Sprintf("127.0.0.1:%d", latencyTargetPort+i),
+			FailureDomain: "donau-ost",
+		})
+	}
+	r := table.Route{Name: "lookup", PathPrefix: "/lookup", Pool: "lookup", Idempotent: true, TimeoutMs: 5000, MaxBodyBytes: 1 << 20}
+	return table.Routes{Routes: []table.Route{r}}, table.Pools{FleetGroups: 1, Pools: []table.Pool{p}}
+}
+
+// get sends one lookup to an address and reads the answer whole.
+func (b *latencyBench) get(address string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+latencyPath, nil)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	answer, err := b.client.Do(r)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	defer answer.Body.Close()
+	if _, err := io.Copy(io.Discard, answer.Body); err != nil {
+		return Error.Wrap(err)
+	}
+	if answer.StatusCode != http.StatusOK {
+		return Error.New("status %d", answer.StatusCode)
+	}
+	return nil
+}
+
+// run sends requests at the stated rate for a while: each interval one on each path.
+func (b *latencyBench) run(d time.Duration) error {
+	var active sync.WaitGroup
+	ticker := time.NewTicker(time.Second / latencyRate)
+	defer ticker.Stop()
+	n := int(d.Seconds() * latencyRate)
+	for i := range n {
+		<-ticker.C
+		target := fmt.Sprintf("127.0.0.1:%d", latencyTargetPort+i%latencyTargets)
+		active.Go(func() { b.timed(target, b.direct) })
+		active.Go(func() { b.timed(latencyCaller, b.through) })
+	}
+	active.Wait()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.failed > n/1000 {
+		return Error.New("%d of %d requests failed", b.failed, 2*n)
+	}
+	return nil
+}
+
+func (b *latencyBench) timed(address string, h *hdrhistogram.Histogram) {
+	began := time.Now()
+	err := b.get(address)
+	took := time.Since(began)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if err != nil {
+		b.failed++
+		return
+	}
+	// Times beyond the histogram's range are longer than the request's timeout.
+	_ = h.RecordValue(took.Microseconds())
+}
+
+// lines returns the figures; cpu is the time that the entry's process used.
+func (b *latencyBench) lines(seed uint64, cpu time.Duration) []Line {
+	added := func(quantile float64) float64 {
+		return float64(b.through.ValueAtQuantile(quantile)-b.direct.ValueAtQuantile(quantile)) / 1000
+	}
+	perCore := float64(b.through.TotalCount()) / cpu.Seconds()
+	bound, pass := addedBoundMs, added(99) <= addedBoundMs
+	return []Line{
+		{Name: "addedLatencyRate", Value: latencyRate, Unit: "requests/s", Seed: seed},
+		{Name: "directP50", Value: float64(b.direct.ValueAtQuantile(50)) / 1000, Unit: "ms", Seed: seed},
+		{Name: "directP99", Value: float64(b.direct.ValueAtQuantile(99)) / 1000, Unit: "ms", Seed: seed},
+		{Name: "addedLatencyP50", Value: added(50), Unit: "ms", Seed: seed},
+		{Name: "addedLatencyP99", Value: added(99), Unit: "ms", Bound: &bound, Pass: &pass, Seed: seed},
+		{Name: "requestsPerCore", Value: perCore, Unit: "requests/s", Seed: seed},
+	}
+}
+
+// close ends the processes.
+func (b *latencyBench) close() {
+	for _, p := range b.processes {
+		_ = p.Process.Kill()
+		_ = p.Wait()
+	}
+	_ = os.RemoveAll(b.dir)
+}
+
+// clockTicks is the unit of processor times in /proc, in ticks per second.
+const clockTicks = 100
+
+// cpuTime returns the processor time that a process has used.
+func cpuTime(pid int) (time.Duration, error) {
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return 0, Error.Wrap(err)
+	}
+	// The fields after the command's closing parenthesis are separated by single spaces; user and
+	// system time are the 12th and 13th of them.
+	fields := strings.Fields(string(raw[strings.LastIndexByte(string(raw), ')')+1:]))
+	const userField, systemField = 11, 12
+	var ticks int64
+	for _, i := range []int{userField, systemField} {
+		n, err := strconv.ParseInt(fields[i], 10, 64)
+		if err != nil {
+			return 0, Error.Wrap(err)
+		}
+		ticks += n
+	}
+	return time.Duration(ticks) * time.Second / clockTicks, nil
+}
