Compute owners only when tables or members change

Cause: each tick of 50 ms computed the owner of every cell of every pool; at 9,100 pools and 44 members that is 400,000 hashes a tick. Change: pools of the own group are listed when a pair is accepted, and owners are computed on a change or once a second.

--- a/entry/cellset.go
+++ b/entry/cellset.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/bilberrywood/bilberrywood/fleet"
 	"github.com/bilberrywood/bilberrywood/pool"
 	"github.com/bilberrywood/bilberrywood/table"
@@ -22,6 +24,31 @@
 
 	mu    sync.Mutex
 	cells map[fleet.CellKey]*servedCell
+
+	// adopted is what the owners were last computed from, at adoptedAt; only the tick uses them.
+	adopted   adoptKey
+	adoptedAt time.Time
+}
+
+// adoptKey identifies what the owners of cells follow from.
+type adoptKey struct {
+	force   *inForce
+	members uint64
+}
+
+// membersKey is a hash of what ownership follows from.
+func membersKey(members []fleet.Member) uint64 {
+	h := xxhash.New()
+	for _, m := range members {
+		// Writing to a hash does not fail.
+		_, _ = h.WriteString(string(m.ID))
+		live := byte(0)
+		if m.Live {
+			live = 1
+		}
+		_, _ = h.Write([]byte{0, live, byte(m.State)})
+	}
+	return h.Sum64()
 }
 
 // servedCell is a cell with its prober.
@@ -164,11 +191,19 @@
 	}
 }
 
+// adoptEvery is how often the owners of all cells are computed without a known change.
+const adoptEvery = time.Second
+
 // adopt creates the cells that this entry owns, so that their targets are probed before the
-// first request.
+// first request. It does nothing while neither the tables nor the members have changed, since its
+// cost grows with the pools of the group.
 func (s *cellSet) adopt(force *inForce, v *fleet.View) {
-	for i := range force.pair.Pools.Pools {
-		p := &force.pair.Pools.Pools[i]
+	key := adoptKey{force: force, members: membersKey(v.Members)}
+	if key == s.adopted && time.Since(s.adoptedAt) < adoptEvery {
+		return
+	}
+	s.adopted, s.adoptedAt = key, time.Now()
+	for _, p := range force.own {
 		for index := range table.CellCount(p) {
 			key := fleet.CellKey{Pool: p.Name, Index: index}
 			if owner, ok := v.Owner(key); ok && owner.ID == s.e.Settings.ID {
--- a/entry/config.go
+++ b/entry/config.go
@@ -17,11 +17,20 @@
 	pair   *table.Pair
 	router *table.Router
 	routes map[table.RouteName]*table.Route
-	since  time.Time
+	// own has the pools of this entry's group, so that the tick does not look at the others.
+	own   []*table.Pool
+	since time.Time
 }
 
-func newInForce(pair *table.Pair, since time.Time) *inForce {
+func newInForce(pair *table.Pair, self fleet.EntryID, since time.Time) *inForce {
 	f := &inForce{pair: pair, router: table.NewRouter(pair), since: since}
+	groups := pair.Pools.FleetGroups
+	group := table.EntryGroup(self, groups)
+	for i := range pair.Pools.Pools {
+		if p := &pair.Pools.Pools[i]; table.Group(p.Name, groups) == group {
+			f.own = append(f.own, p)
+		}
+	}
 	f.routes = make(map[table.RouteName]*table.Route, len(pair.Routes.Routes))
 	for i := range pair.Routes.Routes {
 		f.routes[pair.Routes.Routes[i].Name] = &pair.Routes.Routes[i]
@@ -33,6 +42,7 @@
 // alone decides.
 type config struct {
 	log      zerolog.Logger
+	self     fleet.EntryID
 	acceptor table.Acceptor
 	force    atomic.Pointer[inForce]
 	// changed is called after a pair was accepted.
@@ -48,7 +58,7 @@
 	ruling := c.acceptor.Offer(now, source, s)
 	switch ruling.Verdict {
 	case table.Accepted:
-		f := newInForce(ruling.Pair, now)
+		f := newInForce(ruling.Pair, c.self, now)
 		c.force.Store(f)
 		c.log.Info().Str("event", "tablesAccepted").Uint64("revision", uint64(s.Revision)).Uint64("digest", f.pair.Digest).
 			Str("source", source).Msg("tables are in force")
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -117,7 +117,7 @@
 		},
 	}
 	e.counters.register(e.Metrics, e)
-	e.config.log, e.config.changed = e.Log, e.tablesChanged
+	e.config.log, e.config.self, e.config.changed = e.Log, s.ID, e.tablesChanged
 	e.fleet.membership = e.membership(incarnation)
 	e.fleet.update(0, func(*fleet.Membership) {})
 	e.cells = &cellSet{e: e, cells: make(map[fleet.CellKey]*servedCell)}
--- a/entry/operator.go
+++ b/entry/operator.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/http/pprof"
 	"time"
 
 	"github.com/labstack/echo/v4"
@@ -67,6 +68,12 @@
 	r.GET("/v1/tables/:table", e.tableInForce)
 	r.GET("/v1/explain", e.explain)
 	r.GET("/v1/log", e.followLog)
+	r.GET("/debug/pprof/", echo.WrapHandler(http.HandlerFunc(pprof.Index)))
+	r.GET("/debug/pprof/profile", echo.WrapHandler(http.HandlerFunc(pprof.Profile)))
+	r.GET("/debug/pprof/:profile", func(c echo.Context) error {
+		pprof.Handler(c.Param("profile")).ServeHTTP(c.Response(), c.Request())
+		return nil
+	})
 	r.GET("/metrics", func(c echo.Context) error {
 		c.Response().Header().Set(echo.HeaderContentType, echo.MIMEApplicationJSON)
 		metrics.WriteJSONOnce(e.Metrics, c.Response())
