fleet: name missing entries in heartbeats; peer: fuzz tests and benchmarks

Cause: an entry that restarted during a partition did not know of entries that are cut off and not on its lagging list, so it became sole beside them; a list entry of a former life of an entry counted for the present one. Change: heartbeats name entries that may run but have no two-way link; a list speaks of an incarnation only after Times.ListLag. Decoders are fuzzed; heartbeat and forward costs have benchmarks.

--- a/fleet/peer.go
+++ b/fleet/peer.go
@@ -85,13 +85,12 @@
 	}
 }
 
-// noteListing keeps since when the entry is missing from the list. A list that begins to name the
-// entry after its incarnation was heard means this incarnation, and so does one that still names it
-// when it must have caught up.
+// noteListing keeps since when the entry is missing from the list. A list that names the entry when
+// it must have caught up with its start means the current incarnation; earlier it may mean a former one.
 func (p *peer) noteListing(now, lag time.Duration) {
 	switch {
 	case p.listed:
-		p.listSure = p.listSure || p.unlistedAt != never || now-p.firstHeard >= lag
+		p.listSure = p.listSure || now-p.firstHeard >= lag
 		p.unlistedAt = never
 	case p.unlistedAt == never:
 		p.unlistedAt = now
--- a/fleet/receive.go
+++ b/fleet/receive.go
@@ -28,6 +28,11 @@
 		m.introduce(now, h.Introduced)
 	}
 	m.takeLinks(now, p, h)
+	for _, k := range h.Missing {
+		if m.byName[k.name()] == nil && k.name() != m.key.name() {
+			m.unknown[k.name()] = now
+		}
+	}
 	m.refreshPeer(now, p)
 }
 
--- a/fleet/send.go
+++ b/fleet/send.go
@@ -13,6 +13,8 @@
 	variableBytes = 900
 	// maxPoison is the most fingerprints in one heartbeat; others follow in the next ones.
 	maxPoison = 16
+	// maxMissing is the most missing entries that one heartbeat names.
+	maxMissing = 24
 	// Encoded sizes in bytes, rounded up.
 	keyBytes, poisonBytes, claimBytes, idBytes = 8, 9, 12, 3
 )
@@ -55,7 +57,9 @@
 		TickLateMs:       m.tickLate.Milliseconds(),
 		Poison:           m.nextPoison(),
 	}
-	brief.Claims, brief.MoreClaims = m.nextClaims(variableBytes - keyBytes*len(set.keys) - poisonBytes*len(brief.Poison))
+	brief.Missing = m.nextMissing(now)
+	used := keyBytes*(len(set.keys)+len(brief.Missing)) + poisonBytes*len(brief.Poison)
+	brief.Claims, brief.MoreClaims = m.nextClaims(variableBytes - used)
 	full := brief
 	full.Full = true
 	full.FailureDomain, full.PeerAddress, full.CallerAddress = m.FailureDomain, m.PeerAddress, m.CallerAddress
@@ -91,6 +95,23 @@
 	return page
 }
 
+// nextMissing returns a page of the entries that may run and have no two-way link to this one.
+func (m *Membership) nextMissing(now time.Duration) KeySet {
+	var missing KeySet
+	for _, p := range m.peers {
+		if p.link != LinkTwoWay && !p.left && !m.absent(now, p) {
+			missing = append(missing, p.name.with(p.Incarnation))
+		}
+	}
+	if len(missing) > maxMissing {
+		pages := (len(missing) + maxMissing - 1) / maxMissing
+		at := int(m.sequence) % pages * maxMissing
+		missing = missing[at:min(at+maxMissing, len(missing))]
+	}
+	slices.Sort(missing)
+	return missing
+}
+
 // nextClaims returns as many claims as fit into size bytes, and whether there are more.
 func (m *Membership) nextClaims(size int) ([]CellClaim, bool) {
 	if claimsSize(m.claims) <= size {
--- a/fleet/types.go
+++ b/fleet/types.go
@@ -98,7 +98,10 @@
 	// You is the receiver's incarnation if the sender heard it lately, else zero.
 	You Incarnation `cbor:"10,keyasint,omitempty"`
 	// Heard lists the peers that the sender has a two-way link with.
-	Heard            KeySet         `cbor:"11,keyasint,omitempty"`
+	Heard KeySet `cbor:"11,keyasint,omitempty"`
+	// Missing lists entries without a two-way link to the sender that may still run, so that
+	// peers which started later know of them. Not every heartbeat carries all of them.
+	Missing          KeySet         `cbor:"20,keyasint,omitempty"`
 	AcceptedRevision table.Revision `cbor:"12,keyasint"`
 	Digest           uint64         `cbor:"13,keyasint"`
 	// Reader says that the sender read the platform within the last 10 s.
--- /dev/null
+++ b/peer/codec_test.go
@@ -0,0 +1,101 @@
+package peer
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/bilberrywood/bilberrywood/fleet"
+)
+
+// fuzz checks that a decoder neither fails badly nor accepts what it can't encode and decode again.
+func fuzz[T any](f *testing.F, limit int, seeds ...T) {
+	for _, s := range seeds {
+		b, err := encoding.Marshal(s)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(b)
+		f.Add(b[:len(b)/2])
+	}
+	f.Add([]byte{0x9f, 0xff})
+	f.Add(bytes.Repeat([]byte{0x81}, 100)) // nested arrays
+	f.Fuzz(func(t *testing.T, data []byte) {
+		v, err := decodeMessage[T](data, limit)
+		if err != nil {
+			return
+		}
+		again, err := encoding.Marshal(v)
+		if err != nil {
+			t.Fatalf("decoded message can't be encoded: %v", err)
+		}
+		if len(again) > limit { // keys that are unknown are dropped, so it can only shrink, but for defaults
+			return
+		}
+		w, err := decodeMessage[T](again, limit)
+		if err != nil {
+			t.Fatalf("encoded message can't be decoded: %v", err)
+		}
+		if last, _ := encoding.Marshal(w); !bytes.Equal(again, last) {
+			t.Fatalf("message changed: %x, then %x", again, last)
+		}
+	})
+}
+
+// Guards against heartbeats of a faulty or foreign peer that crash an entry or blow up its memory.
+func FuzzHeartbeat(f *testing.F) {
+	fuzz(f, maxHeartbeat, fleet.Heartbeat{From: "a", Incarnation: 7, Full: true, Heard: fleet.KeySet{1, 2, 9}, You: 3,
+		Claims:     []fleet.CellClaim{{Cell: fleet.CellKey{Pool: "mengen-buch", Index: 1}}},
+		Introduced: &fleet.Introduction{ID: "b", PeerAddress: "10.0.0.1:1"}, Poison: []uint64{1}}, fleet.Heartbeat{From: "b"})
+}
+
+// Guards against forwarded requests that crash an entry.
+func FuzzForwardHeader(f *testing.F) {
+	fuzz(f, maxHeader, ForwardHeader{To: "a", Method: "POST", URI: "/x?y", Header: http.Header{"A": {"b", "c"}}, ContentLength: -1})
+}
+
+// Guards against answers that crash an entry.
+func FuzzAnswerHeader(f *testing.F) {
+	fuzz(f, maxHeader, AnswerHeader{Status: 200, Header: http.Header{"A": {"b"}}, ContentLength: 3})
+}
+
+// Guards against pairs that crash an entry.
+func FuzzPairMessage(f *testing.F) {
+	fuzz(f, maxPair, PairMessage{Revision: 3, Digest: 4, Values: map[string][]byte{"tables/routes": []byte("{}")}})
+}
+
+// Guards against bodies that end without an end frame, or frames that announce too much, being taken
+// for whole ones.
+func FuzzBody(f *testing.F) {
+	whole := &strings.Builder{}
+	if err := copyFrames(whole, strings.NewReader("body")); err != nil {
+		f.Fatal(err)
+	}
+	f.Add([]byte(whole.String()))
+	f.Add([]byte(whole.String()[:8]))
+	f.Add([]byte{byte(frameBody), 0xff, 0xff, 0xff, 0xff})
+	f.Add([]byte{byte(frameEnd), 0, 0, 0, 2, 0xa1, 0x61})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		body, err := io.ReadAll(&bodyReader{r: bytes.NewReader(data)})
+		if err == nil && !bytes.Contains(data, []byte{byte(frameEnd), 0}) {
+			t.Fatalf("body %q without an end frame is taken for whole", body)
+		}
+		if errors.Is(err, io.EOF) {
+			t.Fatal("a cut is reported as the end")
+		}
+	})
+}
+
+// Guards against frames above the limits on the sending side.
+func TestFrameLimits(t *testing.T) {
+	is := is.New(t)
+	_, err := encodeFrame(frameForward, ForwardHeader{URI: strings.Repeat("x", maxHeader)})
+	is.True(err != nil)
+	_, err = encodeHeartbeat(fleet.Heartbeat{From: fleet.EntryID(strings.Repeat("x", maxHeartbeat))})
+	is.True(err != nil)
+}
--- /dev/null
+++ b/peer/node_bench_test.go
@@ -0,0 +1,106 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/bilberrywood/bilberrywood/fleet"
+)
+
+// cpuTime returns the CPU time that this process used, for the cost of both ends together.
+func cpuTime() time.Duration {
+	var u syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &u) != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+func reportCPU(b *testing.B, began time.Duration) {
+	b.ReportMetric(float64((cpuTime()-began).Microseconds())/float64(b.N), "cpu-µs/op")
+}
+
+func request(b *testing.B, from *Node, to fleet.Member, body []byte) {
+	var r io.Reader
+	if len(body) > 0 {
+		r = bytes.NewReader(body)
+	}
+	answer, err := from.Forward(context.Background(), to, ForwardHeader{To: to.ID, Method: "POST", URI: "/v1/x"}, r)
+	if err != nil {
+		b.Error(err)
+		return
+	}
+	if _, err := io.Copy(io.Discard, answer.Body); err != nil {
+		b.Error(err)
+	}
+}
+
+// BenchmarkForward measures a forwarded request over loopback; one at a time is the added latency.
+func BenchmarkForward(b *testing.B) {
+	for _, concurrency := range []int{1, 8, 64} {
+		for _, size := range []int{0, 4 << 10, 64 << 10} {
+			b.Run(fmt.Sprintf("concurrency=%d/bytes=%d", concurrency, size), func(b *testing.B) {
+				from, to := startNode(b, "a", &testHandler{}), startNode(b, "b", &testHandler{forward: echo})
+				body := make([]byte, size)
+				request(b, from, member(to), body)
+				began := cpuTime()
+				b.ResetTimer()
+				tasks := make(chan struct{})
+				var workers sync.WaitGroup
+				for range concurrency {
+					workers.Go(func() {
+						for range tasks {
+							request(b, from, member(to), body)
+						}
+					})
+				}
+				for range b.N {
+					tasks <- struct{}{}
+				}
+				close(tasks)
+				workers.Wait()
+				b.StopTimer()
+				reportCPU(b, began)
+			})
+		}
+	}
+}
+
+// BenchmarkHeartbeat measures the CPU time of one heartbeat over QUIC, sender and receiver together, at
+// about 50, 400 and 1,050 bytes.
+func BenchmarkHeartbeat(b *testing.B) {
+	for _, poison := range []int{0, 40, 110} {
+		b.Run(fmt.Sprintf("fingerprints=%d", poison), func(b *testing.B) {
+			h := &testHandler{heartbeats: make(chan fleet.Heartbeat, 1000)}
+			from, to := startNode(b, "a", &testHandler{}), startNode(b, "b", h)
+			if _, err := from.FetchPair(context.Background(), member(to), 7); err != nil {
+				b.Fatal(err)
+			}
+			beat := fleet.Heartbeat{From: "a", Incarnation: 1 << 60, Links: 1 << 60, Digest: 1 << 60, AcceptedRevision: 100_000}
+			beat.Poison = make([]uint64, poison)
+			for i := range beat.Poison {
+				beat.Poison[i] = 1<<63 + uint64(i)
+			}
+			o := fleet.Outgoing{ID: "b", Address: to.LocalAddress(), Heartbeat: beat}
+			began := cpuTime()
+			b.ResetTimer()
+			for range b.N {
+				o.Heartbeat.Sequence++
+				from.SendHeartbeat(o)
+				select {
+				case <-h.heartbeats:
+				case <-time.After(time.Second):
+					b.Fatal("heartbeat was lost on loopback")
+				}
+			}
+			b.StopTimer()
+			reportCPU(b, began)
+		})
+	}
+}
