fleet, peer: tests of links, restarts, pauses, claims and silent connections

Cause: claims that don't fit into one heartbeat expired before they were repeated. Change: a claim of a heard peer lasts 30 s unless a complete list omits it; unit tests for one-way cuts, crash and restart, pauses, paged claims, pair and readers, and for silent connections.

--- /dev/null
+++ b/fleet/link_test.go
@@ -0,0 +1,150 @@
+package fleet
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/bilberrywood/bilberrywood/table"
+)
+
+// settledNetwork returns a network of size entries after 15 s without faults.
+func settledNetwork(size int) *network {
+	n := newNetwork(rand.New(rand.NewPCG(1, 1)), size, faults{})
+	for i := range size {
+		n.start(i)
+	}
+	n.run(15 * time.Second)
+	return n
+}
+
+func soleOwner(n *network, c CellKey) int {
+	for i, e := range n.entries {
+		if e.runs && e.View(n.now).Standing(c) == Sole {
+			return i
+		}
+	}
+	return -1
+}
+
+// Guards against a one-way cut that stays unnoticed, that removes a reachable peer, or that leaves an
+// owner sole.
+func TestOneWayCutIsKnownAndRelayed(t *testing.T) {
+	is := is.New(t)
+	n := settledNetwork(5)
+	c := simCells[0]
+	a := soleOwner(n, c)
+	is.True(a >= 0)
+	b := (a + 1) % 5
+	n.cut[[2]int{a, b}] = true // b does not hear a
+	n.run(3 * time.Second)
+	atA, _ := n.entries[a].View(n.now).Member(simID(b))
+	atB, _ := n.entries[b].View(n.now).Member(simID(a))
+	is.Equal(atA.Link, LinkOneWayIn)
+	is.Equal(atB.Link, LinkSilent)
+	is.True(atA.Live && atA.Via != "" && atB.Live && atB.Via != "")
+	is.Equal(n.entries[a].View(n.now).Standing(c), Contested)
+	owner, ok := n.entries[b].View(n.now).Owner(c)
+	is.True(ok)
+	is.Equal(owner.ID, simID(a)) // it stays the owner through the relay
+}
+
+// Guards against a crash or a restart that is noticed late, and against an early sole successor.
+func TestCrashAndRestart(t *testing.T) {
+	is := is.New(t)
+	n := settledNetwork(4)
+	c := simCells[0]
+	a := soleOwner(n, c)
+	b := (a + 1) % 4
+	former := n.entries[a].Incarnation
+	n.start(a)
+	n.run(2 * time.Second)
+	m, _ := n.entries[b].View(n.now).Member(simID(a))
+	is.True(m.Live && m.Incarnation > former)
+
+	n.run(15 * time.Second)
+	n.stop(a)
+	crashed := n.now
+	n.run(2500 * time.Millisecond)
+	m, _ = n.entries[b].View(n.now).Member(simID(a))
+	is.True(!m.Live)
+	for soleOwner(n, c) < 0 && n.now < crashed+time.Minute {
+		n.run(simTick)
+	}
+	is.True(n.now-crashed >= 7*time.Second)
+	is.True(n.now-crashed < maxLag+10*time.Second)
+}
+
+// Guards against a resumed process that trusts what it knew before the pause.
+func TestPauseLeadsToDoubt(t *testing.T) {
+	is := is.New(t)
+	n := settledNetwork(4)
+	c := simCells[0]
+	a := soleOwner(n, c)
+	e := n.entries[a]
+	resumed := n.now + 3*time.Second
+	v := e.View(resumed) // before its first tick
+	is.True(v.SelfDoubt)
+	is.Equal(v.Standing(c), Contested)
+	e.Tick(resumed)
+	v = e.View(resumed)
+	is.True(v.SelfDoubt && !v.MayEject(c))
+	for _, m := range v.Members {
+		is.True(m.Live) // its own pause is no evidence against its peers
+	}
+}
+
+// Guards against claims that get lost when they don't fit into one heartbeat, and against ejections
+// that the next owner does not learn.
+func TestClaimsArePagedAndKept(t *testing.T) {
+	is := is.New(t)
+	group := settledGroup(44)
+	var claims []CellClaim
+	for i := range 120 {
+		claims = append(claims, CellClaim{Cell: CellKey{"mengen-buch", i}, Ejected: []table.TargetID{"b-1", "b-2"}})
+	}
+	group[0].SetClaims(claims)
+	now := 3 * time.Second
+	for ; now < 9*time.Second; now += simTick { // 120 claims take 8 heartbeats
+		exchange(now, group)
+	}
+	for i := range 120 {
+		is.Equal(len(group[1].View(now).Claimants(CellKey{"mengen-buch", i})), 1)
+	}
+	group[0].SetClaims(nil)
+	for ; now < 11*time.Second; now += simTick {
+		exchange(now, group)
+	}
+	v := group[1].View(now)
+	is.Equal(len(v.Claimants(claims[5].Cell)), 0)
+	ejected, known := v.LastEjected(claims[5].Cell)
+	is.True(known)
+	is.Equal(ejected, []table.TargetID{"b-1", "b-2"})
+}
+
+// Guards against entries that fetch no newer pair, or from an entry that does not have it, and against
+// failure domains without readers.
+func TestAcceptedPairAndReaders(t *testing.T) {
+	is := is.New(t)
+	group := settledGroup(11)
+	group[3].SetAccepted(200_000, 5)
+	group[3].SetReader(true)
+	now := 3 * time.Second
+	for ; now < 4*time.Second; now += simTick {
+		exchange(now, group)
+	}
+	v := group[0].View(now)
+	is.Equal(v.HighestRevision, table.Revision(200_000))
+	is.Equal(v.HighestDigest, uint64(5))
+	is.Equal(v.Holders, []EntryID{group[3].ID})
+	is.True(v.ReaderHeard)
+	readers := 0
+	for _, m := range group {
+		if m.View(now).IsReader(2) {
+			readers++
+		}
+	}
+	is.Equal(readers, 2)
+}
--- a/fleet/receive.go
+++ b/fleet/receive.go
@@ -51,7 +51,8 @@
 	return true
 }
 
-// claimKept is how long a released claim is kept for the next owner.
+// claimKept is how long a claim is kept that was released, or that was not repeated by a peer whose
+// claims don't fit into one heartbeat. About 16 claims with a few ejected targets fit at 44 entries.
 const claimKept = 30 * time.Second
 
 // takeClaims takes the cells that the peer serves.
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -42,6 +42,7 @@
 	eligible      bool
 	servingUntil  time.Duration
 	eligibleUntil time.Duration
+	heardAt       time.Duration
 	claims        []peerClaim
 	reader        bool
 }
@@ -114,6 +115,7 @@
 		eligible:      p.live && p.State == StateServing && !p.listLeave,
 		servingUntil:  p.servingUntil,
 		eligibleUntil: p.eligibleUntil,
+		heardAt:       p.heardAt,
 		claims:        p.claims,
 		reader:        p.reader && heard,
 	})
--- /dev/null
+++ b/peer/silent_test.go
@@ -0,0 +1,77 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/bilberrywood/bilberrywood/fleet"
+)
+
+// mutedSocket drops what is sent from the ports that are muted, as a connection that goes silent for
+// good while new ones work.
+type mutedSocket struct {
+	net.PacketConn
+	muted *atomic.Bool
+}
+
+func (s mutedSocket) WriteTo(b []byte, to net.Addr) (int, error) {
+	if s.muted.Load() {
+		return len(b), nil
+	}
+	return s.PacketConn.WriteTo(b, to)
+}
+
+// Guards against connections that go silent and are not replaced, and against a heartbeat that blocks
+// its sender meanwhile.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	is := is.New(t)
+	var muted atomic.Bool
+	a := startNode(t, "a", &testHandler{})
+	h := &testHandler{heartbeats: make(chan fleet.Heartbeat, 1000)}
+	dir, err := certificates()
+	is.NoErr(err)
+	b := &Node{
+		ID: "b", Address: "127.0.0.1:0", TLS: DevelopmentFiles(dir, "b"), Handler: h,
+		Wrap: func(c net.PacketConn) net.PacketConn { return mutedSocket{c, &muted} },
+	}
+	is.NoErr(b.Start())
+	defer b.Close()
+	_, err = a.FetchPair(context.Background(), member(b), 7)
+	is.NoErr(err)
+	a.mu.Lock()
+	former := a.links["b"].best()
+	a.mu.Unlock()
+
+	muted.Store(true)
+	silentFrom := time.Now()
+	for former.Context().Err() == nil {
+		sendAt := time.Now()
+		a.SendHeartbeat(fleet.Outgoing{ID: "b", Address: b.LocalAddress(), Heartbeat: fleet.Heartbeat{From: "a"}})
+		is.True(time.Since(sendAt) < time.Second) // it only queues
+		select {
+		case <-former.Context().Done():
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+	found := time.Since(silentFrom)
+	is.True(found < 4*time.Second) // 2 s idle, and room for a busy machine
+	t.Logf("silent connection ended after %v", found)
+
+	muted.Store(false)
+	for len(h.heartbeats) > 0 {
+		<-h.heartbeats
+	}
+	for received := false; !received; {
+		a.SendHeartbeat(fleet.Outgoing{ID: "b", Address: b.LocalAddress(), Heartbeat: fleet.Heartbeat{From: "a"}})
+		select {
+		case <-h.heartbeats:
+			received = true
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+}
