--- a/fleet/receive.go
+++ b/fleet/receive.go
@@ -29,6 +29,11 @@
 		m.introduce(now, h.Introduced)
 	}
 	m.takeLinks(now, p, h)
+	for _, k := range h.Missing {
+		if m.byName[k.name()] == nil && k.name() != m.key.name() {
+			m.unknown[k.name()] = now
+		}
+	}
 	m.refreshPeer(now, p)
 }
 
@@ -47,7 +52,8 @@
 	return true
 }
 
-// claimKept is how long a released claim is kept for the next owner.
+// claimKept is how long a claim is kept that was released, or that was not repeated by a peer whose
+// claims don't fit into one heartbeat. About 16 claims with a few ejected targets fit at 44 entries.
 const claimKept = 30 * time.Second
 
 // takeClaims takes the cells that the peer serves.
