table: copy names out of the raw values

Names become keys of long-lived maps, and as substrings each kept a whole former value of up to 1 MB in memory.

--- a/table/decode.go
+++ b/table/decode.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"strings"
 	"unicode/utf8"
+	"unique"
 
 	"github.com/tailscale/hujson"
 )
@@ -115,14 +116,30 @@
 	return rows
 }
 
-// decodeString decodes a string. Strings without escapes are substrings of the source's text.
+// decodeString decodes a string. It is copied out of the source's text, because names become keys of
+// long-lived maps; a substring there would keep the whole value of an older pair in memory.
 func decodeString[S ~string](d *decoder, v *hujson.Value, to *S) {
+	*to = S(strings.Clone(d.string(v)))
+}
+
+// decodeShared decodes a string that many rows have in common, which is kept once.
+func decodeShared[S ~string](d *decoder, v *hujson.Value, to *S) {
+	*to = S(unique.Make(d.string(v)).Value())
+}
+
+// decodePart decodes a string that is used as long as its pair only: it remains a part of the text.
+func decodePart[S ~string](d *decoder, v *hujson.Value, to *S) {
+	*to = S(d.string(v))
+}
+
+// string returns a string without escapes as a part of the text.
+func (d *decoder) string(v *hujson.Value) string {
 	literal, ok := v.Value.(hujson.Literal)
 	if !ok || literal.Kind() != '"' {
 		d.refuseKind(v, "a string")
-		return
+		return ""
 	}
-	*to = S(d.unquote(v, literal))
+	return d.unquote(v, literal)
 }
 
 // memberName returns the name of an object's member; the parser ensures that it is a string.
--- a/table/pair_test.go
+++ b/table/pair_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"strings"
 	"testing"
+	"unsafe"
 
 	"github.com/matryer/is"
 )
@@ -170,3 +171,24 @@
 		})
 	}
 }
+
+// Names become keys of maps that outlive the pair. One that is a part of a raw value would keep the whole
+// value in memory, and every change of the tables would leak up to 1 MB.
+func TestNamesDontKeepRawValues(t *testing.T) {
+	is := is.New(t)
+	v := values(smallRoutes, smallPools)
+	pair, err := NewPair(1, v)
+	is.NoErr(err)
+	route, pool := pair.Routes.Routes[1], pair.Pools.Pools[0]
+	names := []string{
+		string(route.Name), string(route.Pool), route.Methods[0], string(route.Accounts[0]), string(pair.Routes.Accounts[0].Name),
+		string(pool.Name), string(pool.Targets[0].ID), pool.Targets[0].Address, string(pool.Targets[0].FailureDomain),
+	}
+	for _, raw := range v {
+		first := uintptr(unsafe.Pointer(unsafe.SliceData(raw)))
+		for _, name := range names {
+			at := uintptr(unsafe.Pointer(unsafe.StringData(name)))
+			is.True(at < first || at >= first+uintptr(len(raw))) // name lies outside the raw value
+		}
+	}
+}
--- a/table/schema.go
+++ b/table/schema.go
@@ -48,7 +48,7 @@
 
 // list builds an optional field that holds an array of strings.
 func list[T any, S ~string](name string, at func(*T) *[]S) field[T] {
-	f := rows(name, false, at, decodeString[S])
+	f := rows(name, false, at, decodeShared[S])
 	f.get = func(row *T) any { return *at(row) }
 	return f
 }
@@ -73,7 +73,7 @@
 		text("name", true, func(a *AccountRow) *Account { return &a.Name }),
 		{
 			name: "tokenSha256", required: true,
-			set: func(d *decoder, v *hujson.Value, a *AccountRow) { decodeString(d, v, &a.TokenSHA256) },
+			set: func(d *decoder, v *hujson.Value, a *AccountRow) { decodePart(d, v, &a.TokenSHA256) },
 			get: func(a *AccountRow) any { return digest(a.TokenSHA256) },
 		},
 	}
@@ -112,7 +112,11 @@
 	targetSchema = []field[Target]{
 		text("id", true, func(t *Target) *TargetID { return &t.ID }),
 		text("address", true, func(t *Target) *string { return &t.Address }),
-		text("failureDomain", true, func(t *Target) *FailureDomain { return &t.FailureDomain }),
+		{
+			name: "failureDomain", required: true,
+			set: func(d *decoder, v *hujson.Value, t *Target) { decodeShared(d, v, &t.FailureDomain) },
+			get: func(t *Target) any { return t.FailureDomain },
+		},
 		flag("leaving", func(t *Target) *bool { return &t.Leaving }),
 	}
 )
--- a/table/source.go
+++ b/table/source.go
@@ -17,9 +17,9 @@
 type source struct {
 	file string
 	raw  []byte
-	// text is raw as a string without a copy. The strings of the tables are substrings of it: the
-	// raw values are kept with the pair anyway, and at the target size a copy would take 190 MB of
-	// the 256 MB that the control plane may use. Raw values are never modified.
+	// text is raw as a string without a copy. Digests of tokens remain parts of it: the raw values
+	// are kept with the pair anyway, and copies of 1.4M digests would take 90 MB of the 256 MB that
+	// the control plane may use. Raw values are never modified.
 	text string
 	root hujson.Value
 }
--- a/table/types.go
+++ b/table/types.go
@@ -77,7 +77,8 @@
 	Slots int `json:"slots"`
 	// MaxConnections is how many connections a target takes from the whole fleet.
 	MaxConnections int `json:"maxConnections"`
-	// CellSize is the largest number of targets that one entry owns; 0 means 64.
+	// CellSize is how many targets of the pool one entry owns on average; 0 means 64. Rendezvous
+	// hashing makes the cells of a pool with several cells differ in size.
 	CellSize int `json:"cellSize,omitempty"`
 	// ProbePath and LoadPath are the target's health and load endpoints; empty means none.
 	ProbePath string `json:"probePath,omitempty"`
