Free the slot of a request that is withdrawn, and adapt patience to the cell

Cause: a request whose deadline passed at the moment the cell gave it a target never reported the end of the attempt, so the target's slot stayed taken. Patience on silent connections was 2 s for all pools. Change: withdraw drains such a decision; patience is 10 times the cell's mean service time, 100 ms to 5 s; incarnations carry the start time, so a restart replaces the former process at once; one group function.

--- a/entry/buffers.go
+++ b/entry/attempt.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/bilberrywood/bilberrywood/notice"
 	"github.com/bilberrywood/bilberrywood/peer"
@@ -14,7 +15,7 @@
 var buffers = sync.Pool{New: func() any { return new([copyBuffer]byte) }}
 
 // targetRequest builds the request to a target.
-func (e *Entry) targetRequest(x *exchange, address string) *target.Request {
+func (e *Entry) targetRequest(x *exchange, address string, patience time.Duration) *target.Request {
 	h := x.Header.Clone()
 	if x.Account != "" {
 		// The token was for the entry; targets get the name of the account.
--- a/entry/cells.go
+++ b/entry/cells.go
@@ -101,12 +101,39 @@
 	c.do(func(now pool.Time, cell *pool.Cell) { cell.Finish(now, id, o) })
 }
 
-// cancel withdraws a request that waits for a target.
-func (c *cellRunner) cancel(id pool.RequestID) {
-	c.do(func(now pool.Time, cell *pool.Cell) { cell.Cancel(now, id) })
+// withdraw takes back a request that waits for a target. If the cell has given it one in the meantime
+// the attempt ends as not started, which frees the target's slot.
+func (c *cellRunner) withdraw(id pool.RequestID, decisions <-chan pool.Decision) {
+	c.do(func(now pool.Time, cell *pool.Cell) {
+		cell.Cancel(now, id)
+		delete(c.waiting, id)
+		for {
+			select {
+			case d := <-decisions:
+				if d.Kind == pool.DecisionRun {
+					cell.Finish(now, id, pool.Outcome{Kind: pool.OutcomeNotStarted})
+				}
+				continue
+			default:
+			}
+			return
+		}
+	})
+}
+
+// Bounds of patience. Below the least one, scheduling on a busy VM looks like silence.
+const (
+	patienceFactor = 10
+	leastPatience  = 100 * time.Millisecond
+	mostPatience   = 5 * time.Second
+)
+
+// patience is how long a reused connection may stay silent before an idempotent request moves to a
+// new one: several times the usual service time of the cell.
+func (c *cellRunner) patience() time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	delete(c.waiting, id)
+	return min(max(leastPatience, patienceFactor*c.cell.MeanService()), mostPatience)
 }
 
 // target returns the row of a target.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -108,7 +108,7 @@
 	}
 	s := &e.Settings
 	e.Log = e.Log.With().Str("entry", string(s.ID)).Logger()
-	incarnation := fleet.Incarnation(rand.Uint64() | 1)
+	incarnation := fleet.NewIncarnation(e.start.UnixMilli(), rand.Uint64())
 	e.register = &notice.Register{
 		Entry: s.ID, Incarnation: incarnation,
 		Limits: notice.Limits{
--- a/entry/observe.go
+++ b/entry/observe.go
@@ -4,7 +4,6 @@
 	"errors"
 	"net/http"
 	"strings"
-	"time"
 
 	"github.com/rcrowley/go-metrics"
 
@@ -139,10 +138,6 @@
 	return notRun(s.status, s.reason, r.Error())
 }
 
-// patience is how long a reused connection may stay silent before an idempotent request moves to a
-// new one: several times the usual service time of lookups and notices.
-const patience = 2 * time.Second
-
 // cutQuery returns the path of a request target.
 func cutQuery(uri string) string {
 	path, _, _ := strings.Cut(uri, "?")
--- a/entry/place.go
+++ b/entry/place.go
@@ -70,7 +70,7 @@
 				return ref
 			}
 		case <-ctx.Done():
-			cell.cancel(id)
+			cell.withdraw(id, decisions)
 			if p.failure != nil {
 				return p.giveUp(reasonDeadline)
 			}
@@ -156,7 +156,7 @@
 	x.attempts++
 	row := p.cell.target(d.Target)
 	began := time.Now()
-	answer, err := p.e.client.Do(ctx, p.e.targetRequest(x, row.Address))
+	answer, err := p.e.client.Do(ctx, p.e.targetRequest(x, row.Address, p.cell.patience()))
 	if err != nil {
 		return p.failed(d, err, time.Since(began))
 	}
--- a/fleet/rendezvous.go
+++ b/fleet/rendezvous.go
@@ -29,22 +29,7 @@
 
 // GroupOfEntry returns the group of an entry, from 0 to groups-1. It depends on the name only.
 func GroupOfEntry(id EntryID, groups int) int {
-	if groups < 2 {
-		return 0
-	}
-	return int(uint64(hashOf(string(id))) % uint64(groups))
-}
-
-// GroupOfPool returns the group that serves a pool, by rendezvous hashing over group numbers.
-func GroupOfPool(pool table.PoolName, groups int) int {
-	best, bestWeight := 0, uint64(0)
-	key := hashOf(string(pool))
-	for g := range max(groups, 1) {
-		if w := weight(hashOf("group\x00"+strconv.Itoa(g)), key); g == 0 || w > bestWeight {
-			best, bestWeight = g, w
-		}
-	}
-	return best
+	return table.EntryGroup(id, groups)
 }
 
 // incarnationTimeBits is how many high bits of an incarnation hold the start time: milliseconds since
