--- a/standin/platform.go
+++ b/standin/platform.go
@@ -127,6 +127,7 @@
 
 // Close ends all calls, closes the listeners and waits.
 func (p *Platform) Close() error {
+	p.init()
 	p.mu.Lock()
 	select {
 	case <-p.closed:
@@ -153,6 +154,7 @@
 
 // PutAll changes several values at one revision.
 func (p *Platform) PutAll(values map[string][]byte) (table.Revision, error) {
+	p.init()
 	for name, raw := range values {
 		if name == "" {
 			return 0, PlatformError.New("name of the value is empty")
@@ -171,6 +173,7 @@
 
 // Delete removes a value and returns the new revision.
 func (p *Platform) Delete(name string) table.Revision {
+	p.init()
 	return p.store.update(func(next *platformView) {
 		delete(next.values, name)
 		next.deleted[name] = next.revision
@@ -179,11 +182,13 @@
 
 // SetFleet replaces the fleet list and returns the new revision.
 func (p *Platform) SetFleet(rows []platform.FleetRow) table.Revision {
+	p.init()
 	return p.store.update(func(next *platformView) { next.fleet = rows })
 }
 
 // CurrentRevision returns the store's revision.
 func (p *Platform) CurrentRevision() table.Revision {
+	p.init()
 	view, _ := p.store.newest()
 	return view.revision
 }
--- a/standin/platform_fault.go
+++ b/standin/platform_fault.go
@@ -40,6 +40,7 @@
 
 // SetFault replaces the service's fault. Pending watches see it at once.
 func (p *Platform) SetFault(f PlatformFault) error {
+	p.init()
 	switch f.Mode {
 	case PlatformUp, PlatformRefused, PlatformHung, PlatformUnavailable:
 	default:
--- a/standin/platform_files.go
+++ b/standin/platform_files.go
@@ -14,6 +14,7 @@
 // Reload reads the files again. The values that differ are changed at one revision, so that a pool and
 // the route to it appear together. If a file can't be read, nothing is changed.
 func (p *Platform) Reload() error {
+	p.init()
 	newest, _ := p.store.newest()
 	changed := make(map[string][]byte)
 	for name, path := range p.Files {
