--- a/target/prober_test.go
+++ b/target/prober_test.go
@@ -1,6 +1,7 @@
 package target_test
 
 import (
+	"context"
 	"net/http"
 	"sync"
 	"testing"
@@ -72,8 +73,8 @@
 	wait(t, "slow probe fails", func() bool { return got.seen(rows[2], pool.Signal{Kind: pool.SignalProbeFailed}) })
 
 	load := 7
-	a.SetFault(standin.TargetFault{Drain: true, LyingLoad: &load})
-	b.SetFault(standin.TargetFault{LyingProbe: "fail"})
+	is.NoErr(a.SetFault(standin.TargetFault{Drain: true, LyingLoad: &load}))
+	is.NoErr(b.SetFault(standin.TargetFault{LyingProbe: "fail"}))
 	got.clear()
 	wait(t, "signals of faults", func() bool {
 		return got.seen(rows[0], pool.Signal{Kind: pool.SignalDraining}) &&
@@ -95,7 +96,7 @@
 func TestStandinCrash(t *testing.T) {
 	is := is.New(t)
 	s := startTarget(t, &standin.Target{})
-	s.SetFault(standin.TargetFault{CrashOnHeader: "X-Poison: 1", RestartMs: 50})
+	is.NoErr(s.SetFault(standin.TargetFault{CrashOnHeader: "X-Poison: 1", RestartMs: 50}))
 	c := newClient(t)
 	r := get(s.Address(), "n", "")
 	r.Header.Set("X-Poison", "1")
@@ -145,3 +146,23 @@
 	is.True(record.Peak <= 2)
 	is.Equal(int(record.Shed), kinds[pool.OutcomeShed])
 }
+
+// Guards against a refusal that costs a connection because nobody reads its text.
+func TestShedKeepsConnection(t *testing.T) {
+	is := is.New(t)
+	s := startTarget(t, &standin.Target{Slots: 1})
+	c := newClient(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	wg.Go(func() { _, _, _ = do(ctx, c, get(s.Address(), "n", "serviceMs=60000"), 64) })
+	wait(t, "the slot is taken", func() bool { return len(s.Record("").Runs) == 1 })
+	for i := range 3 {
+		a, err := c.Do(t.Context(), get(s.Address(), "n", ""))
+		is.NoErr(err)
+		is.True(a.Shed)
+		is.Equal(a.Reused, i > 0)
+		is.NoErr(a.Body.Close())
+	}
+	cancel()
+	wg.Wait()
+}
