pool: hold suspected poison until crashes are confirmed; single late answers don't fail trials

Cause: retries of a poison request ran before the crash of the second target was seen; a trial failed with any answer above twice the median, so that recovered targets stayed out for minutes; a pool that became slower as a whole stayed in doubt.

--- a/pool/doubt.go
+++ b/pool/doubt.go
@@ -61,6 +61,7 @@
 		return false
 	}
 	c.doubt.commonUntil = now + Time(commonCauseTime)
+	c.history.forget()
 	for i := range c.targets.len() {
 		t := c.targets.at(i)
 		if t.state == TargetAvoided {
--- a/pool/evidence.go
+++ b/pool/evidence.go
@@ -106,7 +106,7 @@
 		progress = c.answered(now, t, r, false)
 		if !r.Upload {
 			slow := c.collectTime(t, r, o)
-			if slow > 0 || t.reason == ReasonSlow {
+			if slow >= overdue || t.reason == ReasonSlow {
 				progress = -slow
 			}
 		}
@@ -120,7 +120,7 @@
 		c.history.count()
 		progress = -llrFailure90.of(true, baseFailureRatio)
 	case OutcomeConnectFailed:
-		progress = -1
+		progress = -failedEvidence
 	}
 	c.endTrial(now, t, r, progress)
 }
--- a/pool/history.go
+++ b/pool/history.go
@@ -20,6 +20,8 @@
 	minTimeSamples = 8
 	// halfLife is the number of answers after which older ones count half.
 	halfLife = 4096
+	// forgetShare is what older answers count after a change that all targets share.
+	forgetShare = 0.1
 	// refreshEvery is the number of answers after which the evidence per bin is computed anew.
 	refreshEvery = 128
 	// priorWeight is how many answers the assumed heavy-tailed shape counts for, so that service times
@@ -153,6 +155,14 @@
 	}
 }
 
+// forget lets the distribution follow a change that all targets share.
+func (h *history) forget() {
+	for i := range h.counts {
+		h.counts[i] *= forgetShare
+	}
+	h.total *= forgetShare
+}
+
 // refresh computes the evidence per bin: the log of how much more likely the bin is for a target that
 // is slower by the slow factor, or stuck, than for its peers.
 func (h *history) refresh() {
--- a/pool/poison.go
+++ b/pool/poison.go
@@ -15,6 +15,9 @@
 	poisonTime = 10 * time.Minute
 	// poisonCrashes is the number of crashed targets that make a request poison.
 	poisonCrashes = 2
+	// crashConfirmTime is how long a request that lost its connection at two targets waits for other
+	// requests or probes to show whether the targets crashed.
+	crashConfirmTime = time.Second
 	// poisonLosses is the number of targets at which the connection was lost that make a request poison
 	// when no crash could be seen, as with targets that restart at once.
 	poisonLosses = 3
@@ -30,6 +33,9 @@
 type poisonRow struct {
 	suspectUntil Time
 	refusedUntil Time
+	// heldUntil is the time before which the request is not run again, because a crash that may settle
+	// the question has not been confirmed yet.
+	heldUntil Time
 	// imported rows came from another entry and are not passed on.
 	imported bool
 	losses   []table.TargetID
@@ -54,6 +60,12 @@
 	return row != nil && now < row.suspectUntil
 }
 
+// held says that the request is not to be run yet.
+func (p *poisonTable) held(now Time, f Fingerprint) bool {
+	row := p.rows.get(f)
+	return row != nil && now < row.heldUntil
+}
+
 // lost notes that the request's connection was lost, and says whether that makes it poison.
 func (p *poisonTable) lost(now Time, f Fingerprint, id table.TargetID) bool {
 	if f == 0 {
@@ -65,6 +77,9 @@
 		return false
 	}
 	row.losses = append(row.losses, id)
+	if len(row.losses) >= poisonCrashes {
+		row.heldUntil = now + Time(crashConfirmTime)
+	}
 	return len(row.losses) >= poisonLosses && p.condemn(now, row)
 }
 
--- a/pool/queue.go
+++ b/pool/queue.go
@@ -149,6 +149,8 @@
 
 // pump starts queued requests while there are slots for them.
 func (c *Cell) pump(now Time) {
+	// Suspects are few, and at most one runs per target, so they can't crowd out the others.
+	c.pumpSuspects(now)
 	for {
 		class := c.queue.next()
 		if class == classes {
@@ -167,19 +169,21 @@
 		}
 		c.start(now, r, t, reason, trial)
 	}
-	c.pumpSuspects(now)
 }
 
+// pumpSuspects starts suspected poison requests at targets that run none. Each is looked at once; those
+// that can't run yet do not hold up the others.
 func (c *Cell) pumpSuspects(now Time) {
 	q := &c.queue.lanes[classSuspect]
-	for q.size > 0 {
-		r := q.first().value
-		t, reason, trial := c.pick(now, r)
-		if t == nil {
-			return
+	for range q.size {
+		r := q.take().value
+		if !c.poison.held(now, r.Fingerprint) {
+			if t, reason, trial := c.pick(now, r); t != nil {
+				c.start(now, r, t, reason, trial)
+				continue
+			}
 		}
-		q.take()
-		c.start(now, r, t, reason, trial)
+		c.push(r, false)
 	}
 }
 
