--- /dev/null
+++ b/pool/property_test.go
@@ -0,0 +1,312 @@
+package pool
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/bilberrywood/bilberrywood/fleet"
+	"github.com/bilberrywood/bilberrywood/table"
+)
+
+// machine drives a cell with arbitrary calls and checks its promises against a model of its own.
+type machine struct {
+	t        *rapid.T
+	cell     *Cell
+	now      Time
+	lastTick Time
+	standing fleet.Standing
+	floor    int
+	slots    int
+	leaving  map[table.TargetID]bool
+	listed   map[table.TargetID]bool
+	inFlight map[table.TargetID]int
+	running  map[RequestID]Decision
+	requests map[RequestID]*modelRequest
+	order    []RequestID
+	broken   string
+}
+
+type modelRequest struct {
+	Request
+	finals, runs       int
+	written, cancelled bool
+}
+
+const machineTargets = 6
+
+func newMachine(t *rapid.T, f faults) *machine {
+	m := &machine{
+		t: t, slots: rapid.IntRange(1, 4).Draw(t, "slots"), floor: rapid.IntRange(0, machineTargets).Draw(t, "floor"),
+		leaving: map[table.TargetID]bool{}, listed: map[table.TargetID]bool{}, inFlight: map[table.TargetID]int{},
+		running: map[RequestID]Decision{}, requests: map[RequestID]*modelRequest{}, standing: fleet.Sole,
+	}
+	m.cell = &Cell{
+		Key: fleet.CellKey{Pool: "p"}, Slots: m.slots, Random: rand.New(rand.NewPCG(1, 2)), faults: f,
+		// A firm that accepts false ejections often, so that ejections are frequent.
+		Policy: table.Policy{FalseEjectionEveryHours: 1e-6},
+	}
+	for i := range machineTargets {
+		m.listed[targetName(i)] = true
+	}
+	m.update()
+	m.cell.SetStanding(m.now, m.standing, false)
+	return m
+}
+
+func targetName(i int) table.TargetID { return table.TargetID(fmt.Sprint("t", i)) }
+
+func (m *machine) fail(format string, args ...any) {
+	if m.broken == "" {
+		m.broken = fmt.Sprintf(format, args...)
+	}
+}
+
+func (m *machine) update() {
+	var targets []table.Target
+	for i := range machineTargets {
+		if id := targetName(i); m.listed[id] {
+			targets = append(targets, table.Target{ID: id, Leaving: m.leaving[id]})
+		}
+	}
+	m.cell.Update(m.now, targets, m.floor)
+}
+
+// allowed is how many attempts a target may run: all slots only for a sole owner without a late tick.
+func (m *machine) allowed() int {
+	if m.standing == fleet.Sole && m.cell.doubt.until <= m.now && m.now-m.lastTick <= Time(maxTickGap) {
+		return m.slots
+	}
+	return (m.slots + 1) / 2
+}
+
+func (m *machine) step() {
+	allowed := m.allowed()
+	switch rapid.IntRange(0, 13).Draw(m.t, "op") {
+	case 0, 1, 2, 3:
+		m.submit()
+	case 4, 5, 6, 7, 8:
+		m.finish()
+	case 9:
+		m.cancel()
+	case 10:
+		m.now += Time(rapid.IntRange(1, 3).Draw(m.t, "ticks")) * Time(Interval)
+		m.cell.Tick(m.now)
+		m.lastTick = m.now
+		allowed = m.allowed()
+	case 11:
+		m.now += Time(rapid.IntRange(0, 1).Draw(m.t, "gap")) * Time(700*time.Millisecond)
+		allowed = m.allowed()
+	case 12:
+		m.standing = rapid.SampledFrom([]fleet.Standing{fleet.Sole, fleet.Sole, fleet.Contested, fleet.NotOwner}).Draw(m.t, "standing")
+		allowed = max(allowed, m.allowed())
+		m.cell.SetStanding(m.now, m.standing, false)
+	case 13:
+		m.membership()
+	}
+	m.check(allowed)
+}
+
+func (m *machine) submit() {
+	id := RequestID(len(m.requests) + 1)
+	r := &modelRequest{Request: Request{
+		ID: id, Idempotent: rapid.Bool().Draw(m.t, "idempotent"), Replayable: rapid.Bool().Draw(m.t, "replayable"),
+		Account: table.Account(fmt.Sprint(id % 3)), Deadline: m.now + Time(time.Second), Fingerprint: Fingerprint(id % 5),
+	}}
+	m.requests[id] = r
+	m.order = append(m.order, id)
+	m.cell.Submit(m.now, r.Request)
+}
+
+var machineOutcomes = []Outcome{
+	{Kind: OutcomeSuccess, Written: true, Service: 50 * time.Millisecond},
+	{Kind: OutcomeFailed, Written: true, Service: 50 * time.Millisecond},
+	{Kind: OutcomeTruncated, Written: true, Service: 50 * time.Millisecond},
+	{Kind: OutcomeConnectionLost, Written: true},
+	{Kind: OutcomeConnectFailed},
+	{Kind: OutcomeShed, Written: true},
+	{Kind: OutcomeNotStarted},
+	{Kind: OutcomeTimeout, Written: true, Service: time.Second},
+}
+
+// finish ends the oldest attempt; targets with a low number fail more often than the others.
+func (m *machine) finish() {
+	for _, id := range m.order {
+		d, running := m.running[id]
+		if !running {
+			continue
+		}
+		bad := d.Target < targetName(3) || rapid.Bool().Draw(m.t, "any")
+		o := machineOutcomes[0]
+		if bad {
+			o = rapid.SampledFrom(machineOutcomes).Draw(m.t, "outcome")
+		}
+		m.requests[id].written = m.requests[id].written || (o.Written && o.Kind != OutcomeShed)
+		delete(m.running, id)
+		m.inFlight[d.Target]--
+		m.cell.Finish(m.now, id, o)
+		return
+	}
+}
+
+func (m *machine) cancel() {
+	for _, id := range m.order {
+		if r := m.requests[id]; r.finals == 0 && !r.cancelled {
+			r.cancelled = true
+			m.cell.Cancel(m.now, id)
+			return
+		}
+	}
+}
+
+func (m *machine) membership() {
+	id := targetName(rapid.IntRange(0, machineTargets-1).Draw(m.t, "target"))
+	switch rapid.IntRange(0, 3).Draw(m.t, "change") {
+	case 0:
+		m.leaving[id] = true
+		m.cell.Signal(m.now, id, Signal{Kind: SignalDraining})
+	case 1:
+		m.leaving[id] = true
+	case 2:
+		delete(m.listed, id)
+	case 3:
+		m.floor = rapid.IntRange(0, machineTargets).Draw(m.t, "floor")
+	}
+	m.update()
+}
+
+func (m *machine) check(allowed int) {
+	for _, d := range m.cell.Decisions() {
+		r := m.requests[d.Request]
+		if r.finals > 0 || (r.cancelled && d.Kind != DecisionRun) {
+			m.fail("decision %v after the final one or a cancel", d)
+		}
+		switch d.Kind {
+		case DecisionRun:
+			m.checkRun(r, d, allowed)
+		case DecisionRefuse:
+			r.finals++
+			if r.written {
+				m.fail("request %d refused as not run, but it was written", d.Request)
+			}
+		case DecisionFinal:
+			r.finals++
+		}
+	}
+	m.checkEjections()
+}
+
+func (m *machine) checkRun(r *modelRequest, d Decision, allowed int) {
+	m.running[d.Request] = d
+	m.inFlight[d.Target]++
+	switch {
+	case r.cancelled:
+		m.fail("cancelled request %d runs", d.Request)
+	case r.written && (!r.Idempotent || !r.Replayable):
+		m.fail("request %d runs again", d.Request)
+	case m.leaving[d.Target] || !m.listed[d.Target]:
+		m.fail("leaving target %s gets work", d.Target)
+	case m.inFlight[d.Target] > allowed:
+		m.fail("%d attempts at %s, %d allowed", m.inFlight[d.Target], d.Target, allowed)
+	}
+}
+
+func (m *machine) checkEjections() {
+	ejected, members := 0, 0
+	for _, t := range m.cell.Report().Targets {
+		if !m.listed[t.ID] || m.leaving[t.ID] {
+			continue
+		}
+		members++
+		if t.State != TargetEjected {
+			continue
+		}
+		ejected++
+		if t.Protected && m.allowedStanding() != fleet.Sole {
+			m.fail("protected target %s is ejected by a contested owner", t.ID)
+		}
+	}
+	if members-ejected < min(m.floor, members) {
+		m.fail("%d of %d ejected with floor %d", ejected, members, m.floor)
+	}
+}
+
+// allowedStanding is the standing that a late tick leaves, once the cell has been called after it.
+func (m *machine) allowedStanding() fleet.Standing {
+	if m.standing == fleet.Sole && m.now < m.cell.doubt.until {
+		return fleet.Contested
+	}
+	return m.standing
+}
+
+// settle ends everything that is open and checks that each request got its final decision.
+func (m *machine) settle() {
+	for range 200 {
+		for len(m.running) > 0 {
+			m.finish()
+			m.check(m.slots)
+		}
+		m.now += Time(Interval)
+		m.cell.Tick(m.now)
+		m.lastTick = m.now
+		m.check(m.slots)
+	}
+	for id, r := range m.requests {
+		if r.finals != 1 && !r.cancelled {
+			m.fail("request %d has %d final decisions", id, r.finals)
+		}
+	}
+	if m.broken == "" && m.cell.requests.len() != 0 {
+		m.fail("%d requests are left", m.cell.requests.len())
+	}
+}
+
+func runMachine(t *rapid.T, f faults) string {
+	m := newMachine(t, f)
+	steps := rapid.IntRange(1, 150).Draw(t, "steps")
+	for i := 0; i < steps && m.broken == ""; i++ {
+		m.step()
+	}
+	if m.broken == "" {
+		m.settle()
+	}
+	return m.broken
+}
+
+// Guards the floor, the protected set, the slots, one final decision per request, at most one run of a
+// written request that can't be repeated, and no work for leaving targets.
+func TestPromisesHold(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		if broken := runMachine(t, faults{}); broken != "" {
+			t.Fatal(broken)
+		}
+	})
+}
+
+// Guards against checks that prove nothing: each promise is broken when its rule is switched off.
+func TestFaultyVariantsAreCaught(t *testing.T) {
+	for name, f := range map[string]faults{
+		"ignoreFloor": {ignoreFloor: true}, "ignoreProtected": {ignoreProtected: true},
+		"fullSlotsWhenContested": {fullSlotsWhenContested: true}, "oneSlotTooMany": {oneSlotTooMany: true},
+		"rerunNonIdempotent": {rerunNonIdempotent: true}, "forgetCancelled": {forgetCancelled: true},
+		"workForLeaving": {workForLeaving: true}, "trustAfterGap": {trustAfterGap: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			caught := ""
+			for seed := 0; seed < 20 && caught == ""; seed++ {
+				rapid.Check(t, func(t *rapid.T) {
+					if caught == "" {
+						caught = runMachine(t, f)
+					}
+				})
+			}
+			t.Log(caught)
+			is.True(caught != "")
+		})
+	}
+}
