--- a/measure/detection.go
+++ b/measure/detection.go
@@ -141,8 +141,7 @@
 	if j.scenario.sameTarget {
 		second = first
 	}
-	w.stats = Stats{}
-	w.falseEjections = nil
+	w.startMeasuring()
 	w.Watch(first, Faults[j.scenario.first])
 	if f, ok := Faults[j.scenario.second]; ok {
 		w.targets[second].switchOn(f)
--- a/measure/observer.go
+++ b/measure/observer.go
@@ -208,8 +208,11 @@
 
 // carryOut does what the chooser decided.
 func (o *Observer) carryOut() {
-	for _, e := range o.chooser.Events() {
-		o.place(e)
+	if events := o.chooser.Events(); len(events) > 0 {
+		for _, e := range events {
+			o.place(e)
+		}
+		o.world.checkFloor()
 	}
 	for _, d := range o.chooser.Decisions() {
 		r := o.requests[d.Request]
@@ -296,6 +299,5 @@
 	if placement == Ejected && before != Ejected {
 		w.ejected(t)
 	}
-	w.checkFloor()
 	w.placed(t.index, placement)
 }
--- a/measure/overload.go
+++ b/measure/overload.go
@@ -17,24 +17,26 @@
 // runOverload offers twice the capacity and compares the good answers with the capacity: all
 // slots busy with requests of the mean service time.
 func runOverload(o Options) ([]Line, error) {
-	return each(o, subjects(Profiles, []Load{"overload"}, policies()), func(j subject) []Line {
-		p := j.profile
-		w := NewWorld(p, seedOf(o.Seed, "overload", p.Pool), Makers[j.policy])
-		w.warmUp(Peak, timesOf[Peak])
-		w.SetRate(p.Rate(overloadFactor))
-		w.Run(overloadSettle * p.Median)
-		w.stats = Stats{}
-		w.Run(overloadMedians * p.Median)
-		capacity := p.Rate(1) * (overloadMedians * p.Median).Seconds()
-		s := &sheet{seed: o.Seed, labels: labelsOf(p, j.load, "", j.policy)}
-		s.atLeast("goodput", float64(w.stats.good)/capacity, unitRatio, goalGoodput)
-		s.add("late", percent(w.stats.late, w.stats.good), unitPercent)
-		s.add("failed", percent(w.stats.failed, w.stats.requests), unitPercent)
-		s.add("refused", percent(w.stats.refused, w.stats.requests), unitPercent)
-		s.atMost("falseEjections", float64(len(w.falseEjections)), unitCount, 0)
-		s.atMost("slotViolations", float64(w.stats.slotViolations), unitCount, 0)
-		return s.lines
-	}), nil
+	return each(o, subjects(Profiles, []Load{"overload"}, policies()), func(j subject) []Line { return measureOverload(o.Seed, j) }), nil
+}
+
+func measureOverload(seed uint64, j subject) []Line {
+	p := j.profile
+	w := NewWorld(p, seedOf(seed, "overload", p.Pool), Makers[j.policy])
+	w.warmUp(Peak, timesOf[Peak])
+	w.SetRate(p.Rate(overloadFactor))
+	w.Run(overloadSettle * p.Median)
+	w.startMeasuring()
+	w.Run(overloadMedians * p.Median)
+	capacity := p.Rate(1) * (overloadMedians * p.Median).Seconds()
+	s := &sheet{seed: seed, labels: labelsOf(p, j.load, "", j.policy)}
+	s.atLeast("goodput", float64(w.stats.good)/capacity, unitRatio, goalGoodput)
+	s.add("late", percent(w.stats.late, w.stats.good), unitPercent)
+	s.add("failed", percent(w.stats.failed, w.stats.requests), unitPercent)
+	s.add("refused", percent(w.stats.refused, w.stats.requests), unitPercent)
+	s.atMost("falseEjections", float64(len(w.falseEjections)), unitCount, 0)
+	s.atMost("slotViolations", float64(w.stats.slotViolations), unitCount, 0)
+	return s.lines
 }
 
 // outageTime is how long the whole pool is bad; recoveryLimit bounds the wait for good answers.
@@ -64,7 +66,7 @@
 func (j outageJob) measure(seed uint64) []Line {
 	w := NewWorld(j.profile, seedOf(seed, "outage", j.profile.Pool, j.load, j.fault), Makers[j.policy])
 	w.warmUp(j.load, timesOf[j.load])
-	w.stats = Stats{}
+	w.startMeasuring()
 	onTargets(j.fault, len(w.targets))(w)
 	w.Run(outageTime)
 	during := w.stats
--- a/measure/quiet.go
+++ b/measure/quiet.go
@@ -93,8 +93,7 @@
 	for i := range quietRuns {
 		w := NewWorld(j.profile, seedOf(seed, "quiet", j.profile.Pool, j.load, j.trouble.name, i), Makers[j.policy])
 		w.warmUp(j.load, timesOf[j.load])
-		w.stats = Stats{}
-		w.falseEjections = nil
+		w.startMeasuring()
 		j.trouble.act(w)
 		w.Run(j.trouble.length)
 		j.trouble.undo(w)
--- a/measure/svg.go
+++ b/measure/svg.go
@@ -27,12 +27,15 @@
 // svg builds the drawing.
 type svg struct{ strings.Builder }
 
+// printf writes to memory, which doesn't fail.
+func (s *svg) printf(format string, values ...any) { _, _ = fmt.Fprintf(s, format, values...) }
+
 func (s *svg) text(x, y float64, anchor, text string) {
-	fmt.Fprintf(s, "<text x=\"%.1f\" y=\"%.1f\" text-anchor=\"%s\">%s</text>\n", x, y, anchor, text)
+	s.printf("<text x=\"%.1f\" y=\"%.1f\" text-anchor=\"%s\">%s</text>\n", x, y, anchor, text)
 }
 
 func (s *svg) line(x1, y1, x2, y2 float64, color string) {
-	fmt.Fprintf(s, "<line x1=\"%.1f\" y1=\"%.1f\" x2=\"%.1f\" y2=\"%.1f\" stroke=\"%s\"/>\n", x1, y1, x2, y2, color)
+	s.printf("<line x1=\"%.1f\" y1=\"%.1f\" x2=\"%.1f\" y2=\"%.1f\" stroke=\"%s\"/>\n", x1, y1, x2, y2, color)
 }
 
 // mark draws a point; a hollow one stands for an upper limit.
@@ -41,7 +44,7 @@
 	if hollow {
 		fill = "white"
 	}
-	fmt.Fprintf(s, "<circle cx=\"%.1f\" cy=\"%.1f\" r=\"4\" fill=\"%s\" stroke=\"%s\"/>\n", x, y, fill, color)
+	s.printf("<circle cx=\"%.1f\" cy=\"%.1f\" r=\"4\" fill=\"%s\" stroke=\"%s\"/>\n", x, y, fill, color)
 }
 
 // panel is one pair of axes.
@@ -67,8 +70,8 @@
 	s := &svg{}
 	width := marginLeft + len(firms)*(panelWidth+gapX)
 	height := marginTop + len(curveFaults)*(panelHeight+gapY) + 40
-	fmt.Fprintf(s, "<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"%d\" height=\"%d\" font-family=\"sans-serif\" font-size=\"11\">\n", width, height)
-	fmt.Fprintf(s, "<rect width=\"%d\" height=\"%d\" fill=\"white\"/>\n", width, height)
+	s.printf("<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"%d\" height=\"%d\" font-family=\"sans-serif\" font-size=\"11\">\n", width, height)
+	s.printf("<rect width=\"%d\" height=\"%d\" fill=\"white\"/>\n", width, height)
 	for column, firm := range firms {
 		for row, fault := range curveFaults {
 			p := panel{marginLeft + float64(column*(panelWidth+gapX)), marginTop + float64(row*(panelHeight+gapY))}
@@ -95,7 +98,7 @@
 	s.line(p.left, bottom, p.left+panelWidth, bottom, "black")
 	s.line(p.left, p.top, p.left, bottom, "black")
 	s.text(p.left+panelWidth/2, bottom+28, "middle", "false ejections per day (hollow: none seen, 95% limit)")
-	fmt.Fprintf(s, "<text transform=\"translate(%.1f %.1f) rotate(-90)\" text-anchor=\"middle\">median detection time in s</text>\n",
+	s.printf("<text transform=\"translate(%.1f %.1f) rotate(-90)\" text-anchor=\"middle\">median detection time in s</text>\n",
 		p.left-40, p.top+panelHeight/2)
 }
 
@@ -117,7 +120,7 @@
 			path = append(path, fmt.Sprintf("%.1f,%.1f", x, y))
 		}
 	}
-	fmt.Fprintf(s, "<polyline points=\"%s\" fill=\"none\" stroke=\"%s\"/>\n", strings.Join(path, " "), policyColors[Own])
+	s.printf("<polyline points=\"%s\" fill=\"none\" stroke=\"%s\"/>\n", strings.Join(path, " "), policyColors[Own])
 }
 
 func (s *svg) legend(y float64) {
--- a/measure/views.go
+++ b/measure/views.go
@@ -70,20 +70,22 @@
 			jobs = append(jobs, viewJob{s, v})
 		}
 	}
-	return each(o, jobs, func(j viewJob) []Line {
-		var sum Stats
-		for i := range viewRuns {
-			r := j.run(seedOf(o.Seed, "views", j.profile.Pool, j.load, j.view.name, i))
-			sum.floorViolations += r.floorViolations
-			sum.slotViolations += r.slotViolations
-			sum.ejections += r.ejections
-		}
-		s := &sheet{seed: o.Seed, labels: labelsOf(j.profile, j.load, j.view.name, j.policy)}
-		s.atMost("floorViolations", float64(sum.floorViolations), unitCount, 0)
-		s.atMost("slotViolations", float64(sum.slotViolations), unitCount, 0)
-		s.add("ejections", float64(sum.ejections), unitCount)
-		return s.lines
-	}), nil
+	return each(o, jobs, func(j viewJob) []Line { return j.measure(o.Seed) }), nil
+}
+
+func (j viewJob) measure(seed uint64) []Line {
+	var sum Stats
+	for i := range viewRuns {
+		r := j.run(seedOf(seed, "views", j.profile.Pool, j.load, j.view.name, i))
+		sum.floorViolations += r.floorViolations
+		sum.slotViolations += r.slotViolations
+		sum.ejections += r.ejections
+	}
+	s := &sheet{seed: seed, labels: labelsOf(j.profile, j.load, j.view.name, j.policy)}
+	s.atMost("floorViolations", float64(sum.floorViolations), unitCount, 0)
+	s.atMost("slotViolations", float64(sum.slotViolations), unitCount, 0)
+	s.add("ejections", float64(sum.ejections), unitCount)
+	return s.lines
 }
 
 // run lets half of the targets fail under one owner, and the other half from the change on, so
--- a/measure/world.go
+++ b/measure/world.go
@@ -157,6 +157,16 @@
 	return w.observers[0]
 }
 
+// startMeasuring forgets the requests of the warm-up. Ejections and violations in healthy work
+// count from the start.
+func (w *World) startMeasuring() {
+	w.stats = Stats{
+		ejections:       w.stats.ejections,
+		floorViolations: w.stats.floorViolations,
+		slotViolations:  w.stats.slotViolations,
+	}
+}
+
 // Run lets d pass.
 func (w *World) Run(d time.Duration) { w.clock.RunUntil(w.clock.Now()+pool.Time(d), nil) }
 
