pool: failed trials of avoided targets count against later successes

Cause: a target that fails one request in five passed 16 successes in a row sooner or later and came back. Change: the evidence of health is one sum over all trials while the target is avoided, not a series.

--- a/pool/cell.go
+++ b/pool/cell.go
@@ -54,6 +54,8 @@
 	servingTargets int
 	avoidedTargets int
 	listedTargets  int
+	// mostSuspected says that most targets had a fault lately, so that suspicion does not tell them apart.
+	mostSuspected bool
 
 	decisions, decisionsSpare []Decision
 	events, eventsSpare       []Event
--- a/pool/pick.go
+++ b/pool/pick.go
@@ -66,7 +66,7 @@
 	if t.state == TargetAvoided {
 		return c.servingTargets > 0 && !t.onlySlow()
 	}
-	return r.Upload && c.suspicion(now, t) > 0 && !c.waitedLong(now, r)
+	return r.Upload && c.suspicion(now, t) > 0
 }
 
 // leastInFlight returns the target in the given state with the lowest share of its slots in use. A
@@ -110,8 +110,16 @@
 // few service times after the last fault only: a target that got no work could never clear itself, nor be
 // found bad.
 func (c *Cell) suspicion(now Time, t *target) float64 {
+	if c.mostSuspected {
+		return 0
+	}
+	return suspicionWeight * t.suspicion(now, c.queue.hold)
+}
+
+// suspicion is the evidence of recent faults as a share of what makes the target avoided.
+func (t *target) suspicion(now Time, hold time.Duration) float64 {
 	e := &t.evidence
-	recent := now - Time(suspicionHolds*c.queue.hold)
+	recent := now - Time(suspicionHolds*hold)
 	level := 0.0
 	if e.failedAt > 0 && e.failedAt >= recent {
 		level = e.suspicion
@@ -119,7 +127,7 @@
 	if s := &t.connection; s.streak > 0 && s.lastFault >= recent {
 		level = max(level, connectionSuspicion)
 	}
-	return suspicionWeight * level
+	return level
 }
 
 // anotherExists says that a serving target other than t exists, free or not.
@@ -141,12 +149,16 @@
 		slots++
 	}
 	c.servingSlots, c.servingTargets, c.avoidedTargets, c.trials.waiting = 0, 0, 0, 0
+	suspected := 0
 	for i := range c.targets.len() {
 		t := c.targets.at(i)
 		t.limit = c.rampedSlots(now, t, slots)
 		switch t.state {
 		case TargetServing:
 			c.servingTargets++
+			if t.suspicion(now, c.queue.hold) > 0 {
+				suspected++
+			}
 			if now >= t.shedUntil {
 				c.servingSlots += t.limit
 			}
@@ -157,4 +169,5 @@
 			c.trials.waiting++
 		}
 	}
+	c.mostSuspected = suspected*2 > c.servingTargets
 }
--- a/pool/trial.go
+++ b/pool/trial.go
@@ -58,7 +58,7 @@
 	inFlight bool
 	// urgent trials don't wait for the share of requests.
 	urgent bool
-	// recovered is the evidence of health since the last failed trial.
+	// recovered is the evidence of health; an ejected target's starts anew after each failed trial.
 	recovered float64
 	successes int
 	// flaps counts returns that did not last.
@@ -142,7 +142,7 @@
 	}
 	s.recovered += progress
 	switch {
-	case s.recovered <= -failedEvidence || progress <= -failedEvidence:
+	case progress <= -failedEvidence || (progress < 0 && s.recovered <= -failedEvidence):
 		c.trialFailed(now, t, r)
 	case progress != 0:
 		s.successes++
@@ -162,7 +162,14 @@
 
 func (c *Cell) trialFailed(now Time, t *target, r *request) {
 	s := &t.trial
-	s.recovered, s.successes = 0, 0
+	s.successes = 0
+	if t.state == TargetAvoided {
+		// Failures count against later successes: a target that fails one request in five would pass a
+		// series of successes sooner or later.
+		s.recovered = max(s.recovered, -returnEvidence)
+	} else {
+		s.recovered = 0
+	}
 	if !r.trial {
 		return
 	}
