--- a/measure/detection.go
+++ b/measure/detection.go
@@ -197,7 +197,7 @@
 		return
 	}
 	window := timesFor(j.profile, j.load).fault.Seconds()
-	var out, ejected, affected []float64
+	var out, ejected, affected, lastWork []float64
 	undetected := 0
 	for _, r := range runs {
 		seconds := window
@@ -208,6 +208,7 @@
 		}
 		out = append(out, seconds)
 		affected = append(affected, float64(r.watch.affected()))
+		lastWork = append(lastWork, r.watch.lastHarm().Seconds())
 		if r.watch.ejectedAt >= 0 {
 			ejected = append(ejected, time.Duration(r.watch.ejectedAt-r.watch.since).Seconds())
 		}
@@ -224,6 +225,7 @@
 	requests, hasRequests := goalRequests(j.profile, j.load, j.scenario.name)
 	add("seconds.p50", quantile(out, 0.5), unitSeconds, 0, false)
 	add("seconds.p99", quantile(out, 0.99), unitSeconds, seconds, hasSeconds)
+	add("lastHarm.seconds.p99", quantile(lastWork, 0.99), unitSeconds, 0, false)
 	add("affected.p50", quantile(affected, 0.5), unitRequests, 0, false)
 	add("affected.p99", quantile(affected, 0.99), unitRequests, requests, hasRequests)
 	add("undetected", float64(undetected), unitCount, 0, hasSeconds || hasRequests)
--- a/measure/world.go
+++ b/measure/world.go
@@ -311,3 +311,15 @@
 	}
 	return n
 }
+
+// lastHarm returns how long after the fault began the last harmed attempt before the target was out
+// started. It is earlier than out when the chooser steers work away before it avoids the target.
+func (v *watch) lastHarm() time.Duration {
+	var last time.Duration
+	for _, at := range v.harmed {
+		if v.out < 0 || at <= v.out {
+			last = time.Duration(at - v.since)
+		}
+	}
+	return last
+}
