--- a/pool/property_test.go
+++ b/pool/property_test.go
@@ -33,7 +33,7 @@
 
 type modelRequest struct {
 	Request
-	finals, runs       int
+	finals             int
 	written, cancelled bool
 }
 
--- a/pool/sim_test.go
+++ b/pool/sim_test.go
@@ -86,11 +86,10 @@
 	faults map[table.TargetID]*fault
 	live   map[RequestID]Request
 	// poison is sent with this probability and crashes each target for crashTime.
-	poison      float64
-	fingerprint func() Fingerprint
-	crashed     map[table.TargetID]Time
-	running     map[table.TargetID][]RequestID
-	paused      bool
+	poison  float64
+	crashed map[table.TargetID]Time
+	running map[table.TargetID][]RequestID
+	paused  bool
 
 	runs, retries, trials, finals, good, refused int
 	// lastOrdinary and ordinary describe the ordinary work of the target under observation.
