--- /dev/null
+++ b/fleet/standing.go
@@ -0,0 +1,155 @@
+package fleet
+
+import (
+	"slices"
+	"time"
+
+	"github.com/bilberrywood/bilberrywood/table"
+)
+
+// maySole reports whether the conditions of a sole owner hold that don't depend on the cell: this
+// entry has been able to own cells for the handover time without a late tick, and for the settling
+// time it has had direct two-way links with every entry that is named anywhere and not known to be
+// gone. The settling time lets a peer that took itself for the owner learn of the healed link.
+func (m *Membership) maySole(now time.Duration) bool {
+	if m.state != StateServing || !m.linkedToAll(now) || !m.informed() {
+		return false
+	}
+	if !m.faults.noSettle && now-m.unlinkedAt < m.Times.Settle {
+		return false
+	}
+	return m.faults.noHandoverWait || now-m.ownFrom >= m.Times.Handover
+}
+
+// informed reports whether this entry can know who else exists. A fleet list that does not name it
+// is older than its start and may lack others too. Without any list, when the platform is down, its
+// peers tell.
+func (m *Membership) informed() bool {
+	if m.hasList {
+		return m.everListed
+	}
+	return slices.ContainsFunc(m.peers, func(p *peer) bool { return p.link == LinkTwoWay })
+}
+
+// linkedToAll reports whether there is a direct two-way link with every entry that is named
+// anywhere and not known to be gone. A relayed link does not count, so that a cut is noticed within
+// the suspect time plus one heartbeat.
+func (m *Membership) linkedToAll(now time.Duration) bool {
+	for _, p := range m.peers {
+		switch {
+		case m.linkOf(now, p) == LinkTwoWay:
+		case m.faults.relayCounts && p.live:
+		case p.left:
+		case !m.absent(now, p):
+			return false
+		}
+	}
+	for _, at := range m.unknown {
+		if now-at <= m.Times.Gone {
+			return false
+		}
+	}
+	return true
+}
+
+// mayEject reports whether an owner may eject at all: every entry that is named and not known to be
+// gone has known this incarnation. An entry that never heard of this one may be sole, and its
+// ejections of protected targets would add to this entry's ejections.
+func (m *Membership) mayEject(now time.Duration) bool {
+	if m.faults.noSettle {
+		return true
+	}
+	if now-m.ownFrom < m.Times.Settle || !m.informed() {
+		return false
+	}
+	for _, p := range m.peers {
+		if !p.knewMe && !p.left && !m.absent(now, p) {
+			return false
+		}
+	}
+	return true
+}
+
+// Standing returns how sure this entry may be that no other entry serves the cell.
+func (v *View) Standing(c CellKey) Standing {
+	cell := c.hash()
+	if v.owner(cell) != v.self {
+		return NotOwner
+	}
+	if !v.maySole || v.claimedByOther(c) {
+		return Contested
+	}
+	wait := v.times.Handover
+	if v.faults.noHandoverWait {
+		wait = 0
+	}
+	if v.heavierWithin(cell, wait, func(r *viewRow) time.Duration { return r.servingUntil }) {
+		return Contested
+	}
+	return Sole
+}
+
+// MayEject reports whether this entry, as sole or contested owner of the cell, may eject targets. A
+// new owner first waits until a former owner that was sole has noticed that it no longer is, because
+// ejections of protected targets by that one and ejections by this one would add up. While MayEject
+// is false, targets that are ejected already must count as avoided.
+func (v *View) MayEject(c CellKey) bool {
+	cell := c.hash()
+	if v.owner(cell) != v.self || !v.mayEject {
+		return false
+	}
+	if v.faults.noSettle {
+		return true
+	}
+	return !v.heavierWithin(cell, v.times.Settle, func(r *viewRow) time.Duration { return r.eligibleUntil })
+}
+
+// heavierWithin reports whether a peer that ranks above this entry for the cell could own it less
+// than wait ago.
+func (v *View) heavierWithin(cell hash64, wait time.Duration, until func(*viewRow) time.Duration) bool {
+	own := weight(v.rows[v.self].hash, cell)
+	for i := range v.rows {
+		if i == v.self || v.At-until(&v.rows[i]) > wait {
+			continue
+		}
+		if weight(v.rows[i].hash, cell) > own {
+			return true
+		}
+	}
+	return false
+}
+
+// claimedByOther reports whether a peer that is heard claims the cell.
+func (v *View) claimedByOther(c CellKey) bool { return len(v.Claimants(c)) > 0 }
+
+// Claimants returns the peers that were lately heard to serve the cell. A claim lasts for the gone
+// time, because many claims are spread over several heartbeats.
+func (v *View) Claimants(c CellKey) []EntryID {
+	var ids []EntryID
+	for i := range v.rows {
+		for _, claim := range v.rows[i].claims {
+			if claim.Cell == c && !claim.released && v.At-claim.at <= v.times.Gone {
+				ids = append(ids, v.Members[i].ID)
+			}
+		}
+	}
+	return ids
+}
+
+// LastEjected returns the targets of the cell that its latest other owner reported as ejected, so
+// that a new owner starts with them, and whether any claim is known.
+func (v *View) LastEjected(c CellKey) ([]table.TargetID, bool) {
+	var last *peerClaim
+	for i := range v.rows {
+		for j := range v.rows[i].claims {
+			claim := &v.rows[i].claims[j]
+			if claim.Cell == c && (last == nil || claim.at > last.at) {
+				last = claim
+			}
+		}
+	}
+	if last == nil {
+		return nil, false
+	}
+	return slices.Clone(last.Ejected), true
+}
