pool: requests in flight avoid but don't eject; overlapping timeouts count once

Change: attempts in flight count for avoiding only, with a higher cap and as a load penalty; timeouts of requests that were in flight together are one sample; hopeless targets are not used at saturation; trials of avoided targets don't slow down before a verdict.

--- a/pool/evidence.go
+++ b/pool/evidence.go
@@ -67,6 +67,9 @@
 	suspicion float64
 	// failedAt is the time of the last failure, and failedStart when that request started.
 	failedAt, failedStart Time
+	// timeoutAt is when the first of the last group of overlapping timeouts ended.
+	timeoutAt Time
+	timedOut  bool
 	// ratio is the smoothed share of failures.
 	ratio float64
 	// samples counts the answers since the target's state last changed.
@@ -82,6 +85,11 @@
 	e.late, e.suspicion, e.samples = 0, 0, 0
 }
 
+// settled is the evidence without that of attempts in flight.
+func (e *evidence) settled() float64 {
+	return max(e.some.sum, e.most.sum, e.time.sum, e.connections.sum)
+}
+
 // strongest returns the largest sum of the tests with its reason and number of samples.
 func (e *evidence) strongest() (float64, Reason, int) {
 	sum, reason, samples := e.most.sum, ReasonFailures, e.most.samples
@@ -164,8 +172,15 @@
 }
 
 // collectTimeout takes a request that was not answered before its deadline. It is a failure of the target
-// only where the peers would have answered long before; else the deadline was too short.
+// only where the peers would have answered long before; else the deadline was too short. Requests that
+// were in flight together count once, because a lost link or a silent connection may have stopped all of
+// them at one moment.
 func (c *Cell) collectTimeout(now Time, t *target, r *request, o *Outcome) float64 {
+	e := &t.evidence
+	if e.timedOut && r.started <= e.timeoutAt {
+		return 0
+	}
+	e.timedOut, e.timeoutAt = true, now
 	if r.Upload || !c.history.known() {
 		return c.answered(now, t, r, true)
 	}
--- a/pool/history.go
+++ b/pool/history.go
@@ -36,7 +36,7 @@
 	// maxSlowEvidence and maxLateEvidence cap what one answer, or one request without an answer, adds, so
 	// that single outliers don't eject a target.
 	maxSlowEvidence = 5.0
-	maxLateEvidence = 10.0
+	maxLateEvidence = 12.0
 	// leastLateEvidence is the evidence below which an age is not looked up.
 	leastLateEvidence = 0.1
 	// overdue is the evidence from which a request without an answer counts as failed.
--- a/pool/judge.go
+++ b/pool/judge.go
@@ -66,7 +66,8 @@
 			return
 		}
 	}
-	if t.state == TargetAvoided && sum >= threshold && !c.doubtful(now) {
+	// Attempts in flight only make a target avoided: if their connections are silent, the target is sound.
+	if t.state == TargetAvoided && e.settled() >= threshold && !c.doubtful(now) {
 		c.eject(now, t, sum, threshold, reason, samples)
 	}
 }
--- a/pool/pick.go
+++ b/pool/pick.go
@@ -63,17 +63,16 @@
 	return now-r.submitted >= Time(min(max(2*c.queue.hold, minAvoidWait), maxAvoidWait))
 }
 
-// wasteful says that a request that can't be repeated would risk being lost at the target, so that it
-// rather waits, or is refused as not run. An upload holds its slot for so long that few of them are
-// evidence in time, so it also passes over targets with a recent fault, and until one succeeds uploads run
-// there one at a time.
+// wasteful says that the request would risk being lost at the target, so that it rather waits, or is refused
+// as not run. An upload holds its slot for so long that few of them are evidence in time, so it also passes
+// over targets with a recent fault, and until one succeeds uploads run there one at a time.
 func (c *Cell) wasteful(now Time, t *target, r *request) bool {
+	if t.state == TargetAvoided {
+		return c.servingTargets > 0 && (t.hopeless() || (!r.replaceable() && !t.onlySlow()))
+	}
 	if r.replaceable() {
 		return false
 	}
-	if t.state == TargetAvoided {
-		return c.servingTargets > 0 && !t.onlySlow()
-	}
 	if !r.Upload || c.mostSuspected {
 		return false
 	}
@@ -120,9 +119,9 @@
 	return best
 }
 
-// suspicion is how much a target counts as more loaded because of evidence against it. It applies for a
-// few service times after the last fault only: a target that got no work could never clear itself, nor be
-// found bad.
+// suspicion is how much a target counts as more loaded because of evidence against it. It applies
+// while requests are late, and for a few service times after the last fault: a target that got no work for
+// longer could never clear itself, nor be found bad.
 func (c *Cell) suspicion(now Time, t *target) float64 {
 	if c.mostSuspected {
 		return 0
@@ -134,7 +133,7 @@
 func (t *target) suspicion(recent Time) float64 {
 	e := &t.evidence
 	level := 0.0
-	if e.failedAt > 0 && e.failedAt >= recent {
+	if e.late > 0 || (e.failedAt > 0 && e.failedAt >= recent) {
 		level = e.suspicion
 	}
 	if s := &t.connection; s.streak > 0 && s.lastFault >= recent {
--- a/pool/target.go
+++ b/pool/target.go
@@ -69,6 +69,14 @@
 // onlySlow says that the target is out of service because it is slow, and that none of its requests hangs.
 func (t *target) onlySlow() bool { return t.reason == ReasonSlow && t.evidence.late == 0 }
 
+// hopeless says that hardly any request at a target out of service would be answered, so that its slots are
+// no help at saturation.
+func (t *target) hopeless() bool {
+	e := &t.evidence
+	hangs := e.late > 0 || (e.timedOut && e.timeoutAt >= t.since)
+	return hangs || t.reason == ReasonFailures || t.reason == ReasonConnections
+}
+
 func (t *target) freeSlots() int { return t.limit - t.inFlight }
 
 func (t *target) removeAttempt(r *request) {
--- a/pool/trial.go
+++ b/pool/trial.go
@@ -180,7 +180,10 @@
 	case TargetUnreachable:
 		s.interval = min(2*s.interval, maxReconnect)
 	default:
-		s.interval = min(2*s.interval, maxAvoidedTrial)
+		// Trials go on at the same rate until there is a verdict, unless ejection is not possible.
+		if t.blocked != "" {
+			s.interval = min(2*s.interval, maxAvoidedTrial)
+		}
 	}
 	// The jitter keeps trials of several targets apart.
 	s.due = now + Time(s.interval) + Time(c.Random.Int64N(int64(s.interval)/4+1))
