--- a/pool/pick.go
+++ b/pool/pick.go
@@ -19,6 +19,13 @@
 // connectionSuspicion is the suspicion after a connection fault that is no evidence yet.
 const connectionSuspicion = 0.5
 
+// overloadHolds is the wait, in mean service times, that shows a lasting overload. Then every slot counts
+// for more than the few uploads that a bad target could take.
+const overloadHolds = 3
+
+// unresolvedSuspicion is less than the suspicion after one failure, and more than after a success since.
+const unresolvedSuspicion = 0.3
+
 // suspicionHolds is how long suspicion counts, in mean service times.
 const suspicionHolds = 4
 
@@ -56,17 +63,23 @@
 	return now-r.submitted >= Time(min(max(2*c.queue.hold, minAvoidWait), maxAvoidWait))
 }
 
-// wasteful says that a request that can't be repeated would risk being lost at the target, so that it
-// rather waits, or is refused as not run. An upload holds its slot for so long that few of them are
-// evidence in time, so it also passes over targets with a recent fault.
+// wasteful says that the request would risk being lost at the target, so that it rather waits, or is refused
+// as not run. An upload holds its slot for so long that few of them are evidence in time, so it also passes
+// over targets with a recent fault, and until one succeeds uploads run there one at a time.
 func (c *Cell) wasteful(now Time, t *target, r *request) bool {
+	if t.state == TargetAvoided {
+		return c.servingTargets > 0 && (t.hopeless() || (!r.replaceable() && !t.onlySlow()))
+	}
 	if r.replaceable() {
 		return false
 	}
-	if t.state == TargetAvoided {
-		return c.servingTargets > 0 && !t.onlySlow()
+	if !r.Upload || c.mostSuspected {
+		return false
+	}
+	if t.unresolved() && t.inFlight > 0 {
+		return now-r.submitted < Time(overloadHolds*c.queue.hold)
 	}
-	return r.Upload && c.suspicion(now, t) > 0 && !c.waitedLong(now, r)
+	return t.suspicion(now-Time(c.queue.hold)) > 0 && !c.waitedLong(now, r)
 }
 
 // leastInFlight returns the target in the given state with the lowest share of its slots in use. A
@@ -106,20 +119,32 @@
 	return best
 }
 
-// suspicion is how much a target counts as more loaded because of evidence against it. It applies for a
-// few service times after the last fault only: a target that got no work could never clear itself, nor be
-// found bad.
+// suspicion is how much a target counts as more loaded because of evidence against it. It applies
+// while requests are late, and for a few service times after the last fault: a target that got no work for
+// longer could never clear itself, nor be found bad.
 func (c *Cell) suspicion(now Time, t *target) float64 {
+	if c.mostSuspected {
+		return 0
+	}
+	return suspicionWeight * t.suspicion(now-Time(suspicionHolds*c.queue.hold))
+}
+
+// suspicion is the evidence of faults since the given time as a share of what makes the target avoided.
+func (t *target) suspicion(recent Time) float64 {
 	e := &t.evidence
-	recent := now - Time(suspicionHolds*c.queue.hold)
 	level := 0.0
-	if e.failedAt > 0 && e.failedAt >= recent {
+	if e.late > 0 || (e.failedAt > 0 && e.failedAt >= recent) {
 		level = e.suspicion
 	}
 	if s := &t.connection; s.streak > 0 && s.lastFault >= recent {
 		level = max(level, connectionSuspicion)
 	}
-	return suspicionWeight * level
+	return level
+}
+
+// unresolved says that no success has outweighed the last fault yet.
+func (t *target) unresolved() bool {
+	return t.connection.streak > 0 || t.evidence.suspicion >= unresolvedSuspicion
 }
 
 // anotherExists says that a serving target other than t exists, free or not.
@@ -141,12 +166,16 @@
 		slots++
 	}
 	c.servingSlots, c.servingTargets, c.avoidedTargets, c.trials.waiting = 0, 0, 0, 0
+	suspected := 0
 	for i := range c.targets.len() {
 		t := c.targets.at(i)
 		t.limit = c.rampedSlots(now, t, slots)
 		switch t.state {
 		case TargetServing:
 			c.servingTargets++
+			if t.suspicion(now-Time(suspicionHolds*c.queue.hold)) > 0 {
+				suspected++
+			}
 			if now >= t.shedUntil {
 				c.servingSlots += t.limit
 			}
@@ -157,4 +186,5 @@
 			c.trials.waiting++
 		}
 	}
+	c.mostSuspected = suspected*2 > c.servingTargets
 }
