--- a/entry/entry.go
+++ b/entry/entry.go
@@ -215,11 +215,7 @@
 // listen opens the two HTTP servers.
 func (e *Entry) listen() error {
 	s := &e.Settings
-	callers := echo.New()
-	callers.HideBanner, callers.HidePort = true, true
-	callers.GET("/v1/addresses", e.addresses)
-	callers.Any("/*", e.serve)
-	e.callers = e.server(callers)
+	e.callers = e.server(e.callerRoutes())
 	e.operators = e.server(e.operatorRoutes())
 	servers := []struct {
 		address string
@@ -240,6 +236,15 @@
 	return nil
 }
 
+// callerRoutes returns the callers' interface.
+func (e *Entry) callerRoutes() http.Handler {
+	r := echo.New()
+	r.HideBanner, r.HidePort = true, true
+	r.GET("/v1/addresses", e.addresses)
+	r.Any("/*", e.serve)
+	return r
+}
+
 // Time limits of the HTTP servers that don't depend on a route.
 const (
 	readHeaderTimeout = 10 * time.Second
