Put pairs in force in the order of rulings; pass on who leaves

Cause: (1) the pair in force was stored after the acceptor had ruled, so of two concurrent offers the older could be stored last; (2) an entry that does not hear a leaving peer kept naming it to callers, because others still reported a link with it; (3) an id of a future epoch was reported as not run but not burnt. All found by reading. Change: the acceptor's OnRuling stores the pair; heartbeats name leaving peers; future epochs are unknown. Result: TestLeavingIsPassedOn fails without the rule and passes with it.

--- a/entry/config.go
+++ b/entry/config.go
@@ -53,23 +53,26 @@
 func (c *config) current() *inForce { return c.force.Load() }
 
 // offer rules on a snapshot from the platform or a peer.
-func (c *config) offer(source string, s table.Snapshot) table.Verdict {
-	now := time.Now()
-	ruling := c.acceptor.Offer(now, source, s)
-	switch ruling.Verdict {
+func (c *config) offer(source string, s table.Snapshot) {
+	c.acceptor.Offer(time.Now(), source, s)
+}
+
+// ruled puts an accepted pair in force. The acceptor calls it in the order of its rulings, so that an
+// older pair can't replace a newer one that another goroutine offered.
+func (c *config) ruled(r table.Ruling) {
+	switch r.Verdict {
 	case table.Accepted:
-		f := newInForce(ruling.Pair, c.self, now)
+		f := newInForce(r.Pair, c.self, time.Now())
 		c.force.Store(f)
-		c.log.Info().Str("event", "tablesAccepted").Uint64("revision", uint64(s.Revision)).Uint64("digest", f.pair.Digest).
-			Str("source", source).Msg("tables are in force")
+		c.log.Info().Str("event", "tablesAccepted").Uint64("revision", uint64(r.Revision)).Uint64("digest", f.pair.Digest).
+			Str("source", r.Source).Msg("tables are in force")
 		c.changed(f)
 	case table.Rejected, table.Conflict:
-		c.log.Warn().Str("event", "tablesRejected").Uint64("revision", uint64(s.Revision)).Str("source", source).
-			Str("verdict", ruling.Verdict.String()).Strs("problems", problemTexts(ruling.Problems)).
+		c.log.Warn().Str("event", "tablesRejected").Uint64("revision", uint64(r.Revision)).Str("source", r.Source).
+			Str("verdict", r.Verdict.String()).Strs("problems", problemTexts(r.Problems)).
 			Msg("tables were not accepted; the pair in force stays")
 	case table.Ignored:
 	}
-	return ruling.Verdict
 }
 
 func problemTexts(ps table.Problems) []string {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -117,6 +117,7 @@
 		},
 	}
 	e.counters.register(e.Metrics, e)
+	e.config.acceptor.OnRuling = e.config.ruled
 	e.config.log, e.config.self, e.config.changed = e.Log, s.ID, e.tablesChanged
 	e.fleet.membership = e.membership(incarnation)
 	e.fleet.update(0, func(*fleet.Membership) {})
--- a/fleet/link_test.go
+++ b/fleet/link_test.go
@@ -148,3 +148,20 @@
 	}
 	is.Equal(readers, 2)
 }
+
+// Guards against an entry that leaves and goes on being named to callers by a peer that does not hear
+// it: others have to pass on that it leaves.
+func TestLeavingIsPassedOn(t *testing.T) {
+	for _, off := range []bool{false, true} {
+		is := is.New(t)
+		n := settledNetwork(5)
+		a, b := 0, 1
+		n.entries[b].faults.ignoreLeaving = off
+		n.cut[[2]int{a, b}] = true // b does not hear a
+		n.run(3 * time.Second)
+		n.entries[a].SetState(n.now, StateLeaving)
+		n.run(2 * time.Second)
+		m, _ := n.entries[b].View(n.now).Member(simID(a))
+		is.Equal(m.State == StateLeaving, !off) // known with the rule, not known without it
+	}
+}
--- a/fleet/membership.go
+++ b/fleet/membership.go
@@ -126,6 +126,7 @@
 	relayCounts     bool // a relayed link counts as a direct one
 	listAbsenceOnly bool // absence from the fleet list counts as gone
 	noSettle        bool // a new owner ejects at once
+	ignoreLeaving   bool // only an entry itself tells that it leaves
 }
 
 // start sets up the tables at the first call of any method.
--- a/fleet/receive.go
+++ b/fleet/receive.go
@@ -34,9 +34,22 @@
 			m.unknown[k.name()] = now
 		}
 	}
+	if !m.faults.ignoreLeaving {
+		m.takeLeaving(h.Leaving)
+	}
 	m.refreshPeer(now, p)
 }
 
+// takeLeaving notes which peers leave according to another. Leaving is final for an incarnation, so the
+// report can't be outdated.
+func (m *Membership) takeLeaving(keys KeySet) {
+	for _, k := range keys {
+		if p := m.byName[k.name()]; p != nil && p.name.with(p.Incarnation) == k {
+			p.State = StateLeaving
+		}
+	}
+}
+
 // admit reports whether the heartbeat is news. A higher incarnation replaces the former one at once,
 // a lower one only when the former is gone, since it may be an old process that still runs.
 func (m *Membership) admit(now time.Duration, p *peer, h Heartbeat) bool {
--- a/fleet/send.go
+++ b/fleet/send.go
@@ -59,7 +59,8 @@
 		Poison:           m.nextPoison(),
 	}
 	brief.Missing = m.nextMissing(now)
-	used := keyBytes*(len(set.keys)+len(brief.Missing)) + poisonBytes*len(brief.Poison)
+	brief.Leaving = m.leaving(now)
+	used := keyBytes*(len(set.keys)+len(brief.Missing)+len(brief.Leaving)) + poisonBytes*len(brief.Poison)
 	brief.Claims, brief.MoreClaims = m.nextClaims(variableBytes - used)
 	full := brief
 	full.Full = true
@@ -113,6 +114,21 @@
 	return missing
 }
 
+// maxLeaving is the most leaving entries that one heartbeat names.
+const maxLeaving = 16
+
+// leaving returns the peers that said lately that they leave.
+func (m *Membership) leaving(now time.Duration) KeySet {
+	var keys KeySet
+	for _, p := range m.peers {
+		if p.State == StateLeaving && now-p.heardAt <= m.Times.Gone && len(keys) < maxLeaving {
+			keys = append(keys, p.name.with(p.Incarnation))
+		}
+	}
+	slices.Sort(keys)
+	return keys
+}
+
 // nextClaims returns as many claims as fit into size bytes, and whether there are more.
 func (m *Membership) nextClaims(size int) ([]CellClaim, bool) {
 	if claimsSize(m.claims) <= size {
--- a/fleet/types.go
+++ b/fleet/types.go
@@ -118,6 +118,9 @@
 	TickLateMs int64 `cbor:"18,keyasint,omitempty"`
 	// Introduced names one peer of the sender, so that entries find peers that no list names.
 	Introduced *Introduction `cbor:"19,keyasint,omitempty"`
+	// Leaving names peers that the sender hears and that leave, so that an entry that does not hear
+	// them, because of a one-way cut, stops naming them to callers too.
+	Leaving KeySet `cbor:"22,keyasint,omitempty"`
 	// Epoch is the epoch of run ids that callers of the sender make now.
 	Epoch uint32 `cbor:"20,keyasint,omitempty"`
 }
--- a/notice/register.go
+++ b/notice/register.go
@@ -102,8 +102,9 @@
 	}
 	switch {
 	case id.Epoch > max(epoch, g.closed):
-		// This incarnation never gave out such an epoch, so nobody has run the id.
-		return nil, VerdictNotRun
+		// This incarnation never gave out such an epoch. "Not run" would not be certain, since a
+		// copy may come when the epoch has begun.
+		return nil, VerdictUnknown
 	case id.Epoch+memoryEpochs <= epoch:
 		return nil, VerdictUnknown
 	case id.Epoch+admitEpochs <= epoch, id.Epoch < g.closed:
