--- a/entry/config.go
+++ b/entry/config.go
@@ -59,10 +59,10 @@
 
 // ruled puts an accepted pair in force. The acceptor calls it in the order of its rulings, so that an
 // older pair can't replace a newer one that another goroutine offered.
-func (c *config) ruled(r table.Ruling) {
+func (c *config) ruled(now time.Time, r table.Ruling) {
 	switch r.Verdict {
 	case table.Accepted:
-		f := newInForce(r.Pair, c.self, time.Now())
+		f := newInForce(r.Pair, c.self, now)
 		c.force.Store(f)
 		c.log.Info().Str("event", "tablesAccepted").Uint64("revision", uint64(r.Revision)).Uint64("digest", f.pair.Digest).
 			Str("source", r.Source).Msg("tables are in force")
