--- a/Makefile
+++ b/Makefile
@@ -23,6 +23,7 @@
 	scripts/check-models
 
 process: build
+	$(GO) build -tags faults -o $(BIN)/entry-faults ./cmd/entry
 	$(GO) test -tags process -count=1 -timeout 15m ./process/...
 
 $(BIN)/golangci-lint: tools/go.mod
--- a/entry/bind.go
+++ b/entry/bind.go
@@ -16,6 +16,9 @@
 // forwardToBound passes a request to the only process that may run its id. Whatever goes wrong,
 // the outcome is unknown here, because a copy may have reached that process before.
 func (e *Entry) forwardToBound(ctx context.Context, x *exchange, force *inForce) *refusal {
+	if e.faults.runForeign {
+		return e.runUnregistered(ctx, x, force, e.admitRoute(x, force, x.Header))
+	}
 	if x.Hops > 0 {
 		return unknown(reasonBoundGone, "the id is bound to "+x.id.String()+", which this entry is not")
 	}
@@ -40,6 +43,9 @@
 // early is a refusal that was found before; it also has to go through the register, because "not
 // run" holds for an id only once no copy of it can run later.
 func (e *Entry) runBound(ctx context.Context, x *exchange, force *inForce, early *refusal) *refusal {
+	if e.faults.forgetIDs {
+		return e.runUnregistered(ctx, x, force, early)
+	}
 	run, verdict := e.register.Admit(e.sinceStart(), *x.id, x.content())
 	if verdict == notice.VerdictWait {
 		select {
@@ -58,6 +64,14 @@
 	return verdictRefusal(verdict)
 }
 
+// runUnregistered runs a request whatever the register knows of its id; only faults lead here.
+func (e *Entry) runUnregistered(ctx context.Context, x *exchange, force *inForce, early *refusal) *refusal {
+	if early != nil {
+		return early
+	}
+	return e.route(ctx, x, force)
+}
+
 // verdictRefusal answers copies that do not run.
 func verdictRefusal(v notice.Verdict) *refusal {
 	switch v {
--- a/entry/cellset.go
+++ b/entry/cellset.go
@@ -90,7 +90,11 @@
 	}
 	c := &servedCell{cellRunner: runner}
 	c.prober = &target.Prober{
-		Signal: func(t target.ProbeTarget, sig pool.Signal) { runner.signal(t.ID, sig) },
+		Signal: func(t target.ProbeTarget, sig pool.Signal) {
+			if sig.Kind != pool.SignalDraining || !s.e.faults.ignoreDrain {
+				runner.signal(t.ID, sig)
+			}
+		},
 	}
 	c.apply(force, s.e.fleet.view())
 	return c
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -52,6 +52,7 @@
 	background sync.WaitGroup
 	state      atomic.Uint32
 	lastTick   atomic.Int64
+	faults     faults
 }
 
 // now returns the monotonic time since the start for decisions.
@@ -76,6 +77,10 @@
 // Run serves until ctx ends and then stops without cutting off requests, as far as
 // Settings.StopLimitMs allows. Errors are of class Error and mean that the entry could not serve.
 func (e *Entry) Run(ctx context.Context) error {
+	var err error
+	if e.faults, err = readFaults(); err != nil {
+		return err
+	}
 	e.prepare()
 	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWork()
@@ -88,7 +93,9 @@
 		e.close()
 		return err
 	}
-	e.join(ctx)
+	if !e.faults.platformFirst {
+		e.join(ctx)
+	}
 	e.background.Go(func() { e.catchUp(work) })
 	e.background.Go(func() { e.watcher.Run(work) })
 	e.awaitTables(ctx)
--- /dev/null
+++ b/entry/faults_on.go
@@ -0,0 +1,33 @@
+//go:build faults
+
+package entry
+
+import (
+	"os"
+	"strings"
+)
+
+// faultsVariable has the names of the rules that are switched off, separated by commas.
+const faultsVariable = "BILBERRYWOOD_FAULTS"
+
+// readFaults switches the rules off that the environment names.
+func readFaults() (faults, error) {
+	var f faults
+	switches := map[string]*bool{
+		"runForeign": &f.runForeign, "forgetIDs": &f.forgetIDs, "skipAnswerWait": &f.skipAnswerWait,
+		"platformFirst": &f.platformFirst, "ignoreDrain": &f.ignoreDrain,
+		"passTruncated": &f.passTruncated, "cutOnStop": &f.cutOnStop, "sayNotRun": &f.sayNotRun,
+	}
+	names := os.Getenv(faultsVariable)
+	if names == "" {
+		return f, nil
+	}
+	for _, name := range strings.Split(names, ",") {
+		s, ok := switches[name]
+		if !ok {
+			return f, Error.New("%s: %q is not a switch", faultsVariable, name)
+		}
+		*s = true
+	}
+	return f, nil
+}
--- a/entry/observe.go
+++ b/entry/observe.go
@@ -9,6 +9,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/bilberrywood/bilberrywood/fleet"
+	"github.com/bilberrywood/bilberrywood/notice"
 	"github.com/bilberrywood/bilberrywood/pool"
 	"github.com/bilberrywood/bilberrywood/table"
 )
@@ -94,7 +95,10 @@
 
 // refuse counts and logs a refusal. cut says that an answer had begun and is cut off instead.
 func (e *Entry) refuse(x *exchange, ref *refusal, cut bool) {
-	if ref.outcome == "notRun" {
+	if e.faults.sayNotRun {
+		ref.outcome = notice.OutcomeNotRun
+	}
+	if ref.outcome == notice.OutcomeNotRun {
 		e.counters.notRun.Inc(1)
 	} else {
 		e.counters.lost.Inc(1)
--- a/entry/place.go
+++ b/entry/place.go
@@ -188,6 +188,7 @@
 
 // report tells the cell how the attempt ended and logs it.
 func (p *placement) report(d pool.Decision, o pool.Outcome) {
+	o.Draining = o.Draining && !p.e.faults.ignoreDrain
 	p.e.logAttempt(p.x, d.Target, d.Reason, outcomeNames[o.Kind])
 	p.cell.finish(p.id, o)
 }
@@ -222,6 +223,9 @@
 	if err == nil {
 		err = copyBody(out, a.Body)
 	}
+	if err != nil && p.e.faults.passTruncated {
+		err = nil
+	}
 	switch {
 	case err == nil:
 		err = out.Finish(a.Trailer)
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -39,9 +39,12 @@
 	limit := settings.Millis(e.Settings.StopLimitMs)
 	e.setState(fleet.StateLeaving)
 	reachable := settings.Millis(e.Settings.GoneMs + e.Settings.AnswerValidMs)
-	if len(e.fleet.view().Members) > 1 {
+	if len(e.fleet.view().Members) > 1 && !e.faults.skipAnswerWait {
 		time.Sleep(min(reachable, limit))
 	}
+	if e.faults.cutOnStop {
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), max(time.Second, limit-time.Since(began)))
 	defer cancel()
 	// Shutdown waits for the requests of callers; forwarded ones are counted apart.
--- a/process/harness_test.go
+++ b/process/harness_test.go
@@ -44,6 +44,9 @@
 	local    *standin.LocalFleet
 	relays   *relays
 	entries  map[fleet.EntryID]*process
+	// faults are the rules that are switched off in the entries; found has what the judges say then.
+	faults string
+	found  []string
 }
 
 // process is one run of an entry.
@@ -59,6 +62,8 @@
 	adjust  func(*settings.Entry)
 	pools   func(*table.Pools)
 	service time.Duration
+	// faults names rules that are switched off in all entries; see entry/faults.go.
+	faults string
 	// idle leaves the entries to be started by the test.
 	idle bool
 }
@@ -67,7 +72,7 @@
 	t.Helper()
 	w := &world{
 		t: t, dir: t.TempDir(), targets: map[string][]*standin.Target{},
-		entries: map[fleet.EntryID]*process{}, relays: newRelays(t),
+		entries: map[fleet.EntryID]*process{}, relays: newRelays(t), faults: o.faults,
 	}
 	w.startTargets(o)
 	if o.pools != nil {
@@ -214,7 +219,10 @@
 	w.t.Helper()
 	log, err := os.OpenFile(w.logPath(id), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	w.check(err)
-	p := &process{command: exec.Command("../bin/entry", "--settings", w.local.SettingsPath(id)), done: make(chan struct{})}
+	p := &process{command: exec.Command(w.program(), "--settings", w.local.SettingsPath(id)), done: make(chan struct{})}
+	if w.faults != "" {
+		p.command.Env = append(os.Environ(), "BILBERRYWOOD_FAULTS="+w.faults)
+	}
 	p.command.Stdout, p.command.Stderr = log, log
 	w.check(p.command.Start())
 	w.entries[id] = p
@@ -292,9 +300,13 @@
 	if err := settings.Read(w.local.SettingsPath(id), &s); err != nil {
 		return err
 	}
+	return getJSON("http://"+s.OperatorAddress+path, into)
+}
+
+func getJSON(url string, into any) error {
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+s.OperatorAddress+path, nil)
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return err
 	}
--- a/process/traffic_test.go
+++ b/process/traffic_test.go
@@ -127,28 +127,19 @@
 // once, and one that was reported as not run did not run.
 func (tr *traffic) judge() verdict {
 	tr.w.t.Helper()
-	runs := map[string]int{}
-	for _, targets := range tr.w.targets {
-		for _, t := range targets {
-			for _, run := range t.Record("").Runs {
-				if run.ID != "" {
-					runs[run.ID]++
-				}
-			}
-		}
-	}
+	runs := tr.w.runs()
 	for id, n := range runs {
 		if n > 1 {
-			tr.w.t.Errorf("I4: id %s ran %d times", id, n)
+			tr.w.violated("I4", "id %s ran %d times", id, n)
 		}
 	}
 	var v verdict
 	for _, e := range tr.told {
 		switch {
 		case e.foreign:
-			tr.w.t.Errorf("I2: answer of another request: %+v", e)
+			tr.w.violated("I2", "not the whole answer of the request: %+v", e)
 		case e.partial:
-			tr.w.t.Errorf("I2: truncated answer passed as whole: %+v", e)
+			tr.w.violated("I2", "truncated answer passed as whole: %+v", e)
 		}
 		tr.judgeAttempts(e, runs)
 		switch e.outcome {
@@ -158,7 +149,7 @@
 				v.failed++
 			}
 			if e.route == notices && e.id != "" && runs[e.id] == 0 {
-				tr.w.t.Errorf("I3: reported as run but did not run: %+v", e)
+				tr.w.violated("I3", "reported as run but did not run: %+v", e)
 			}
 		case caller.OutcomeNotRun:
 			v.notRun++
@@ -170,11 +161,26 @@
 	return v
 }
 
+// runs counts the runs of each id at all targets.
+func (w *world) runs() map[string]int {
+	runs := map[string]int{}
+	for _, targets := range w.targets {
+		for _, t := range targets {
+			for _, run := range t.Record("").Runs {
+				if run.ID != "" {
+					runs[run.ID]++
+				}
+			}
+		}
+	}
+	return runs
+}
+
 // judgeAttempts checks each attempt whose entry said that its id was not run.
 func (tr *traffic) judgeAttempts(e told, runs map[string]int) {
 	for _, a := range e.attempts {
 		if a.Outcome == caller.OutcomeNotRun && a.Status != 0 && a.ID != "" && runs[a.ID] > 0 {
-			tr.w.t.Errorf("I3: id %s ran although it was reported as not run: %+v", a.ID, e)
+			tr.w.violated("I3", "id %s ran although it was reported as not run: %+v", a.ID, e)
 		}
 	}
 }
