Add the operators' client

Operators and the monitor had only the entries' HTTP endpoints, one entry at a time. Package operator asks many entries at once and cmd/bilberry shows the result as text or JSON; an entry that can't be reached is a row of its own. The status of an entry now tells when its process started, whether it reads the platform, and the digest as a string, since JSON readers round numbers above 2^53.

--- a/entry/operator.go
+++ b/entry/operator.go
@@ -20,14 +20,19 @@
 	FailureDomain table.FailureDomain `json:"failureDomain"`
 	State         string              `json:"state"`
 	// Revision, Digest and InForceSince describe the pair in force; Revision is 0 if there is none.
-	Revision     table.Revision `json:"revision"`
-	Digest       uint64         `json:"digest"`
-	InForceSince time.Time      `json:"inForceSince"`
+	Revision table.Revision `json:"revision"`
+	// Digest is a decimal string in JSON, since many readers of JSON keep only 53 bits of a number.
+	Digest       uint64    `json:"digest,string"`
+	InForceSince time.Time `json:"inForceSince"`
 	// Rejections are the last pairs that were not accepted, with their problems.
 	Rejections []table.Rejection `json:"rejections"`
 	Platform   platform.Status   `json:"platform"`
 	SelfDoubt  bool              `json:"selfDoubt"`
-	UpSeconds  float64           `json:"upSeconds"`
+	// Reader says that this entry has read the platform within the last 10 s.
+	Reader bool `json:"reader"`
+	// Started is when the process started; the times in the reports of cells count from it.
+	Started   time.Time `json:"started"`
+	UpSeconds float64   `json:"upSeconds"`
 }
 
 // CellStatus is one element of the answer of GET /v1/cells.
@@ -80,7 +85,7 @@
 		Entry: e.Settings.ID, Incarnation: e.register.Incarnation, FailureDomain: e.Settings.FailureDomain,
 		State:      stateNames[fleet.State(e.state.Load())],
 		Rejections: e.config.acceptor.Rejections(), Platform: e.watcher.Status(),
-		SelfDoubt: e.fleet.view().SelfDoubt, UpSeconds: time.Since(e.start).Seconds(),
+		SelfDoubt: e.fleet.view().SelfDoubt, Reader: e.platformWorking(), Started: e.start, UpSeconds: time.Since(e.start).Seconds(),
 	}
 	if f := e.config.current(); f != nil {
 		s.Revision, s.Digest, s.InForceSince = f.pair.Revision, f.pair.Digest, f.since
--- /dev/null
+++ b/operator/rejected.go
@@ -0,0 +1,60 @@
+package operator
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/bilberrywood/bilberrywood/table"
+)
+
+// RejectedPair is a pair that one or more entries did not accept.
+type RejectedPair struct {
+	Entry string `json:"entry"`
+	table.Rejection
+	// Digest stands for the number of the same name in Rejection, which JSON readers may round.
+	Digest Digest `json:"digest"`
+}
+
+// Rejections are the pairs that were not accepted since each entry started.
+type Rejections struct {
+	Pairs       []RejectedPair `json:"pairs"`
+	Unreachable []EntryError   `json:"unreachable"`
+}
+
+// Rejected asks every entry for the pairs that it did not accept.
+func Rejected(ctx context.Context, c *Client) *Rejections {
+	answers := askStatus(ctx, c)
+	out := &Rejections{Pairs: []RejectedPair{}, Unreachable: unreachable(answers)}
+	for _, a := range answers {
+		for _, r := range a.value.Rejections {
+			out.Pairs = append(out.Pairs, RejectedPair{Entry: string(a.value.Entry), Rejection: r, Digest: Digest(r.Digest)})
+		}
+	}
+	return out
+}
+
+// OK implements Result. Rejections that are over are no failure of the command.
+func (r *Rejections) OK() bool { return len(r.Unreachable) == 0 }
+
+// WriteText implements Result.
+func (r *Rejections) WriteText(w io.Writer) error {
+	if len(r.Pairs) == 0 {
+		if _, err := fmt.Fprintln(w, "no rejected tables"); err != nil {
+			return err
+		}
+	}
+	for _, p := range r.Pairs {
+		_, err := fmt.Fprintf(w, "%s: revision %d from %s, digest %v, offered %d times from %s to %s\n",
+			p.Entry, p.Revision, p.Source, p.Digest, p.Times, timeText(p.First), timeText(p.Last))
+		if err != nil {
+			return err
+		}
+		for _, problem := range p.Problems {
+			if _, err := fmt.Fprintf(w, "  %v\n", problem); err != nil {
+				return err
+			}
+		}
+	}
+	return writeUnreachable(w, r.Unreachable)
+}
