--- a/cmd/bilberry/main.go
+++ b/cmd/bilberry/main.go
@@ -40,10 +40,12 @@
 // run runs one command and returns its exit code.
 func run(ctx context.Context, args []string, out, errOut io.Writer) int {
 	a := &app{ctx: ctx, out: out}
+	// A message that can't be written has no other place to go; the exit code still tells.
+	say := func(w io.Writer, format string, args ...any) { _, _ = fmt.Fprintf(w, format+"\n", args...) }
 	p := flags.NewNamedParser("bilberry", flags.HelpFlag|flags.PassDoubleDash)
 	p.LongDescription = description
 	if err := a.define(p); err != nil {
-		fmt.Fprintln(errOut, "bilberry:", err)
+		say(errOut, "bilberry: %v", err)
 		return exitFailed
 	}
 	_, err := p.ParseArgs(args)
@@ -54,13 +56,13 @@
 	case errors.Is(err, errFound):
 		return exitFailed
 	case errors.As(err, &flagErr) && flagErr.Type == flags.ErrHelp:
-		fmt.Fprintln(out, flagErr.Message)
+		say(out, "%s", flagErr.Message)
 		return exitFine
 	case errors.As(err, &flagErr), operator.UsageError.Has(err):
-		fmt.Fprintf(errOut, "bilberry: %v\nTry: bilberry --help\n", err)
+		say(errOut, "bilberry: %v\nTry: bilberry --help", err)
 		return exitUsage
 	}
-	fmt.Fprintln(errOut, "bilberry:", err)
+	say(errOut, "bilberry: %v", err)
 	return exitFailed
 }
 
--- /dev/null
+++ b/cmd/bilberry/main_test.go
@@ -0,0 +1,64 @@
+package main
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// Guards against exit codes that scripts and the monitor would misread.
+func TestExitCodes(t *testing.T) {
+	kiesbank := []string{"--routes", "../../examples/kiesbank/routes.json", "--pools", "../../examples/kiesbank/pools.json"}
+	kruzes := []string{"--to-routes", "../../examples/kruzes/routes.json", "--to-pools", "../../examples/kruzes/pools.json"}
+	mixed := []string{"--routes", "../../examples/kiesbank/routes.json", "--pools", "../../examples/kruzes/pools.json"}
+	// Port 1 on the loopback interface has no listener.
+	nobody := []string{"--entries", "127.0.0.1:1"}
+	tests := []struct {
+		args []string
+		code int
+	}{
+		{append([]string{"check"}, kiesbank...), exitFine},
+		{append([]string{"check", "--json"}, kiesbank...), exitFine},
+		{append([]string{"check"}, mixed...), exitFailed},
+		{[]string{"check", "--routes", "missing", "--pools", "missing"}, exitFailed},
+		{[]string{"check"}, exitUsage},
+		{append(append([]string{"diff"}, kiesbank...), kruzes...), exitFailed},
+		{[]string{"settings"}, exitUsage},
+		{[]string{"settings", "missing"}, exitFailed},
+		{append([]string{"force"}, nobody...), exitFailed},
+		{append([]string{"fleet"}, nobody...), exitFailed},
+		{append([]string{"log"}, nobody...), exitFailed},
+		{append(append([]string{"audit"}, nobody...), kiesbank...), exitFailed},
+		{append([]string{"explain", "--path", "/", "--entry", "e1"}, nobody...), exitUsage},
+		{append([]string{"force", "more"}, nobody...), exitUsage},
+		{[]string{"force"}, exitUsage},
+		{[]string{"force", "--entries", "127.0.0.1:1", "--settings-dir", "."}, exitUsage},
+		{[]string{"force", "--entries", "entry-1"}, exitUsage},
+		{[]string{"unknown"}, exitUsage},
+		{nil, exitUsage},
+		{[]string{"completion"}, exitFine},
+	}
+	for _, test := range tests {
+		t.Run(strings.Join(test.args, " "), func(t *testing.T) {
+			is := is.New(t)
+			var out, errOut strings.Builder
+			is.Equal(run(t.Context(), test.args, &out, &errOut), test.code)
+			is.Equal(errOut.Len() > 0 && test.code == exitFine, false)
+			is.Equal(errOut.Len() == 0 && test.code == exitUsage, false)
+		})
+	}
+}
+
+// Guards against a command without an example or without its exit codes in the help.
+func TestHelp(t *testing.T) {
+	for name := range help {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var out, errOut strings.Builder
+			is.Equal(run(t.Context(), []string{name, "--help"}, &out, &errOut), exitFine)
+			is.True(strings.Contains(out.String(), "Example"))
+			is.True(strings.Contains(out.String(), "Exit codes: 0 fine"))
+		})
+	}
+}
--- a/operator/audit.go
+++ b/operator/audit.go
@@ -62,7 +62,7 @@
 func readTables(ctx context.Context, c *Client, a Address) (entryTables, error) {
 	var out entryTables
 	var err error
-	if out.status, err = get[entry.Status](ctx, c, a, "/v1/status", nil); err != nil {
+	if out.status, err = readStatus(ctx, c, a); err != nil {
 		return out, err
 	}
 	if out.members, err = get[[]fleet.Member](ctx, c, a, "/v1/members", nil); err != nil {
@@ -73,7 +73,7 @@
 			return out, err
 		}
 		before := out.status
-		if out.status, err = get[entry.Status](ctx, c, a, "/v1/status", nil); err != nil {
+		if out.status, err = readStatus(ctx, c, a); err != nil {
 			return out, err
 		}
 		if out.status.Revision == before.Revision && out.status.Incarnation == before.Incarnation {
@@ -94,7 +94,7 @@
 	out := &Audited{Match: true, Digest: Digest(published.Digest), NotAsked: []fleet.EntryID{}}
 	known := make(map[fleet.EntryID]bool)
 	for _, a := range answers {
-		known[cmp.Or(a.value.status.Entry, a.Entry)] = true
+		known[cmp.Or(a.Entry, a.value.status.Entry)] = true
 	}
 	for _, a := range answers {
 		row := auditRow(published, a)
--- a/operator/client.go
+++ b/operator/client.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/bilberrywood/bilberrywood/entry"
 	"github.com/bilberrywood/bilberrywood/fleet"
 )
 
@@ -83,6 +84,16 @@
 	return out, nil
 }
 
+// readStatus reads the status of an entry. An address that answers as another entry than its settings
+// say is an error: its answer would hide that the entry meant was not asked.
+func readStatus(ctx context.Context, c *Client, a Address) (entry.Status, error) {
+	s, err := get[entry.Status](ctx, c, a, "/v1/status", nil)
+	if err == nil && a.Entry != "" && s.Entry != a.Entry {
+		return s, Error.New("answers as entry %s", s.Entry)
+	}
+	return s, err
+}
+
 // read reads a whole answer.
 func (c *Client) read(ctx context.Context, a Address, path string, query url.Values) ([]byte, error) {
 	body, err := c.open(ctx, a, path, query)
--- a/operator/ejections.go
+++ b/operator/ejections.go
@@ -53,7 +53,7 @@
 func readCells(ctx context.Context, c *Client, a Address) (entryCells, error) {
 	var out entryCells
 	var err error
-	if out.status, err = get[entry.Status](ctx, c, a, "/v1/status", nil); err != nil {
+	if out.status, err = readStatus(ctx, c, a); err != nil {
 		return out, err
 	}
 	out.cells, err = get[[]entry.CellStatus](ctx, c, a, "/v1/cells", nil)
--- a/operator/explain.go
+++ b/operator/explain.go
@@ -40,7 +40,7 @@
 func Explain(ctx context.Context, c *Client, q Question) *Explained {
 	query := url.Values{"method": {q.Method}, "path": {q.Path}, "account": {q.Account}, "token": {q.Token}}
 	answers := ask(ctx, c, func(ctx context.Context, a Address) (ExplainRow, error) {
-		s, err := get[entry.Status](ctx, c, a, "/v1/status", nil)
+		s, err := readStatus(ctx, c, a)
 		if err != nil {
 			return ExplainRow{}, err
 		}
--- a/operator/fleet.go
+++ b/operator/fleet.go
@@ -105,7 +105,7 @@
 	known := make(map[fleet.EntryID]bool)
 	seen := make(map[string]int)
 	for _, a := range answers {
-		known[cmp.Or(a.value.status.Entry, a.Entry)] = true
+		known[cmp.Or(a.Entry, a.value.status.Entry)] = true
 		for _, m := range a.value.members {
 			if m.Live && m.ID != a.value.status.Entry {
 				seen[string(m.ID)]++
--- a/operator/force.go
+++ b/operator/force.go
@@ -46,7 +46,7 @@
 
 func askStatus(ctx context.Context, c *Client) []asked[entry.Status] {
 	return ask(ctx, c, func(ctx context.Context, a Address) (entry.Status, error) {
-		return get[entry.Status](ctx, c, a, "/v1/status", nil)
+		return readStatus(ctx, c, a)
 	})
 }
 
