--- a/operator/log_test.go
+++ b/operator/log_test.go
@@ -50,7 +50,7 @@
 		one, two, three := line("e1", "x", "1"), line("e1", "x", "2"), line("e1", "x", "3")
 		n := network{"a": newFake("e1")}
 		n["a"].log = []string{one, one}
-		n["a"].streams = []string{one + one + two, one + one + two + three + three, ""}
+		n["a"].streams = []string{one + one + two, one + one + two + two + three, ""}
 		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 		defer cancel()
 		var b strings.Builder
@@ -58,7 +58,7 @@
 		is.NoErr(err)
 		is.Equal(len(failed), 0)
 		lines := strings.SplitAfter(b.String(), "\n")
-		is.Equal(strings.Join(append(lines[:3:3], lines[4:6]...), ""), one+one+two+three+three)
+		is.Equal(strings.Join(append(lines[:3:3], lines[4:6]...), ""), one+one+two+two+three)
 		is.True(strings.Contains(lines[3], `"event":"entryUnreachable"`))
 		is.Equal(len(lines), 8) // two more: the log ended again, and the empty rest
 	})
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -198,6 +198,7 @@
 		{"same", func(*entry.Explanation) {}, true, "lookup"},
 		{"other backups", func(x *entry.Explanation) { x.Cells[0].Backups = []fleet.EntryID{"e2"} }, true, "e2"},
 		{"other owner", func(x *entry.Explanation) { x.Cells[0].Owner = "e2" }, false, "DO NOT AGREE"},
+		{"other revision", func(x *entry.Explanation) { x.Revision++ }, false, "DO NOT AGREE"},
 		{"no owner", func(x *entry.Explanation) { x.Cells[0].Owner = "" }, false, "none: placed by the asked entry"},
 		{"refused", func(x *entry.Explanation) { *x = entry.Explanation{Refused: "no route", Revision: 7} }, false, "REFUSED: no route"},
 	}
