peer: send requests only on connections that were heard lately; fleet: faster search for violations

Cause: a request that is sent on a connection that went silent has an unknown outcome until the idle timeout of 2 s ends the connection.

--- a/fleet/network_test.go
+++ b/fleet/network_test.go
@@ -296,14 +296,8 @@
 		n.loss = float64(pick(5)) / 10
 		n.delay = time.Duration(1+pick(30)) * 10 * time.Millisecond
 		e.lag = time.Duration(pick(int(maxLag/time.Second))) * time.Second
-	case 12: // a planned replacement: one entry leaves when another begins to serve
-		if i != j && e.runs {
-			n.start(j)
-			n.entries[j].joinAt = n.now + 6*time.Second
-			e.leaveAt = n.now + 6*time.Second + time.Duration(pick(5)-2)*100*time.Millisecond
-			n.loss = float64(pick(5)) / 10
-			n.run(7 * time.Second)
-		}
+	case 12:
+		n.replacement(pick, i, j)
 	case 13: // a new entry that is on no other entry's list yet loses contact
 		for _, o := range n.entries {
 			o.lag = maxLag
@@ -317,6 +311,19 @@
 	}
 }
 
+// replacement lets one entry leave when another begins to serve.
+func (n *network) replacement(pick func(int) int, leaving, joining int) {
+	e := n.entries[leaving]
+	if leaving == joining || !e.runs {
+		return
+	}
+	n.start(joining)
+	n.entries[joining].joinAt = n.now + 6*time.Second
+	e.leaveAt = n.now + 6*time.Second + time.Duration(pick(5)-2)*100*time.Millisecond
+	n.loss = float64(pick(5)) / 10
+	n.run(7 * time.Second)
+}
+
 // settled says why the entries don't agree, or nothing if they do.
 func (n *network) settled(wantSole bool) string {
 	var live []EntryID
--- a/fleet/property_test.go
+++ b/fleet/property_test.go
@@ -48,14 +48,18 @@
 		}
 	}
 	n.run(time.Duration(pick(30)) * time.Second)
+	if pick(2) == 0 {
+		n.run(10 * time.Second)
+		n.replacement(pick, 0, 1)
+	}
 	for range 4 + pick(30) {
+		if n.violated != "" {
+			break
+		}
 		n.event(pick)
 		if pick(3) > 0 {
 			n.run(time.Duration(1+pick(160)) * simTick)
 		}
-		if n.violated != "" {
-			break
-		}
 	}
 	return n
 }
--- a/peer/forward.go
+++ b/peer/forward.go
@@ -43,6 +43,7 @@
 	if err != nil {
 		return nil, x.fail(Sent, err)
 	}
+	n.heard(x.connection)
 	answer := &Answer{AnswerHeader: header}
 	answer.Body = &answerBody{x: x, frames: bodyReader{r: x.stream}, answer: answer}
 	return answer, nil
@@ -198,5 +199,6 @@
 	if err != nil {
 		return PairMessage{}, x.fail(Sent, err)
 	}
+	n.heard(x.connection)
 	return pair, nil
 }
--- a/peer/heartbeat.go
+++ b/peer/heartbeat.go
@@ -26,7 +26,7 @@
 	}
 	l := n.linkTo(o.ID)
 	l.address = o.Address
-	if l.best() == nil {
+	if n.best(l) == nil {
 		n.Counters.HeartbeatsDropped.Add(1)
 		n.dialForHeartbeat(l)
 		return
@@ -61,7 +61,7 @@
 			return
 		case b := <-l.queue:
 			n.mu.Lock()
-			c := l.best()
+			c := n.best(l)
 			n.mu.Unlock()
 			if c == nil || c.SendDatagram(b) != nil {
 				n.Counters.HeartbeatsDropped.Add(1)
@@ -91,6 +91,7 @@
 				Msg("heartbeat names another sender than the certificate; dropped")
 			continue
 		}
+		n.heard(c)
 		n.Counters.HeartbeatsReceived.Add(1)
 		n.Handler.Heartbeat(h)
 	}
--- a/peer/link.go
+++ b/peer/link.go
@@ -33,6 +33,16 @@
 	dialler fleet.EntryID
 	// requests counts the streams in use.
 	requests atomic.Int64
+	// heardAt is when a heartbeat, a request or an answer last arrived, since Node.began.
+	heardAt atomic.Int64
+}
+
+// heard notes that something arrived.
+func (n *Node) heard(c *connection) { c.heardAt.Store(int64(time.Since(n.began))) }
+
+// fresh reports whether something arrived lately.
+func (n *Node) fresh(c *connection) bool {
+	return time.Since(n.began)-time.Duration(c.heardAt.Load()) <= n.Timeouts.Fresh
 }
 
 // dial is an attempt to open a connection that several callers may wait for.
@@ -42,16 +52,18 @@
 	err        error
 }
 
-// best returns the connection to send on: the one that the lower id opened, so that both ends choose
-// the same, and of several the newest.
-func (l *link) best() *connection {
+// best returns the connection to send on: one on which something arrived lately, of these the one
+// that the lower id opened, so that both ends choose the same, and of several the newest.
+func (n *Node) best(l *link) *connection {
 	var best *connection
+	bestFresh := false
 	for _, c := range l.connections {
 		if c.Context().Err() != nil {
 			continue
 		}
-		if best == nil || c.dialler <= best.dialler {
-			best = c
+		fresh := n.fresh(c)
+		if best == nil || fresh && !bestFresh || fresh == bestFresh && c.dialler <= best.dialler {
+			best, bestFresh = c, fresh
 		}
 	}
 	return best
@@ -76,6 +88,7 @@
 		_ = c.CloseWithError(codeClosing, "entry stops")
 		return false
 	}
+	n.heard(c)
 	l := n.linkTo(id)
 	l.connections = append(l.connections, c)
 	n.tasks.Go(func() { n.receiveDatagrams(id, c) })
@@ -100,7 +113,7 @@
 		case <-c.Context().Done():
 		case <-ticker.C:
 			n.mu.Lock()
-			superseded := l.best() != c
+			superseded := n.best(l) != c
 			n.mu.Unlock()
 			if !superseded || c.dialler != n.ID || c.requests.Load() > 0 {
 				unused = 0
@@ -164,7 +177,7 @@
 	if address != "" {
 		l.address = address
 	}
-	if c := l.best(); c != nil {
+	if c := n.best(l); c != nil && n.fresh(c) {
 		n.mu.Unlock()
 		return c, nil
 	}
--- a/peer/node.go
+++ b/peer/node.go
@@ -20,6 +20,10 @@
 	// KeepAlive is after which silence a packet is sent to keep a connection; 700 ms, so that two
 	// may be lost.
 	KeepAlive time.Duration
+	// Fresh is how long ago something must have arrived on a connection for a request to be sent on
+	// it; 1.2 s, two heartbeats and their jitter. Otherwise a new connection is opened first, so that a
+	// request does not get lost on one that went silent.
+	Fresh time.Duration
 	// Dial bounds opening a connection; 2 s.
 	Dial time.Duration
 	// Redial is the least time between two attempts to open a connection for heartbeats; 500 ms.
@@ -38,6 +42,7 @@
 	}{
 		{&t.Idle, 2 * time.Second},
 		{&t.KeepAlive, 700 * time.Millisecond},
+		{&t.Fresh, 1200 * time.Millisecond},
 		{&t.Dial, 2 * time.Second},
 		{&t.Redial, 500 * time.Millisecond},
 		{&t.Grace, 300 * time.Millisecond},
@@ -96,6 +101,8 @@
 	cancel    context.CancelFunc
 	tasks     sync.WaitGroup
 
+	began time.Time
+
 	mu     sync.Mutex
 	closed bool
 	links  map[fleet.EntryID]*link
@@ -116,6 +123,7 @@
 	if err != nil {
 		return errorClass.Wrap(err)
 	}
+	n.began = time.Now()
 	n.identity = identity
 	n.socket = socket
 	if n.Wrap != nil {
--- a/peer/node_test.go
+++ b/peer/node_test.go
@@ -223,7 +223,7 @@
 	is.NoErr(DevelopmentCertificates(dir, []fleet.EntryID{"a"}))
 	stranger := &Node{ID: "a", Address: "127.0.0.1:0", TLS: DevelopmentFiles(dir, "a"), Handler: h}
 	is.NoErr(stranger.Start())
-	defer stranger.Close()
+	defer func() { _ = stranger.Close() }()
 	_, err = stranger.Forward(context.Background(), member(b), ForwardHeader{}, nil)
 	is.True(WasNotSent(err))
 
--- a/peer/serve.go
+++ b/peer/serve.go
@@ -24,6 +24,7 @@
 			return
 		}
 		c.requests.Add(1)
+		n.heard(c)
 		serve := func() {
 			defer c.requests.Add(-1)
 			n.serve(id, s)
--- a/peer/silent_test.go
+++ b/peer/silent_test.go
@@ -40,16 +40,27 @@
 		Wrap: func(c net.PacketConn) net.PacketConn { return mutedSocket{c, &muted} },
 	}
 	is.NoErr(b.Start())
-	defer b.Close()
+	defer func() { _ = b.Close() }()
 	_, err = a.FetchPair(context.Background(), member(b), 7)
 	is.NoErr(err)
 	a.mu.Lock()
-	former := a.links["b"].best()
+	former := a.best(a.links["b"])
 	a.mu.Unlock()
 
 	muted.Store(true)
 	silentFrom := time.Now()
+	forwarded := make(chan error, 1)
+	asked := false
 	for former.Context().Err() == nil {
+		if !asked && !a.fresh(former) {
+			asked = true
+			go func() {
+				ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+				defer cancel()
+				_, err := a.Forward(ctx, member(b), ForwardHeader{To: "b"}, nil)
+				forwarded <- err
+			}()
+		}
 		sendAt := time.Now()
 		a.SendHeartbeat(fleet.Outgoing{ID: "b", Address: b.LocalAddress(), Heartbeat: fleet.Heartbeat{From: "a"}})
 		is.True(time.Since(sendAt) < time.Second) // it only queues
@@ -58,6 +69,8 @@
 		case <-time.After(50 * time.Millisecond):
 		}
 	}
+	refused := <-forwarded
+	is.True(WasNotSent(refused)) // it must not be sent on the silent connection
 	found := time.Since(silentFrom)
 	is.True(found < 4*time.Second) // 2 s idle, and room for a busy machine
 	t.Logf("silent connection ended after %v", found)
