fleet: draw faults evenly in addition to rapid

Cause: rapid prefers small numbers; in its 100 scenarios it found none of the faults that evenly drawn ones showed. Change: TestMembershipUnderEvenFaults runs 300 scenarios with fixed seeds; FLEET_SCENARIOS sets more.

--- a/fleet/property_test.go
+++ b/fleet/property_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"os"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -77,20 +79,24 @@
 	})
 }
 
-// searchers is how many goroutines search, and searchLimit how many scenarios each runs at most.
-const searchers, searchLimit = 4, 1500
+// searchers is how many goroutines search for violations.
+const searchers = 4
 
-// search runs scenarios with fixed seeds until one violates safety, and returns what was violated.
-func search(f faults) string {
+// search runs scenarios with fixed seeds from 0 to limit-1 until one violates something, and returns
+// what was violated.
+func search(limit int, run func(*rand.Rand) string) string {
 	var found atomic.Value
+	var next atomic.Int64
 	var tasks sync.WaitGroup
-	for s := range searchers {
+	for range searchers {
 		tasks.Go(func() {
-			for i := 0; i < searchLimit && found.Load() == nil; i++ {
-				seed := uint64(i*searchers + s)
-				random := rand.New(rand.NewPCG(seed, 2))
-				if n := disturbed(random, random.IntN, f); n.violated != "" {
-					found.Store(fmt.Sprintf("seed %d: %s", seed, n.violated))
+			for found.Load() == nil {
+				seed := next.Add(1) - 1
+				if seed >= int64(limit) {
+					return
+				}
+				if why := run(rand.New(rand.NewPCG(uint64(seed), 2))); why != "" {
+					found.Store(fmt.Sprintf("seed %d: %s", seed, why))
 				}
 			}
 		})
@@ -100,8 +106,27 @@
 	return why
 }
 
+// scenarios is how many scenarios run by default; FLEET_SCENARIOS sets another number.
+const scenarios = 300
+
+// Guards against the same as TestMembershipUnderFaults, with faults that are drawn evenly: rapid
+// prefers small numbers, and some faults showed only in 1 of 2,000 scenarios.
+func TestMembershipUnderEvenFaults(t *testing.T) {
+	limit := scenarios
+	if n, err := strconv.Atoi(os.Getenv("FLEET_SCENARIOS")); err == nil {
+		limit = n
+	}
+	why := search(limit, func(r *rand.Rand) string { return scenario(r, r.IntN) })
+	if why != "" {
+		t.Fatal(why)
+	}
+}
+
+// searchLimit is how many scenarios a search for a violation by a faulty variant runs at most.
+const searchLimit = 6000
+
 // Guards against checks that can't fail: each rule that is switched off must lead to a violation,
-// which TestMembershipUnderFaults does not find with all rules in force.
+// which the tests above do not find with all rules in force.
 func TestFaultyVariantsAreCaught(t *testing.T) {
 	for _, c := range []struct {
 		name   string
@@ -113,9 +138,9 @@
 		{"a new owner ejects at once", faults{noSettle: true}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			why := search(c.faults)
+			why := search(searchLimit, func(r *rand.Rand) string { return disturbed(r, r.IntN, c.faults).violated })
 			if why == "" {
-				t.Fatalf("no violation in %d scenarios", searchers*searchLimit)
+				t.Fatalf("no violation in %d scenarios", searchLimit)
 			}
 			t.Log(why)
 		})
