--- a/measure/curve.go
+++ b/measure/curve.go
@@ -148,18 +148,25 @@
 		}
 	}
 	var lines []Line
-	for _, p := range points {
-		s := &sheet{seed: o.Seed, labels: Labels{
-			Firm: p.Firm, Load: Day, Fault: string(p.Fault), Policy: p.Policy, FalseEjectionEveryHours: p.Hours,
-		}}
-		s.add("seconds.p50", p.Seconds, unitSeconds)
-		if p.Hours > 0 {
-			s.atMost("falseEjections.perDay", p.FalsePerDay, unitPerDay, p.accepted())
-		} else {
-			s.add("falseEjections.perDay", p.FalsePerDay, unitPerDay)
+	for i, p := range points {
+		labels := Labels{Firm: p.Firm, Load: Day, Policy: p.Policy, FalseEjectionEveryHours: p.Hours}
+		s := &sheet{seed: o.Seed, labels: labels}
+		if i%len(curveFaults) == 0 {
+			p.falseEjectionLines(s)
 		}
-		s.add("falseEjections.limit", p.UpperPerDay, unitPerDay)
+		s.labels.Fault = string(p.Fault)
+		s.add("seconds.p50", p.Seconds, unitSeconds)
 		lines = append(lines, s.lines...)
 	}
 	return lines, nil
 }
+
+// falseEjectionLines add the figures that the points of all faults share.
+func (p Point) falseEjectionLines(s *sheet) {
+	if p.Hours > 0 {
+		s.atMost("falseEjections.perDay", p.FalsePerDay, unitPerDay, p.accepted())
+	} else {
+		s.add("falseEjections.perDay", p.FalsePerDay, unitPerDay)
+	}
+	s.add("falseEjections.limit", p.UpperPerDay, unitPerDay)
+}
