pool: judge uploads by the time after their body; quiet pools avoid with less evidence; earn 9.5% of retries

Change: Outcome.AfterBody; avoidance needs at most the evidence for one false avoidance in 30 minutes; the budget earns 95% of its percentage; a return takes 21 successes.

--- a/pool/detect_test.go
+++ b/pool/detect_test.go
@@ -85,6 +85,9 @@
 	{"upload fail late peak", files, peak, failLate, 0, 4},
 	{"upload drop peak", files, peak, dropped, 0, 4},
 	{"upload fail day", files, day, failLate, 0, 4},
+	{"upload slow peak", files, peak, slow4, 0, 0},
+	{"upload slow day", files, day, slow4, 0, 0},
+	{"upload slow night", files, 0, slow4, 0, 4},
 	{"upload fail night", files, 0, failLate, 0, 4},
 }
 
--- a/pool/evidence.go
+++ b/pool/evidence.go
@@ -112,11 +112,8 @@
 	case OutcomeSuccess:
 		c.queue.observeHold(o.Service)
 		progress = c.answered(now, t, r, false)
-		if !r.Upload {
-			slow := c.collectTime(t, r, o)
-			if slow >= overdue || t.reason == ReasonSlow {
-				progress = -slow
-			}
+		if slow, known := c.collectTime(t, r, o); known && (slow >= overdue || t.reason == ReasonSlow) {
+			progress = -slow
 		}
 	case OutcomeFailed, OutcomeTruncated:
 		progress = c.answered(now, t, r, true)
@@ -156,19 +153,26 @@
 	return -some
 }
 
-// collectTime compares the service time of an answer with the peers' and returns its evidence of slowness.
-func (c *Cell) collectTime(t *target, r *request, o *Outcome) float64 {
-	h := &c.history
-	bin := binOf(o.Service)
-	ratio := h.slow(bin)
+// collectTime compares the service time of an answer with the peers' and returns its evidence of slowness, if
+// the time says anything.
+func (c *Cell) collectTime(t *target, r *request, o *Outcome) (slow float64, known bool) {
+	h, service := &c.history.ordinary, o.Service
+	if r.Upload {
+		h, service = &c.history.uploads, o.AfterBody
+	}
+	if service <= 0 {
+		return 0, false
+	}
+	bin := binOf(service)
+	slow = h.slow(bin)
 	if t.state == TargetServing && !r.cold {
 		h.observe(bin)
 	}
 	if r.cold {
-		return min(ratio, 0)
+		return min(slow, 0), true
 	}
-	t.evidence.time.add(ratio)
-	return ratio
+	t.evidence.time.add(slow)
+	return slow, true
 }
 
 // collectTimeout takes a request that was not answered before its deadline. It is a failure of the target
@@ -181,7 +185,7 @@
 		return 0
 	}
 	e.timedOut, e.timeoutAt = true, now
-	if r.Upload || !c.history.known() {
+	if r.Upload || !c.history.ordinary.known() {
 		return c.answered(now, t, r, true)
 	}
 	ratio := c.collectCensored(t, r, o)
@@ -193,10 +197,10 @@
 
 // collectCensored takes a request that ended without an answer after the given time in flight.
 func (c *Cell) collectCensored(t *target, r *request, o *Outcome) float64 {
-	if r.Upload || r.cold || !c.history.known() {
+	if r.Upload || r.cold || !c.history.ordinary.known() {
 		return 0
 	}
-	ratio := c.history.late(binOf(o.Service))
+	ratio := c.history.ordinary.late(binOf(o.Service))
 	if ratio > 0 {
 		t.evidence.time.add(ratio)
 	}
@@ -218,15 +222,15 @@
 // observeLate takes the evidence of one target's attempts in flight.
 func (c *Cell) observeLate(now Time, t *target) {
 	t.evidence.late = 0
-	if !c.history.known() {
+	if !c.history.ordinary.known() {
 		return
 	}
 	for _, r := range t.attempts {
 		age := now - r.started
-		if age < c.history.lateAfter || r.Upload || r.cold || r.started < c.doubt.evidenceFrom {
+		if age < c.history.ordinary.lateAfter || r.Upload || r.cold || r.started < c.doubt.evidenceFrom {
 			continue
 		}
-		t.evidence.late += max(0, c.history.late(binOf(timeOf(age))))
+		t.evidence.late += max(0, c.history.ordinary.late(binOf(timeOf(age))))
 	}
 }
 
--- a/pool/history.go
+++ b/pool/history.go
@@ -51,9 +51,8 @@
 	ratioEvery = 200 * time.Millisecond
 )
 
-// history is what the cell knows of its targets as a whole: the distribution of service times, the
-// failure ratio and the rate of evidence.
-type history struct {
+// serviceTimes is the distribution of service times of the cell's targets as a whole.
+type serviceTimes struct {
 	counts [bins]float64
 	total  float64
 	// slowTable and lateTable are the evidence per bin of an answer and of a request without one.
@@ -63,6 +62,12 @@
 	fresh     int
 	shift     int
 	ready     bool
+}
+
+// history is what the cell knows of its targets as a whole: service times, failure ratio and rate of evidence.
+type history struct {
+	// ordinary holds service times, and uploads the times from the end of the body to the answer.
+	ordinary, uploads serviceTimes
 
 	baseRatio   float64
 	ratioAt     Time
@@ -94,12 +99,23 @@
 		h.rate = firstRate
 		h.baseRatio = baseFailureRatio
 	}
+	h.ordinary.configure(shift)
+	h.uploads.configure(shift)
+}
+
+func (h *serviceTimes) configure(shift int) {
 	if shift != h.shift {
 		h.shift = shift
 		h.refresh()
 	}
 }
 
+// forget lets the distributions follow a change that all targets share.
+func (h *history) forget() {
+	h.ordinary.forget()
+	h.uploads.forget()
+}
+
 // count adds one piece of evidence to the rate.
 func (h *history) count() { h.samples++ }
 
@@ -123,16 +139,16 @@
 	return true
 }
 
-func (h *history) known() bool { return h.ready }
+func (h *serviceTimes) known() bool { return h.ready }
 
-func (h *history) slow(bin int) float64 {
+func (h *serviceTimes) slow(bin int) float64 {
 	if !h.ready {
 		return 0
 	}
 	return h.slowTable[bin]
 }
 
-func (h *history) late(bin int) float64 {
+func (h *serviceTimes) late(bin int) float64 {
 	if !h.ready {
 		return 0
 	}
@@ -140,7 +156,7 @@
 }
 
 // observe adds the service time of an answer to the distribution.
-func (h *history) observe(bin int) {
+func (h *serviceTimes) observe(bin int) {
 	h.counts[bin]++
 	h.total++
 	h.fresh++
@@ -155,8 +171,7 @@
 	}
 }
 
-// forget lets the distribution follow a change that all targets share.
-func (h *history) forget() {
+func (h *serviceTimes) forget() {
 	for i := range h.counts {
 		h.counts[i] *= forgetShare
 	}
@@ -165,7 +180,7 @@
 
 // refresh computes the evidence per bin: the log of how much more likely the bin is for a target that
 // is slower by the slow factor, or stuck, than for its peers.
-func (h *history) refresh() {
+func (h *serviceTimes) refresh() {
 	h.fresh = 0
 	if h.total < minTimeSamples {
 		return
@@ -205,7 +220,7 @@
 }
 
 // healthy returns the distribution of the peers' service times with the assumed shape mixed in.
-func (h *history) healthy() (shares [bins]float64, median int) {
+func (h *serviceTimes) healthy() (shares [bins]float64, median int) {
 	seen := 0.0
 	for i, n := range h.counts {
 		seen += n
--- a/pool/judge.go
+++ b/pool/judge.go
@@ -8,6 +8,10 @@
 const (
 	// avoidShare is where a target is avoided. Avoiding costs little, so it may happen by chance.
 	avoidShare = 0.45
+	// avoidEveryHours is the time between false avoidances that a quiet pool accepts, and leastAvoid the least
+	// evidence that makes a target avoided.
+	avoidEveryHours = 0.5
+	leastAvoid      = 4.0
 	// restoreShare is where an avoided target's evidence is spent.
 	restoreShare = 0.1
 	// testsPerSample is the number of tests that each sample may trip by chance.
@@ -33,8 +37,12 @@
 	return max(base/2, base-flapRelief*float64(t.trial.flaps))
 }
 
-// avoidThreshold is the evidence that makes a target avoided.
-func avoidThreshold(threshold float64) float64 { return threshold * avoidShare }
+// avoidThreshold is the evidence that makes a target avoided: a share of the threshold of ejection, and in a
+// quiet pool, where few samples come by chance, no more than one false avoidance in avoidEveryHours needs.
+func (c *Cell) avoidThreshold(threshold float64) float64 {
+	samples := max(minRate, c.history.rate) * 3600 * avoidEveryHours * testsPerSample
+	return min(threshold*avoidShare, max(leastAvoid, math.Log(samples)))
+}
 
 // judge applies the evidence to every target.
 func (c *Cell) judge(now Time) {
@@ -54,10 +62,10 @@
 		return
 	}
 	threshold := c.threshold(t)
-	e.suspicion = min(1, sum/avoidThreshold(threshold))
+	e.suspicion = min(1, sum/c.avoidThreshold(threshold))
 	switch t.state {
 	case TargetServing:
-		if sum >= avoidThreshold(threshold) && !c.doubtful(now) {
+		if sum >= c.avoidThreshold(threshold) && !c.doubtful(now) {
 			c.avoid(now, t, sum, threshold, reason, samples)
 		}
 	case TargetAvoided:
--- a/pool/report.go
+++ b/pool/report.go
@@ -82,7 +82,7 @@
 	threshold := c.threshold(t)
 	out := TargetReport{
 		ID: t.id, State: t.state, Reason: t.reason, Since: t.since, Protected: t.protected, Blocked: t.blocked,
-		InFlight: t.inFlight, Limit: t.limit, Evidence: sum, Avoid: avoidThreshold(threshold), Threshold: threshold,
+		InFlight: t.inFlight, Limit: t.limit, Evidence: sum, Avoid: c.avoidThreshold(threshold), Threshold: threshold,
 		Samples: samples, FailureRatio: t.evidence.ratio, Flaps: t.trial.flaps, Ramping: t.ramping,
 	}
 	if t.state != TargetServing && t.state != TargetLeaving {
--- a/pool/retry.go
+++ b/pool/retry.go
@@ -14,6 +14,9 @@
 	retryBurst = 5
 	// retryJitter spreads retries; it is multiplied by the number of attempts made.
 	retryJitter = 25 * time.Millisecond
+	// earnedShare is the part of the percentage that requests pay in; the rest leaves room for the burst, so
+	// that a long outage stays below the percentage from its first request on.
+	earnedShare = 0.95
 	// defaultRetryPercent applies when the pools table gives none.
 	defaultRetryPercent = 10
 )
@@ -36,7 +39,7 @@
 	if !c.budget.filled {
 		c.budget.tokens, c.budget.filled = limit, true
 	}
-	c.budget.tokens = min(limit, c.budget.tokens+percent/100)
+	c.budget.tokens = min(limit, c.budget.tokens+earnedShare*percent/100)
 }
 
 // mayRetry says whether an attempt with this outcome may be followed by another, and why not.
--- a/pool/sim_test.go
+++ b/pool/sim_test.go
@@ -228,6 +228,7 @@
 	if limit := time.Duration(r.Deadline - s.now); o.Service > limit && o.Kind != OutcomeConnectFailed {
 		o = Outcome{Kind: OutcomeTimeout, Written: true, Service: limit}
 	}
+	o.AfterBody = o.Service
 	s.running[d.Target] = append(s.running[d.Target], d.Request)
 	s.at(s.now+Time(o.Service), func(now Time) { s.finish(now, d, o) })
 }
--- a/pool/trial.go
+++ b/pool/trial.go
@@ -18,8 +18,8 @@
 	firstHoldOff = 5 * time.Second
 	maxHoldOff   = 5 * time.Minute
 	// returnEvidence is how much likelier the target must be healthy than bad, as a log, to return.
-	// Failures count by the test for 20%, so that a return takes 16 successes in a row.
-	returnEvidence = 3.4
+	// Failures count by the test for 20%, so that a return takes 21 successes in a row.
+	returnEvidence = 4.6
 	// failedEvidence is how much likelier the target must be bad for a trial to have failed. A single
 	// answer that is a little late does not fail one.
 	failedEvidence = 2.0
@@ -202,7 +202,7 @@
 	t.evidence.reset()
 	if kind == EventRestored {
 		// Few successes don't clear a target that fails now and then; its next failure counts fully.
-		some.sum = min(some.sum, restoredShare*avoidThreshold(c.threshold(t)))
+		some.sum = min(some.sum, restoredShare*c.avoidThreshold(c.threshold(t)))
 		t.evidence.some = some
 	}
 	t.trial.recovered, t.trial.successes = 0, 0
--- a/pool/types.go
+++ b/pool/types.go
@@ -77,6 +77,9 @@
 	// AnswerBegun says that part of the answer has already gone to the caller, so that no other
 	// attempt can replace it.
 	AnswerBegun bool
+	// AfterBody is the time from the last byte of an upload's body to the answer's first byte, which does not
+	// depend on the size of the body; 0 means not known. Uploads are judged slow by it only.
+	AfterBody time.Duration
 	// NewConnection says that the attempt was the first on its connection.
 	NewConnection bool
 }
