Check the log level in bilberry settings

An entry refuses an unknown log level only when it starts, so settings that passed the check could still fail there. Reasons are shown without the name of the client's own package.

--- a/operator/client.go
+++ b/operator/client.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"strings"
 	"sync"
 	"time"
 
@@ -181,12 +182,15 @@
 	out := []EntryError{}
 	for _, a := range answers {
 		if a.err != nil {
-			out = append(out, EntryError{Entry: a.name(), Address: a.Address.Address, Error: a.err.Error()})
+			out = append(out, EntryError{Entry: a.name(), Address: a.Address.Address, Error: reason(a.err)})
 		}
 	}
 	return out
 }
 
+// reason returns an error's text without the name of this package.
+func reason(err error) string { return strings.TrimPrefix(err.Error(), string(Error)+": ") }
+
 // writeUnreachable lists the entries that could not be asked.
 func writeUnreachable(w io.Writer, list []EntryError) error {
 	for _, e := range list {
--- a/operator/explain.go
+++ b/operator/explain.go
@@ -51,7 +51,7 @@
 	for _, a := range answers {
 		row := a.value
 		if a.err != nil {
-			row = ExplainRow{Entry: a.name(), Error: a.err.Error()}
+			row = ExplainRow{Entry: a.name(), Error: reason(a.err)}
 		}
 		out.Entries = append(out.Entries, row)
 		out.Same = out.Same && row.Error == "" && sameWay(out.Entries[0], row)
--- a/operator/files_test.go
+++ b/operator/files_test.go
@@ -73,3 +73,25 @@
 		})
 	}
 }
+
+// Guards against settings that pass here and that an entry refuses when it starts.
+func TestCheckSettings(t *testing.T) {
+	good := `{"id": "e1", "failureDomain": "a", "callerAddress": "10.0.0.1:1", "peerAddress": "10.0.0.1:2",
+		"operatorAddress": "10.0.0.1:3", "platform": "http://10.0.0.9:1", "tls": {"ca": "a", "certificate": "b", "key": "c"}}`
+	tests := []struct{ name, text, reason string }{
+		{"good", good, ""},
+		{"log level", strings.Replace(good, `"id"`, `"logLevel": "loud", "id"`, 1), "logLevel"},
+		{"rule", strings.Replace(good, `"id"`, `"suspectMs": 100, "id"`, 1), "suspectMs: 100 is below"},
+		{"unknown field", strings.Replace(good, `"id"`, `"idd"`, 1), `a.json:1:6: json: unknown field "idd"`},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			dir := t.TempDir()
+			is.NoErr(writeFiles(dir, map[string]string{"a.json": test.text}))
+			r := CheckSettings([]string{dir + "/a.json"})
+			is.Equal(r.OK(), test.reason == "")
+			is.True(strings.Contains(textOf(r), test.reason))
+		})
+	}
+}
--- a/operator/fleet.go
+++ b/operator/fleet.go
@@ -174,7 +174,7 @@
 	}
 	pair, err := highestPair(ctx, c, answers)
 	if err != nil {
-		o.TablesError = err.Error()
+		o.TablesError = reason(err)
 	}
 	if pair != nil {
 		for i := range pair.Pools.Pools {
--- a/operator/force.go
+++ b/operator/force.go
@@ -52,7 +52,7 @@
 
 func forceRow(a asked[entry.Status]) ForceRow {
 	if a.err != nil {
-		return ForceRow{Entry: a.name(), Error: a.err.Error()}
+		return ForceRow{Entry: a.name(), Error: reason(a.err)}
 	}
 	s := a.value
 	return ForceRow{
--- a/operator/log.go
+++ b/operator/log.go
@@ -152,7 +152,7 @@
 			reported = true
 			text := "the log ended"
 			if err != nil {
-				text = err.Error()
+				text = reason(err)
 			}
 			r.write(unreachableLine(EntryError{Entry: a.name(), Address: a.Address.Address, Error: text}))
 		}
--- a/operator/tables.go
+++ b/operator/tables.go
@@ -6,6 +6,8 @@
 	"io"
 	"strings"
 
+	"github.com/rs/zerolog"
+
 	"github.com/bilberrywood/bilberrywood/settings"
 	"github.com/bilberrywood/bilberrywood/table"
 )
@@ -114,8 +116,7 @@
 	out := &SettingsFiles{}
 	for _, path := range paths {
 		f := SettingsFile{File: path, Valid: true}
-		var s settings.Entry
-		if err := settings.Read(path, &s); err != nil {
+		if err := checkSettings(path); err != nil {
 			f.Valid = false
 			f.Reasons = strings.Split(err.Error(), "\n")
 		}
@@ -124,6 +125,19 @@
 	return out
 }
 
+// checkSettings checks what an entry checks before it starts: the rules of the settings and the log
+// level, which the logger reads. The certificates are left out, because they are on the entry's VM.
+func checkSettings(path string) error {
+	var s settings.Entry
+	if err := settings.Read(path, &s); err != nil {
+		return err
+	}
+	if _, err := zerolog.ParseLevel(s.LogLevel); err != nil {
+		return settings.Error.New("%s: logLevel: %v", path, err)
+	}
+	return nil
+}
+
 // OK implements Result.
 func (s *SettingsFiles) OK() bool {
 	for _, f := range s.Files {
