Report the time after a body, new connections and begun answers to the decisions

Cause: package pool judges uploads by the time after their body and tells faults of connections from faults of targets by whether the connection was new; the entry reported neither.

--- a/entry/place.go
+++ b/entry/place.go
@@ -236,7 +236,7 @@
 		err = out.Finish(a.Trailer)
 	case errors.As(err, &attempt):
 		o = attempt.Outcome()
-		o.Service, o.Draining = a.Service, a.Draining
+		o.Service, o.Draining, o.AnswerBegun = a.Service, a.Draining, true
 	default:
 		o.Kind = pool.OutcomeCancelled
 	}
--- a/target/attempt.go
+++ b/target/attempt.go
@@ -53,6 +53,7 @@
 	answer.SilentConnection = a.silent
 	answer.Reused = a.conn.used
 	answer.Service = a.firstByte.Sub(a.firstWrite)
+	answer.AfterBody = a.afterBody()
 	body := &answerBody{attempt: a, answer: answer, response: response}
 	answer.Body = body
 	if response.Body == http.NoBody {
@@ -61,6 +62,18 @@
 	return answer, nil
 }
 
+// afterBody returns how long the answer took after the end of a streamed body.
+func (a *attempt) afterBody() time.Duration {
+	if a.writer == nil {
+		return 0
+	}
+	ended := a.writer.ended.Load()
+	if ended == 0 {
+		return 0
+	}
+	return max(0, a.firstByte.Sub(time.Unix(0, ended)))
+}
+
 // open gets an idle connection or dials one.
 func (a *attempt) open() error {
 	c, err := a.client.store.take(a.request.Address, a.request.Idempotent)
--- a/target/error.go
+++ b/target/error.go
@@ -65,7 +65,7 @@
 
 // Outcome returns the report for the decisions; the service time is the caller's to add.
 func (e *AttemptError) Outcome() pool.Outcome {
-	return pool.Outcome{Kind: e.Kind, Written: e.Written}
+	return pool.Outcome{Kind: e.Kind, Written: e.Written, NewConnection: !e.Reused}
 }
 
 // notStarted is the error of an attempt that ended before its first byte was written.
--- a/target/request.go
+++ b/target/request.go
@@ -93,6 +93,9 @@
 	SilentConnection bool
 	// Reused says that the connection had served another request.
 	Reused bool
+	// AfterBody is the time from the last byte of a streamed request body to the answer's first
+	// byte; 0 if the body was not streamed or the answer came first.
+	AfterBody time.Duration
 	// Service is the time from the first byte written on the connection that answered to the
 	// answer's first byte.
 	Service time.Duration
@@ -101,11 +104,13 @@
 // Outcome returns the report of an answer that was read whole.
 func (a *Answer) Outcome() pool.Outcome {
 	o := pool.Outcome{
-		Kind:       pool.OutcomeSuccess,
-		Written:    true,
-		Service:    a.Service,
-		RetryAfter: a.RetryAfter,
-		Draining:   a.Draining,
+		Kind:          pool.OutcomeSuccess,
+		Written:       true,
+		Service:       a.Service,
+		AfterBody:     a.AfterBody,
+		RetryAfter:    a.RetryAfter,
+		Draining:      a.Draining,
+		NewConnection: !a.Reused,
 	}
 	switch {
 	case a.Shed:
--- a/target/write.go
+++ b/target/write.go
@@ -117,6 +117,8 @@
 	// last is set right before the last byte of the body is written.
 	last atomic.Bool
 	done chan struct{}
+	// ended is when the last byte was written, in nanoseconds since 1970; 0 before.
+	ended atomic.Int64
 	// bodyFailed is set before the connection is closed because the body can't be read.
 	bodyFailed atomic.Bool
 	// connErr is set before done is closed.
@@ -128,6 +130,7 @@
 // an answer may have arrived before.
 func (w *bodyWriter) run() {
 	defer close(w.done)
+	defer func() { w.ended.Store(time.Now().UnixNano()) }()
 	buffer := pieces.Get().(*[]byte)
 	defer pieces.Put(buffer)
 	if w.request.ContentLength < 0 {
