Say unknown when a relay has no link to the bound entry

Cause: TestOwnerKilled found ids that ran and were reported as not run: a relay without a link answered a forwarded decision with notRun, which only the bound entry may say.

--- a/entry/forward.go
+++ b/entry/forward.go
@@ -156,18 +156,23 @@
 	return e.place(ctx, x, x.Cell)
 }
 
-// relay passes a request on to the entry that it is for, once.
+// relay passes a request on to the entry that it is for, once. Only the bound entry may say that an id
+// was not run, so a relay that fails says that the outcome is unknown.
 func (e *Entry) relay(ctx context.Context, x *exchange) *refusal {
+	ref := e.relayTo(ctx, x)
+	if ref != nil && x.Mode == peer.ForwardDecide {
+		ref.outcome = notice.OutcomeUnknown
+	}
+	return ref
+}
+
+func (e *Entry) relayTo(ctx context.Context, x *exchange) *refusal {
 	to, ok := e.member(x.To)
 	if !ok || to.Link != fleet.LinkTwoWay {
 		return notRun(http.StatusServiceUnavailable, reasonOwnerGone, "the relay has no link to entry "+string(x.To))
 	}
 	to.Via = ""
-	ref := e.forward(ctx, x, to, x.Mode)
-	if ref != nil && x.Mode == peer.ForwardDecide {
-		ref.outcome = notice.OutcomeUnknown
-	}
-	return ref
+	return e.forward(ctx, x, to, x.Mode)
 }
 
 func minTime(a, b time.Time) time.Time {
