fleet: let owners eject although a listed entry never starts

Cause: MayEject asked that every named entry had known this incarnation, so one VM that is on the fleet list and does not run stopped all ejections of owners that never met it. Change: an unmet entry is passed over once nobody had a sign of it for the gone time and a peer that has been known for longer than Times.ListLag is linked: an entry that is cut off from that peer is not sole.

--- a/fleet/link_test.go
+++ b/fleet/link_test.go
@@ -165,3 +165,21 @@
 		is.Equal(m.State == StateLeaving, !off) // known with the rule, not known without it
 	}
 }
+
+// Guards against a listed entry that never starts stopping all ejections for as long as it is listed.
+func TestListedEntryThatNeverStarts(t *testing.T) {
+	is := is.New(t)
+	n := settledNetwork(4)
+	c := simCells[0]
+	a := soleOwner(n, c)
+	is.True(a >= 0)
+	n.run(maxLag + 3*time.Second) // the others are witnesses after Times.ListLag
+	rows := append(n.listFor(n.entries[a]), ListRow{ID: "e9", PeerAddress: "e9"})
+	e := n.entries[a]
+	e.UpdateList(n.now, rows)
+	v := e.View(n.now)
+	is.Equal(v.Standing(c), Contested)
+	is.True(!v.MayEject(c))
+	e.byID["e9"].addedAt -= 6 * time.Second // longer than the gone time
+	is.True(e.View(n.now).MayEject(c))
+}
--- a/fleet/standing.go
+++ b/fleet/standing.go
@@ -62,8 +62,16 @@
 	if now-m.ownFrom < m.Times.Settle || !m.informed() {
 		return false
 	}
+	witness := slices.ContainsFunc(m.peers, func(p *peer) bool {
+		return p.link == LinkTwoWay && now-p.firstHeard > m.Times.ListLag
+	})
 	for _, p := range m.peers {
-		if !p.knewMe && !p.left && !m.absent(now, p) {
+		if p.knewMe || p.left || m.absent(now, p) {
+			continue
+		}
+		// An entry that is cut off from a peer which has been on the list for long is not sole. So
+		// one that is listed and never started does not stop all ejections.
+		if !witness || now-p.lastSign() <= m.Times.Gone {
 			return false
 		}
 	}
