--- a/measure/curve.go
+++ b/measure/curve.go
@@ -34,8 +34,13 @@
 	// FalsePerDay is the number of false ejections per day of work by day; UpperPerDay is the
 	// 95% limit (3 divided by the time) that is drawn when none was seen.
 	FalsePerDay, UpperPerDay float64
+	// AvoidedPerDay is the number of times a day that a healthy target is avoided.
+	AvoidedPerDay float64
 }
 
+// noiseCount is what healthy work did.
+type noiseCount struct{ ejections, avoidances int }
+
 // accepted is the rate of false ejections that the setting allows: the expected number in the
 // simulated time with three standard deviations and one more, because the time is short.
 func (p Point) accepted() float64 {
@@ -65,18 +70,20 @@
 			jobs = append(jobs, curveJob{p, n, 0})
 		}
 	}
-	noises := parallel(o.Workers, repeat(jobs, curveParts), func(j part[curveJob]) int { return j.job.noise(o.Seed, j.number) })
+	noises := parallel(o.Workers, repeat(jobs, curveParts), func(j part[curveJob]) noiseCount { return j.job.noise(o.Seed, j.number) })
 	var points []Point
 	for i, j := range jobs {
-		total := 0
+		var total noiseCount
 		for _, n := range noises[i*curveParts : (i+1)*curveParts] {
-			total += n
+			total.ejections += n.ejections
+			total.avoidances += n.avoidances
 		}
 		days := curveNoise.Hours() / 24
 		for _, f := range curveFaults {
 			points = append(points, Point{
 				Firm: j.profile.Firm, Fault: f, Policy: j.policy, Hours: j.hours,
-				FalsePerDay: float64(total) / days, UpperPerDay: 3 / days,
+				FalsePerDay: float64(total.ejections) / days, UpperPerDay: 3 / days,
+				AvoidedPerDay: float64(total.avoidances) / days,
 			})
 		}
 	}
@@ -116,12 +123,12 @@
 	}
 }
 
-// noise counts false ejections in one part of the healthy time.
-func (j curveJob) noise(seed uint64, number int) int {
+// noise counts false ejections and avoidances in one part of the healthy time.
+func (j curveJob) noise(seed uint64, number int) noiseCount {
 	w := NewWorld(j.profile, seedOf(seed, "curve", j.profile.Pool, number), j.maker())
 	w.SetRate(Day.Rate(j.profile))
 	w.Run(curveNoise / curveParts)
-	return len(w.falseEjections)
+	return noiseCount{len(w.falseEjections), w.falseAvoidances}
 }
 
 // detect returns the seconds until the target is out.
@@ -169,4 +176,5 @@
 		s.add("falseEjections.perDay", p.FalsePerDay, unitPerDay)
 	}
 	s.add("falseEjections.limit", p.UpperPerDay, unitPerDay)
+	s.add("falseAvoidances.perDay", p.AvoidedPerDay, unitPerDay)
 }
--- a/measure/noise.go
+++ b/measure/noise.go
@@ -23,6 +23,7 @@
 
 type noiseRun struct {
 	falseEjections int
+	avoidances     int
 	stats          Stats
 	simulated      time.Duration
 }
@@ -56,14 +57,15 @@
 		w.SetRate(phase.load.Rate(j.profile))
 		w.Run(time.Duration(share * float64(phase.time)))
 	}
-	return noiseRun{len(w.falseEjections), w.stats, time.Duration(w.clock.Now())}
+	return noiseRun{len(w.falseEjections), w.falseAvoidances, w.stats, time.Duration(w.clock.Now())}
 }
 
 func noiseLines(s *sheet, runs []noiseRun) {
 	var sum Stats
 	var simulated time.Duration
-	ejections, floor, slots := 0, 0, 0
+	ejections, avoidances, floor, slots := 0, 0, 0, 0
 	for _, r := range runs {
+		avoidances += r.avoidances
 		ejections += r.falseEjections
 		sum.add(r.stats)
 		floor += r.stats.floorViolations
@@ -73,6 +75,7 @@
 	s.atMost("falseEjections", float64(ejections), unitCount, 0)
 	s.add("falseEjections.perMillion", 1e6*float64(ejections)/float64(max(sum.requests, 1)), unitPerM)
 	s.add("falseEjections.perDay", float64(ejections)/(simulated.Hours()/24), unitPerDay)
+	s.add("falseAvoidances.perDay", float64(avoidances)/(simulated.Hours()/24), unitPerDay)
 	s.add("simulated", simulated.Hours(), unitHours)
 	s.add("requests", float64(sum.requests), unitRequests)
 	s.add("failed", percent(sum.failed, sum.requests), unitPercent)
--- a/measure/observer.go
+++ b/measure/observer.go
@@ -299,5 +299,8 @@
 	if placement == Ejected && before != Ejected {
 		w.ejected(t)
 	}
+	if placement == Avoided && before == Serving {
+		w.avoided(t)
+	}
 	w.placed(t.index, placement)
 }
--- a/measure/svg.go
+++ b/measure/svg.go
@@ -14,9 +14,9 @@
 	gapX, gapY              = 80, 70
 )
 
-// Axes, both logarithmic: false ejections per day against seconds.
+// The labels at points are falseEjectionEveryHours. Axes, both logarithmic: false ejections per day against seconds.
 const (
-	leastPerDay, mostPerDay   = 0.1, 1_000.0
+	leastPerDay, mostPerDay   = 0.1, 10_000.0
 	leastSeconds, mostSeconds = 0.05, 100.0
 )
 
@@ -24,6 +24,9 @@
 	Own: "#1f5fa8", RoundRobin: "#8a8a8a", LeastInFlight: "#b8860b", Consecutive5: "#b03030", Sweep10s: "#3a7d44",
 }
 
+// avoidedColor marks healthy targets that the own policy avoided.
+const avoidedColor = "#7fb0e6"
+
 // svg builds the drawing.
 type svg struct{ strings.Builder }
 
@@ -97,14 +100,15 @@
 	}
 	s.line(p.left, bottom, p.left+panelWidth, bottom, "black")
 	s.line(p.left, p.top, p.left, bottom, "black")
-	s.text(p.left+panelWidth/2, bottom+28, "middle", "false ejections per day (hollow: none seen, 95% limit)")
+	s.text(p.left+panelWidth/2, bottom+28, "middle", "false ejections or avoidances per day (hollow: none seen, 95% limit)")
 	s.printf("<text transform=\"translate(%.1f %.1f) rotate(-90)\" text-anchor=\"middle\">median detection time in s</text>\n",
 		p.left-40, p.top+panelHeight/2)
 }
 
-// points draws one panel's points and joins those of the own policy.
+// points draws one panel's points: a line along the settings for ejections, and a dashed one for
+// avoidances, which are more frequent and cost less.
 func (s *svg) points(p panel, points []Point, firm Firm, fault FaultName) {
-	var path []string
+	var ejected, avoided []string
 	for _, o := range points {
 		if o.Firm != firm || o.Fault != fault {
 			continue
@@ -115,12 +119,21 @@
 		}
 		x, y := p.x(perDay), p.y(o.Seconds)
 		s.mark(x, y, policyColors[o.Policy], o.FalsePerDay == 0)
-		if o.Hours > 0 {
-			s.text(x+6, y-4, "start", fmt.Sprintf("%g h", o.Hours))
-			path = append(path, fmt.Sprintf("%.1f,%.1f", x, y))
+		if o.Hours == 0 {
+			continue
 		}
+		ejected = append(ejected, fmt.Sprintf("%.1f,%.1f", x, y))
+		x = p.x(o.AvoidedPerDay)
+		s.mark(x, y, avoidedColor, false)
+		s.text(x+6, y-4, "start", fmt.Sprintf("%g h", o.Hours))
+		avoided = append(avoided, fmt.Sprintf("%.1f,%.1f", x, y))
 	}
-	s.printf("<polyline points=\"%s\" fill=\"none\" stroke=\"%s\"/>\n", strings.Join(path, " "), policyColors[Own])
+	s.polyline(ejected, policyColors[Own], "none")
+	s.polyline(avoided, avoidedColor, "4 3")
+}
+
+func (s *svg) polyline(path []string, color, dashes string) {
+	s.printf("<polyline points=\"%s\" fill=\"none\" stroke=\"%s\" stroke-dasharray=\"%s\"/>\n", strings.Join(path, " "), color, dashes)
 }
 
 func (s *svg) legend(y float64) {
@@ -130,5 +143,8 @@
 		s.text(x+8, y, "start", string(n))
 		x += 120
 	}
-	s.text(x, y, "start", "labels: falseEjectionEveryHours; 60 s means never detected")
+	s.mark(x, y-4, avoidedColor, false)
+	s.text(x+8, y, "start", "own, avoidances")
+	x += 130
+	s.text(x, y, "start", "60 s: never detected")
 }
--- a/measure/world.go
+++ b/measure/world.go
@@ -35,6 +35,8 @@
 	nextObserver int
 	// falseEjections are the targets that were ejected while no fault of theirs harmed work.
 	falseEjections []table.TargetID
+	// falseAvoidances counts the times that such a target became avoided.
+	falseAvoidances int
 }
 
 // Stats are the counts of one run.
@@ -204,6 +206,13 @@
 	}
 }
 
+// avoided counts a target that is avoided although no fault of it harms work.
+func (w *World) avoided(t *Target) {
+	if !t.harmful(falseGrace) {
+		w.falseAvoidances++
+	}
+}
+
 // watch follows one faulty target until it is out.
 type watch struct {
 	since pool.Time
