--- a/measure/fault.go
+++ b/measure/fault.go
@@ -64,6 +64,8 @@
 	// poisonTime is how long a poison request runs before it crashes its target.
 	poisonTime = 20 * time.Millisecond
 	highLoad   = 1_000
+	// afterBodyPart of an upload's service time is one part in so many after its body's end.
+	afterBodyPart = 4
 )
 
 // Faults are all faults by name.
--- a/measure/target.go
+++ b/measure/target.go
@@ -161,7 +161,11 @@
 		if a.silent || a.sent != sent {
 			return
 		}
-		t.answer(a, pool.Outcome{Kind: e.outcome, Written: true, Draining: t.draining()})
+		o := pool.Outcome{Kind: e.outcome, Written: true, Draining: t.draining()}
+		if a.request.Upload {
+			o.AfterBody = e.service / afterBodyPart
+		}
+		t.answer(a, o)
 	})
 }
 
