pool: a target with requests late at present is avoided until they end

Change: a lower threshold for requests in flight, which grows with the rate; the target serves again when they are answered; up to two overlapping timeouts count as failures; avoided at 42% of the threshold.

--- a/pool/doubt.go
+++ b/pool/doubt.go
@@ -52,8 +52,7 @@
 			continue
 		}
 		seen++
-		sum, _, _ := t.evidence.strongest()
-		if sum >= suspectSum || t.state == TargetAvoided {
+		if t.evidence.settled() >= suspectSum || t.evidence.late >= leastLateAvoid || t.state == TargetAvoided {
 			bad++
 		}
 	}
--- a/pool/evidence.go
+++ b/pool/evidence.go
@@ -10,6 +10,8 @@
 	baseFailureRatio = 0.005
 	// maxBaseRatio bounds the peers' ratio used as the base; above it the pool as a whole is failing.
 	maxBaseRatio = 0.5
+	// maxGroupTimeouts is how many of the overlapping timeouts count as failures.
+	maxGroupTimeouts = 2
 	// ratioSmoothing is the weight of one answer in a target's failure ratio.
 	ratioSmoothing = 1.0 / 16
 )
@@ -67,9 +69,9 @@
 	suspicion float64
 	// failedAt is the time of the last failure, and failedStart when that request started.
 	failedAt, failedStart Time
-	// timeoutAt is when the first of the last group of overlapping timeouts ended.
+	// timeouts counts the last group of overlapping timeouts, and timeoutAt is when its first one ended.
+	timeouts  int
 	timeoutAt Time
-	timedOut  bool
 	// ratio is the smoothed share of failures.
 	ratio float64
 	// samples counts the answers since the target's state last changed.
@@ -177,14 +179,18 @@
 
 // collectTimeout takes a request that was not answered before its deadline. It is a failure of the target
 // only where the peers would have answered long before; else the deadline was too short. Requests that
-// were in flight together count once, because a lost link or a silent connection may have stopped all of
-// them at one moment.
+// were in flight together count as one sample of time and at most two failures, because a lost link or a
+// silent connection may have stopped all of them at one moment.
 func (c *Cell) collectTimeout(now Time, t *target, r *request, o *Outcome) float64 {
 	e := &t.evidence
-	if e.timedOut && r.started <= e.timeoutAt {
-		return 0
+	if e.timeouts > 0 && r.started <= e.timeoutAt {
+		e.timeouts++
+		if e.timeouts > maxGroupTimeouts {
+			return 0
+		}
+		return c.answered(now, t, r, true)
 	}
-	e.timedOut, e.timeoutAt = true, now
+	e.timeouts, e.timeoutAt = 1, now
 	if r.Upload || !c.history.ordinary.known() {
 		return c.answered(now, t, r, true)
 	}
--- a/pool/judge.go
+++ b/pool/judge.go
@@ -7,11 +7,16 @@
 // Shares of the threshold of ejection.
 const (
 	// avoidShare is where a target is avoided. Avoiding costs little, so it may happen by chance.
-	avoidShare = 0.45
+	avoidShare = 0.42
 	// avoidEveryHours is the time between false avoidances that a quiet pool accepts, and leastAvoid the least
 	// evidence that makes a target avoided.
 	avoidEveryHours = 0.5
 	leastAvoid      = 4.0
+	// lateAvoidPower relates the rate to the evidence of requests in flight that makes a target avoided. These
+	// avoidances end with the requests, so they may be frequent, but a busy pool, where several requests are
+	// late soon at a target that hangs, needs more evidence. leastLateAvoid is the least.
+	lateAvoidPower = 1.4
+	leastLateAvoid = 5.5
 	// restoreShare is where an avoided target's evidence is spent.
 	restoreShare = 0.1
 	// testsPerSample is the number of tests that each sample may trip by chance.
@@ -44,6 +49,11 @@
 	return min(threshold*avoidShare, max(leastAvoid, math.Log(samples)))
 }
 
+// lateThreshold is the evidence of requests in flight that makes a target avoided until they end.
+func (c *Cell) lateThreshold() float64 {
+	return max(leastLateAvoid, lateAvoidPower*math.Log(max(minRate, c.history.rate)))
+}
+
 // judge applies the evidence to every target.
 func (c *Cell) judge(now Time) {
 	for i := range c.targets.len() {
@@ -68,7 +78,17 @@
 		if sum >= c.avoidThreshold(threshold) && !c.doubtful(now) {
 			c.avoid(now, t, sum, threshold, reason, samples)
 		}
+		if t.state == TargetServing && e.late >= c.lateThreshold() && !c.doubtful(now) {
+			c.avoid(now, t, sum, threshold, ReasonSlow, samples)
+			t.onlyLate = t.state == TargetAvoided
+		}
 	case TargetAvoided:
+		if t.onlyLate && e.late == 0 && e.timeoutAt < t.since && e.settled() < c.avoidThreshold(threshold) {
+			// The late requests were answered; what they showed is kept as evidence of their time.
+			c.setState(now, t, TargetServing, ReasonRecovered, EventRestored, sum, threshold, samples)
+			c.refreshLimits(now)
+			return
+		}
 		if sum <= threshold*restoreShare && t.trial.recovered >= returnEvidence {
 			c.restore(now, t, EventRestored)
 			return
@@ -104,7 +124,7 @@
 func (c *Cell) setState(now Time, t *target, s TargetState, reason Reason, kind EventKind,
 	sum, threshold float64, samples int,
 ) {
-	t.state, t.since, t.reason, t.blocked = s, now, reason, ""
+	t.state, t.since, t.reason, t.blocked, t.onlyLate = s, now, reason, "", false
 	c.event(Event{
 		At: now, Kind: kind, Target: t.id, Reason: reason, Evidence: sum, Threshold: threshold, Samples: samples,
 	})
--- a/pool/target.go
+++ b/pool/target.go
@@ -42,6 +42,9 @@
 	// blocked says why an avoided target is not ejected; empty if its evidence does not suffice.
 	blocked Reason
 
+	// onlyLate says that the target is avoided because requests are late that may still be answered.
+	onlyLate bool
+
 	// inFlight is at most limit whenever an attempt is added.
 	inFlight int
 	// limit is how many attempts the target may run now: its slots after standing and ramp.
@@ -73,7 +76,7 @@
 // no help at saturation.
 func (t *target) hopeless() bool {
 	e := &t.evidence
-	hangs := e.late > 0 || (e.timedOut && e.timeoutAt >= t.since)
+	hangs := e.late > 0 || (e.timeouts > 0 && e.timeoutAt >= t.since)
 	return hangs || t.reason == ReasonFailures || t.reason == ReasonConnections
 }
 
