pool: don't compare targets with their peers for three ramp times after a start

Cause: targets restarted after poison are slow for 10 s, twice the default ramp, and were ejected as slow.

--- a/pool/evidence.go
+++ b/pool/evidence.go
@@ -191,7 +191,7 @@
 		return c.answered(now, t, r, true)
 	}
 	e.timeouts, e.timeoutAt = 1, now
-	if r.Upload || !c.history.ordinary.known() {
+	if r.Upload || r.cold || !c.history.ordinary.known() {
 		return c.answered(now, t, r, true)
 	}
 	ratio := c.collectCensored(t, r, o)
--- a/pool/ramp.go
+++ b/pool/ramp.go
@@ -6,11 +6,15 @@
 	"github.com/bilberrywood/bilberrywood/table"
 )
 
+// coldRamps is how long, in ramp times, a target that started is not compared with its peers. Caches take
+// longer to fill than the target needs to bear its share of requests.
+const coldRamps = 3
+
 // defaultRamp applies when the pools table gives no ramp time.
 const defaultRamp table.Millis = 5000
 
 // rampCold gives a target its slots gradually because it starts with cold caches. Its service times say
-// nothing until it has all of them.
+// nothing for coldRamps ramp times.
 func (t *target) rampCold(now Time) {
 	t.ramping, t.cold, t.rampFrom = true, true, now
 }
@@ -22,7 +26,7 @@
 
 // rampedSlots is how many of the given slots the target may use now; at least 1.
 func (c *Cell) rampedSlots(now Time, t *target, slots int) int {
-	if !t.ramping {
+	if !t.ramping && !t.cold {
 		return slots
 	}
 	ramp := c.Policy.RampMs
@@ -30,8 +34,9 @@
 		ramp = defaultRamp
 	}
 	share := float64(time.Duration(now-t.rampFrom)) / float64(ramp.Duration())
-	if share >= 1 {
-		t.ramping, t.cold = false, false
+	t.ramping = share < 1
+	t.cold = t.cold && share < coldRamps
+	if !t.ramping {
 		return slots
 	}
 	return max(1, int(share*float64(slots)))
