--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -118,6 +118,7 @@
 			text := textOf(r)
 			is.True(strings.Contains(text, test.text))
 			is.Equal(strings.Contains(text, "MISMATCH"), !test.match)
+			is.Equal(strings.Contains(text, "layout differ"), test.name == "comments")
 			is.True(!strings.Contains(text, "e4")) // an entry that is not live need not be asked
 		})
 	}
