--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := bin
 only ?=
 
-.PHONY: all build run test unit models process lint fmt measure clean
+.PHONY: bench all build run test unit models process lint fmt measure clean
 
 all: build
 
@@ -23,6 +23,7 @@
 	scripts/check-models
 
 process: build
+	$(GO) build -tags faults -o $(BIN)/entry-faults ./cmd/entry
 	$(GO) test -tags process -count=1 -timeout 15m ./process/...
 
 $(BIN)/golangci-lint: tools/go.mod
@@ -30,7 +31,7 @@
 
 lint: $(BIN)/golangci-lint
 	@test -z "$$(gofmt -l $$(git ls-files '*.go'))" || { gofmt -l $$(git ls-files '*.go'); exit 1; }
-	$(BIN)/golangci-lint run ./...
+	$(BIN)/golangci-lint run --allow-parallel-runners ./...
 
 fmt: $(BIN)/golangci-lint
 	$(BIN)/golangci-lint fmt ./...
@@ -39,5 +40,9 @@
 measure: build
 	$(BIN)/measure $(if $(only),--only=$(only))
 
+# Prints the slopes that docs/CAPACITY.md is worked out from.
+bench:
+	scripts/bench
+
 clean:
 	rm -rf $(BIN) run
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -52,6 +52,7 @@
 	background sync.WaitGroup
 	state      atomic.Uint32
 	lastTick   atomic.Int64
+	faults     faults
 }
 
 // now returns the monotonic time since the start for decisions.
@@ -76,6 +77,10 @@
 // Run serves until ctx ends and then stops without cutting off requests, as far as
 // Settings.StopLimitMs allows. Errors are of class Error and mean that the entry could not serve.
 func (e *Entry) Run(ctx context.Context) error {
+	var err error
+	if e.faults, err = readFaults(); err != nil {
+		return err
+	}
 	e.prepare()
 	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWork()
@@ -88,7 +93,9 @@
 		e.close()
 		return err
 	}
-	e.join(ctx)
+	if !e.faults.platformFirst {
+		e.join(ctx)
+	}
 	e.background.Go(func() { e.catchUp(work) })
 	e.background.Go(func() { e.watcher.Run(work) })
 	e.awaitTables(ctx)
@@ -108,7 +115,7 @@
 	}
 	s := &e.Settings
 	e.Log = e.Log.With().Str("entry", string(s.ID)).Logger()
-	incarnation := fleet.Incarnation(rand.Uint64() | 1)
+	incarnation := fleet.NewIncarnation(e.start.UnixMilli(), rand.Uint64())
 	e.register = &notice.Register{
 		Entry: s.ID, Incarnation: incarnation,
 		Limits: notice.Limits{
@@ -117,7 +124,8 @@
 		},
 	}
 	e.counters.register(e.Metrics, e)
-	e.config.log, e.config.changed = e.Log, e.tablesChanged
+	e.config.acceptor.OnRuling = e.config.ruled
+	e.config.log, e.config.self, e.config.changed = e.Log, s.ID, e.tablesChanged
 	e.fleet.membership = e.membership(incarnation)
 	e.fleet.update(0, func(*fleet.Membership) {})
 	e.cells = &cellSet{e: e, cells: make(map[fleet.CellKey]*servedCell)}
@@ -215,11 +223,7 @@
 // listen opens the two HTTP servers.
 func (e *Entry) listen() error {
 	s := &e.Settings
-	callers := echo.New()
-	callers.HideBanner, callers.HidePort = true, true
-	callers.GET("/v1/addresses", e.addresses)
-	callers.Any("/*", e.serve)
-	e.callers = e.server(callers)
+	e.callers = e.server(e.callerRoutes())
 	e.operators = e.server(e.operatorRoutes())
 	servers := []struct {
 		address string
@@ -240,6 +244,15 @@
 	return nil
 }
 
+// callerRoutes returns the callers' interface.
+func (e *Entry) callerRoutes() http.Handler {
+	r := echo.New()
+	r.HideBanner, r.HidePort = true, true
+	r.GET("/v1/addresses", e.addresses)
+	r.Any("/*", e.serve)
+	return r
+}
+
 // Time limits of the HTTP servers that don't depend on a route.
 const (
 	readHeaderTimeout = 10 * time.Second
--- a/entry/observe.go
+++ b/entry/observe.go
@@ -4,11 +4,11 @@
 	"errors"
 	"net/http"
 	"strings"
-	"time"
 
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/bilberrywood/bilberrywood/fleet"
+	"github.com/bilberrywood/bilberrywood/notice"
 	"github.com/bilberrywood/bilberrywood/pool"
 	"github.com/bilberrywood/bilberrywood/table"
 )
@@ -94,7 +94,10 @@
 
 // refuse counts and logs a refusal. cut says that an answer had begun and is cut off instead.
 func (e *Entry) refuse(x *exchange, ref *refusal, cut bool) {
-	if ref.outcome == "notRun" {
+	if e.faults.sayNotRun {
+		ref.outcome = notice.OutcomeNotRun
+	}
+	if ref.outcome == notice.OutcomeNotRun {
 		e.counters.notRun.Inc(1)
 	} else {
 		e.counters.lost.Inc(1)
@@ -139,10 +142,6 @@
 	return notRun(s.status, s.reason, r.Error())
 }
 
-// patience is how long a reused connection may stay silent before an idempotent request moves to a
-// new one: several times the usual service time of lookups and notices.
-const patience = 2 * time.Second
-
 // cutQuery returns the path of a request target.
 func cutQuery(uri string) string {
 	path, _, _ := strings.Cut(uri, "?")
--- a/entry/place.go
+++ b/entry/place.go
@@ -54,7 +54,7 @@
 		return notRun(http.StatusServiceUnavailable, reasonCellReplaced, "the pool is not in the tables in force")
 	}
 	id, decisions, ok := cell.submit(pool.Request{
-		Route: x.Route, Account: x.Account, Idempotent: x.idempotent, Replayable: x.replayable(),
+		Route: x.Route, Account: x.Account, Idempotent: x.idempotent, Replayable: x.kept != nil,
 		Deadline: e.now() + pool.Time(time.Until(x.deadline)), Fingerprint: x.fingerprint(),
 		Upload: x.kept == nil,
 	})
@@ -70,7 +70,7 @@
 				return ref
 			}
 		case <-ctx.Done():
-			cell.cancel(id)
+			cell.withdraw(id, decisions)
 			if p.failure != nil {
 				return p.giveUp(reasonDeadline)
 			}
@@ -153,10 +153,15 @@
 // to the caller the request can only end, whole or cut off.
 func (p *placement) attempt(ctx context.Context, d pool.Decision) (ref *refusal, done bool) {
 	x := p.x
+	if !x.replayable() {
+		// A part of the body has been read for an earlier attempt and is not kept.
+		p.cell.abandon(p.id)
+		return p.giveUp(d.Reason), true
+	}
 	x.attempts++
 	row := p.cell.target(d.Target)
 	began := time.Now()
-	answer, err := p.e.client.Do(ctx, p.e.targetRequest(x, row.Address))
+	answer, err := p.e.client.Do(ctx, p.e.targetRequest(x, row.Address, p.cell.patience()))
 	if err != nil {
 		return p.failed(d, err, time.Since(began))
 	}
@@ -188,6 +193,7 @@
 
 // report tells the cell how the attempt ended and logs it.
 func (p *placement) report(d pool.Decision, o pool.Outcome) {
+	o.Draining = o.Draining && !p.e.faults.ignoreDrain
 	p.e.logAttempt(p.x, d.Target, d.Reason, outcomeNames[o.Kind])
 	p.cell.finish(p.id, o)
 }
@@ -222,6 +228,9 @@
 	if err == nil {
 		err = copyBody(out, a.Body)
 	}
+	if err != nil && p.e.faults.passTruncated {
+		err = nil
+	}
 	switch {
 	case err == nil:
 		err = out.Finish(a.Trailer)
--- a/fleet/receive.go
+++ b/fleet/receive.go
@@ -29,9 +29,27 @@
 		m.introduce(now, h.Introduced)
 	}
 	m.takeLinks(now, p, h)
+	for _, k := range h.Missing {
+		if m.byName[k.name()] == nil && k.name() != m.key.name() {
+			m.unknown[k.name()] = now
+		}
+	}
+	if !m.faults.ignoreLeaving {
+		m.takeLeaving(h.Leaving)
+	}
 	m.refreshPeer(now, p)
 }
 
+// takeLeaving notes which peers leave according to another. Leaving is final for an incarnation, so the
+// report can't be outdated.
+func (m *Membership) takeLeaving(keys KeySet) {
+	for _, k := range keys {
+		if p := m.byName[k.name()]; p != nil && p.name.with(p.Incarnation) == k {
+			p.State = StateLeaving
+		}
+	}
+}
+
 // admit reports whether the heartbeat is news. A higher incarnation replaces the former one at once,
 // a lower one only when the former is gone, since it may be an old process that still runs.
 func (m *Membership) admit(now time.Duration, p *peer, h Heartbeat) bool {
@@ -47,7 +65,8 @@
 	return true
 }
 
-// claimKept is how long a released claim is kept for the next owner.
+// claimKept is how long a claim is kept that was released, or that was not repeated by a peer whose
+// claims don't fit into one heartbeat. About 16 claims with a few ejected targets fit at 44 entries.
 const claimKept = 30 * time.Second
 
 // takeClaims takes the cells that the peer serves.
--- a/fleet/types.go
+++ b/fleet/types.go
@@ -100,7 +100,10 @@
 	// You is the receiver's incarnation if the sender heard it lately, else zero.
 	You Incarnation `cbor:"10,keyasint,omitempty"`
 	// Heard lists the peers that the sender has a two-way link with.
-	Heard            KeySet         `cbor:"11,keyasint,omitempty"`
+	Heard KeySet `cbor:"11,keyasint,omitempty"`
+	// Missing lists entries without a two-way link to the sender that may still run, so that
+	// peers which started later know of them. Not every heartbeat carries all of them.
+	Missing          KeySet         `cbor:"20,keyasint,omitempty"`
 	AcceptedRevision table.Revision `cbor:"12,keyasint"`
 	Digest           uint64         `cbor:"13,keyasint"`
 	// Reader says that the sender read the platform within the last 10 s.
@@ -115,6 +118,9 @@
 	TickLateMs int64 `cbor:"18,keyasint,omitempty"`
 	// Introduced names one peer of the sender, so that entries find peers that no list names.
 	Introduced *Introduction `cbor:"19,keyasint,omitempty"`
+	// Leaving names peers that the sender hears and that leave, so that an entry that does not hear
+	// them, because of a one-way cut, stops naming them to callers too.
+	Leaving KeySet `cbor:"22,keyasint,omitempty"`
 	// Epoch is the epoch of run ids that callers of the sender make now.
 	Epoch uint32 `cbor:"20,keyasint,omitempty"`
 }
--- a/measure/detection.go
+++ b/measure/detection.go
@@ -91,8 +91,9 @@
 const (
 	baselineRuns = 6
 	fullRuns     = 5
-	nightRuns    = 10
-	pairRuns     = 6
+	// fewerRuns is for scenarios without a goal and for nights, which take long to simulate.
+	fewerRuns = 10
+	pairRuns  = 6
 )
 
 func runDetection(o Options) ([]Line, error) {
@@ -100,8 +101,8 @@
 	for _, s := range subjects(Profiles, Loads, own()) {
 		for _, c := range singles {
 			runs := o.Runs
-			if s.load == Night {
-				runs = min(runs, nightRuns)
+			if s.load == Night || classes[c.name] == classOther {
+				runs = min(runs, fewerRuns)
 			}
 			jobs = append(jobs, detectionJob{s, c, runs, fullRuns})
 		}
@@ -141,8 +142,7 @@
 	if j.scenario.sameTarget {
 		second = first
 	}
-	w.stats = Stats{}
-	w.falseEjections = nil
+	w.startMeasuring()
 	w.Watch(first, Faults[j.scenario.first])
 	if f, ok := Faults[j.scenario.second]; ok {
 		w.targets[second].switchOn(f)
@@ -197,7 +197,7 @@
 		return
 	}
 	window := timesFor(j.profile, j.load).fault.Seconds()
-	var out, ejected, affected []float64
+	var out, ejected, affected, lastWork []float64
 	undetected := 0
 	for _, r := range runs {
 		seconds := window
@@ -208,6 +208,7 @@
 		}
 		out = append(out, seconds)
 		affected = append(affected, float64(r.watch.affected()))
+		lastWork = append(lastWork, r.watch.lastHarm().Seconds())
 		if r.watch.ejectedAt >= 0 {
 			ejected = append(ejected, time.Duration(r.watch.ejectedAt-r.watch.since).Seconds())
 		}
@@ -224,6 +225,7 @@
 	requests, hasRequests := goalRequests(j.profile, j.load, j.scenario.name)
 	add("seconds.p50", quantile(out, 0.5), unitSeconds, 0, false)
 	add("seconds.p99", quantile(out, 0.99), unitSeconds, seconds, hasSeconds)
+	add("lastHarm.seconds.p99", quantile(lastWork, 0.99), unitSeconds, 0, false)
 	add("affected.p50", quantile(affected, 0.5), unitRequests, 0, false)
 	add("affected.p99", quantile(affected, 0.99), unitRequests, requests, hasRequests)
 	add("undetected", float64(undetected), unitCount, 0, hasSeconds || hasRequests)
--- a/measure/world.go
+++ b/measure/world.go
@@ -141,8 +141,30 @@
 		},
 		poison: content == poisonContent,
 	}
-	w.nextObserver++
-	w.observers[w.nextObserver%len(w.observers)].submit(r)
+	w.owner().submit(r)
+}
+
+// owner returns the observers that serve the cell in turn: callers on both sides of a partition
+// send their requests.
+func (w *World) owner() *Observer {
+	for range w.observers {
+		w.nextObserver++
+		o := w.observers[w.nextObserver%len(w.observers)]
+		if o.standing != fleet.NotOwner {
+			return o
+		}
+	}
+	return w.observers[0]
+}
+
+// startMeasuring forgets the requests of the warm-up. Ejections and violations in healthy work
+// count from the start.
+func (w *World) startMeasuring() {
+	w.stats = Stats{
+		ejections:       w.stats.ejections,
+		floorViolations: w.stats.floorViolations,
+		slotViolations:  w.stats.slotViolations,
+	}
 }
 
 // Run lets d pass.
@@ -155,14 +177,15 @@
 	o.do(func() { o.chooser.SetStanding(w.clock.Now(), s, false) })
 }
 
-// checkFloor counts a violation when all observers' ejections together leave fewer targets than
-// the floor.
+// checkFloor counts a violation when the ejections of all observers that place work leave fewer
+// targets than the floor.
 func (w *World) checkFloor() {
 	left := 0
 	for i := range w.targets {
 		ejected := false
 		for _, o := range w.observers {
-			ejected = ejected || o.placement[i] == Ejected
+			places := !o.paused && o.standing != fleet.NotOwner
+			ejected = ejected || places && o.placement[i] == Ejected
 		}
 		if !ejected {
 			left++
@@ -288,3 +311,15 @@
 	}
 	return n
 }
+
+// lastHarm returns how long after the fault began the last harmed attempt before the target was out
+// started. It is earlier than out when the chooser steers work away before it avoids the target.
+func (v *watch) lastHarm() time.Duration {
+	var last time.Duration
+	for _, at := range v.harmed {
+		if v.out < 0 || at <= v.out {
+			last = time.Duration(at - v.since)
+		}
+	}
+	return last
+}
--- a/pool/sim_test.go
+++ b/pool/sim_test.go
@@ -86,11 +86,10 @@
 	faults map[table.TargetID]*fault
 	live   map[RequestID]Request
 	// poison is sent with this probability and crashes each target for crashTime.
-	poison      float64
-	fingerprint func() Fingerprint
-	crashed     map[table.TargetID]Time
-	running     map[table.TargetID][]RequestID
-	paused      bool
+	poison  float64
+	crashed map[table.TargetID]Time
+	running map[table.TargetID][]RequestID
+	paused  bool
 
 	runs, retries, trials, finals, good, refused int
 	// lastOrdinary and ordinary describe the ordinary work of the target under observation.
@@ -229,6 +228,7 @@
 	if limit := time.Duration(r.Deadline - s.now); o.Service > limit && o.Kind != OutcomeConnectFailed {
 		o = Outcome{Kind: OutcomeTimeout, Written: true, Service: limit}
 	}
+	o.AfterBody = o.Service
 	s.running[d.Target] = append(s.running[d.Target], d.Request)
 	s.at(s.now+Time(o.Service), func(now Time) { s.finish(now, d, o) })
 }
--- a/pool/trial.go
+++ b/pool/trial.go
@@ -18,8 +18,11 @@
 	firstHoldOff = 5 * time.Second
 	maxHoldOff   = 5 * time.Minute
 	// returnEvidence is how much likelier the target must be healthy than bad, as a log, to return.
-	// Failures count by the test for 20%, so that a return takes 16 successes in a row.
-	returnEvidence = 3.4
+	// Failures count by the test for 20%, so that a return takes 21 successes in a row.
+	returnEvidence = 4.6
+	// failedEvidence is how much likelier the target must be bad for a trial to have failed. A single
+	// answer that is a little late does not fail one.
+	failedEvidence = 2.0
 	// minReturnTrials is the least number of successes in a row for a return.
 	minReturnTrials = 2
 	// restoredShare bounds the evidence of some failures that an avoided target keeps when it returns, as a
@@ -55,7 +58,7 @@
 	inFlight bool
 	// urgent trials don't wait for the share of requests.
 	urgent bool
-	// recovered is the evidence of health since the last failed trial.
+	// recovered is the evidence of health; an ejected target's starts anew after each failed trial.
 	recovered float64
 	successes int
 	// flaps counts returns that did not last.
@@ -137,11 +140,11 @@
 	if t.state == TargetServing || t.state == TargetLeaving {
 		return
 	}
+	s.recovered += progress
 	switch {
-	case progress < 0:
+	case progress <= -failedEvidence || (progress < 0 && s.recovered <= -failedEvidence):
 		c.trialFailed(now, t, r)
-	case progress > 0:
-		s.recovered += progress
+	case progress != 0:
 		s.successes++
 		s.due = now + Time(firstTrial)
 		s.interval = firstTrial
@@ -159,7 +162,14 @@
 
 func (c *Cell) trialFailed(now Time, t *target, r *request) {
 	s := &t.trial
-	s.recovered, s.successes = 0, 0
+	s.successes = 0
+	if t.state == TargetAvoided {
+		// Failures count against later successes: a target that fails one request in five would pass a
+		// series of successes sooner or later.
+		s.recovered = max(s.recovered, -returnEvidence)
+	} else {
+		s.recovered = 0
+	}
 	if !r.trial {
 		return
 	}
@@ -170,7 +180,10 @@
 	case TargetUnreachable:
 		s.interval = min(2*s.interval, maxReconnect)
 	default:
-		s.interval = min(2*s.interval, maxAvoidedTrial)
+		// Trials go on at the same rate until there is a verdict, unless ejection is not possible.
+		if t.blocked != "" {
+			s.interval = min(2*s.interval, maxAvoidedTrial)
+		}
 	}
 	// The jitter keeps trials of several targets apart.
 	s.due = now + Time(s.interval) + Time(c.Random.Int64N(int64(s.interval)/4+1))
@@ -189,7 +202,7 @@
 	t.evidence.reset()
 	if kind == EventRestored {
 		// Few successes don't clear a target that fails now and then; its next failure counts fully.
-		some.sum = min(some.sum, restoredShare*avoidThreshold(c.threshold(t)))
+		some.sum = min(some.sum, restoredShare*c.avoidThreshold(c.threshold(t)))
 		t.evidence.some = some
 	}
 	t.trial.recovered, t.trial.successes = 0, 0
