--- a/process/harness_test.go
+++ b/process/harness_test.go
@@ -187,10 +187,13 @@
 // them is taken between the choice of a port and the start of its entry.
 const (
 	firstPort = 10_000
-	lastPort  = 20_000
+	lastPort  = 30_000
+	portRange = lastPort - firstPort
 )
 
-var nextPort = firstPort
+// nextPort starts at a place that depends on the process, so that two runs on one machine rarely choose
+// the ports of an entry that the other run is about to start again.
+var nextPort = firstPort + os.Getpid()*131%(portRange/2)
 
 // freePort returns a loopback address that nobody listens on.
 func freePort(t *testing.T, network string) string {
