--- a/process/harness_test.go
+++ b/process/harness_test.go
@@ -64,6 +64,8 @@
 	service time.Duration
 	// faults names rules that are switched off in all entries; see entry/faults.go.
 	faults string
+	// targetSlots is how many requests a target can run, if that is more than the tables say.
+	targetSlots int
 	// idle leaves the entries to be started by the test.
 	idle bool
 }
@@ -92,12 +94,13 @@
 		}
 		w.await("all entries see each other", func() bool {
 			for _, r := range w.list {
-				if w.live(r.ID) != len(w.list) {
+				if w.live(r.ID) != len(w.list) || w.owner(r.ID, lookups) == "" {
 					return false
 				}
 			}
 			return true
 		})
+		w.await("all entries name the same owners", w.sameOwners)
 	}
 	return w
 }
@@ -117,7 +120,7 @@
 		}
 		for i := range p.count {
 			target := &standin.Target{
-				Listen: "127.0.0.1:0", ID: fmt.Sprintf("%s-%d", p.name, i), Slots: 4, Queue: 2,
+				Listen: "127.0.0.1:0", ID: fmt.Sprintf("%s-%d", p.name, i), Slots: max(4, o.targetSlots), Queue: 2,
 				Service: o.service, Spread: 0.3, Seed: uint64(i + 1),
 			}
 			w.check(target.Start())
@@ -353,6 +356,19 @@
 	return x.Cells[0].Owner
 }
 
+// sameOwners says that all entries name the same owner for each pool.
+func (w *world) sameOwners() bool {
+	for _, name := range []string{lookups, notices, uploads} {
+		first := w.owner(w.list[0].ID, name)
+		for _, r := range w.list {
+			if first == "" || w.owner(r.ID, name) != first {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // cell returns the report of a pool's only cell at an entry.
 func (w *world) cell(id fleet.EntryID, pool string) (entry.CellStatus, bool) {
 	var cells []entry.CellStatus
--- a/process/ids_test.go
+++ b/process/ids_test.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/bilberrywood/bilberrywood/caller"
-	"github.com/bilberrywood/bilberrywood/entry"
 	"github.com/bilberrywood/bilberrywood/standin"
 	"github.com/bilberrywood/bilberrywood/target"
 )
@@ -63,9 +62,7 @@
 // newID makes an id that is bound to the entry which the first entry names first.
 func (w *world) newID() string {
 	w.t.Helper()
-	var answer entry.AddressAnswer
-	w.check(getJSON("http://"+w.list[0].CallerAddress+"/v1/addresses?route="+notices, &answer))
-	return caller.NewID(answer.Entries[0].Binding)
+	return caller.NewID(w.addresses(w.list[0].CallerAddress, notices).Entries[0].Binding)
 }
 
 // sendCopy sends one copy of a notice and returns the outcome that the entry states.
--- a/process/traffic_test.go
+++ b/process/traffic_test.go
@@ -7,6 +7,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strings"
 	"sync"
@@ -32,13 +33,15 @@
 
 // told is the end of one request as its caller saw it.
 type told struct {
-	route    string
-	id       string
-	outcome  caller.Outcome
-	status   int
-	reason   string
-	foreign  bool
-	partial  bool
+	route   string
+	id      string
+	outcome caller.Outcome
+	status  int
+	reason  string
+	foreign bool
+	partial bool
+	// cut says that the caller saw that an answer of unknown length was cut off.
+	cut      bool
 	attempts []caller.Attempt
 	took     time.Duration
 }
@@ -65,10 +68,20 @@
 
 // send sends one request and notes its end.
 func (tr *traffic) send(c *caller.Caller, route, nonce string, size int64) told {
+	path := fmt.Sprintf("/%s/%s", route, nonce)
+	if rand.IntN(2) == 0 {
+		// Answers of unknown length are whole only if their end is announced.
+		return tr.sendPath(c, route, path+"?"+standin.ParamChunked+"&", nonce, size)
+	}
+	return tr.sendPath(c, route, path+"?", nonce, size)
+}
+
+// sendPath sends one request with the given path and begin of the query.
+func (tr *traffic) sendPath(c *caller.Caller, route, path, nonce string, size int64) told {
 	body := strings.Repeat("x", 200)
 	r := &caller.Request{
 		Route: table.RouteName(route), Method: http.MethodPost,
-		Path:          fmt.Sprintf("/%s/%s?%s=%d", route, nonce, standin.ParamBytes, size),
+		Path:          fmt.Sprintf("%s%s=%d", path, standin.ParamBytes, size),
 		Header:        http.Header{target.HeaderNonce: {nonce}},
 		Body:          func() (io.ReadCloser, error) { return io.NopCloser(bytes.NewReader([]byte(body))), nil },
 		ContentLength: int64(len(body)), Idempotent: route == lookups,
@@ -84,7 +97,8 @@
 		e.status = result.Answer.StatusCode
 		if result.Outcome == caller.OutcomeRun && e.status == http.StatusOK {
 			whole, _, err := standin.CheckNonceBody(result.Answer.Body, nonce, size)
-			e.partial = err != nil
+			e.cut = err != nil && result.Answer.ContentLength < 0
+			e.partial = err != nil && !e.cut
 			e.foreign = !whole && err == nil || result.Answer.Header.Get(target.HeaderNonce) != nonce
 		}
 		result.Answer.Body.Close()
--- /dev/null
+++ b/process/upload_test.go
@@ -0,0 +1,105 @@
+//go:build process
+
+package process
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"syscall"
+	"time"
+
+	"github.com/bilberrywood/bilberrywood/caller"
+	"github.com/bilberrywood/bilberrywood/entry"
+	"github.com/bilberrywood/bilberrywood/fleet"
+	"github.com/bilberrywood/bilberrywood/platform"
+	"github.com/bilberrywood/bilberrywood/standin"
+	"github.com/bilberrywood/bilberrywood/target"
+)
+
+const sigterm = syscall.SIGTERM
+
+// addresses asks an entry for the addresses of a route; the answer is empty if it does not answer.
+func (w *world) addresses(address, route string) entry.AddressAnswer {
+	var answer entry.AddressAnswer
+	// An entry that is gone names nobody.
+	_ = getJSON("http://"+address+"/v1/addresses?route="+route, &answer)
+	return answer
+}
+
+// upload sends a body that goes on until release is closed. It returns "" if the answer was whole and
+// the target got the whole body.
+func (w *world) upload(address, id, nonce string, release <-chan struct{}) string {
+	r, err := http.NewRequest(http.MethodPost, "http://"+address+"/"+uploads+"/sonar", &heldBody{left: uploadBytes, release: release})
+	if err != nil {
+		return err.Error()
+	}
+	r.ContentLength = uploadBytes
+	r.Header.Set(target.HeaderID, id)
+	r.Header.Set(target.HeaderNonce, nonce)
+	answer, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return err.Error()
+	}
+	defer answer.Body.Close()
+	whole, _, err := standin.CheckNonceBody(answer.Body, nonce, 64)
+	if o := caller.ParseOutcome(answer.Header); o != caller.OutcomeRun || answer.StatusCode != http.StatusOK || !whole {
+		return fmt.Sprintf("status %d, outcome %s, reason %s, whole %v, error %v", answer.StatusCode, o,
+			answer.Header.Get("Bilberrywood-Reason"), whole, err)
+	}
+	for _, t := range w.targets[uploads] {
+		for _, run := range t.Record(id).Runs {
+			if run.State == standin.RunCompleted && run.BodyBytes == uploadBytes {
+				return ""
+			}
+		}
+	}
+	return "no target got the whole body"
+}
+
+// running returns how many requests run at the targets of a pool.
+func (w *world) running(name string) int {
+	n := 0
+	for _, t := range w.targets[name] {
+		for _, run := range t.Record("").Runs {
+			if run.State == standin.RunRunning {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+func (w *world) row(id fleet.EntryID) platform.FleetRow {
+	for _, r := range w.list {
+		if r.ID == id {
+			return r
+		}
+	}
+	return platform.FleetRow{}
+}
+
+// refusesCallers says that an entry takes no connections of callers.
+func (w *world) refusesCallers(id fleet.EntryID) bool {
+	c, err := net.DialTimeout("tcp", w.row(id).CallerAddress, time.Second)
+	if err != nil {
+		return true
+	}
+	c.Close()
+	return false
+}
+
+// awaitEnd waits until an entry's process has ended.
+func (w *world) awaitEnd(id fleet.EntryID) {
+	w.t.Helper()
+	p := w.entries[id]
+	w.await(fmt.Sprintf("%s has ended", id), func() bool {
+		select {
+		case <-p.done:
+			return true
+		default:
+			return false
+		}
+	})
+	delete(w.entries, id)
+}
