--- a/entry/cellset.go
+++ b/entry/cellset.go
@@ -141,6 +141,9 @@
 			}
 		}
 		c.targets, c.revision = rows, force.pair.Revision
+		if p != nil {
+			pc.SetPolicy(now, p.Policy, p.Slots)
+		}
 		pc.Update(now, cell.Targets, cell.Floor)
 	})
 	c.prober.SetTargets(probeTargets(p, cell.Targets))
--- a/entry/loglines.go
+++ b/entry/loglines.go
@@ -35,23 +35,23 @@
 	return len(line), nil
 }
 
-// Last returns the last lines, oldest first.
-func (l *LogLines) Last() [][]byte {
-	l.mu.Lock()
-	defer l.mu.Unlock()
+// lastLines returns the last lines, oldest first.
+func (l *LogLines) lastLines() [][]byte {
 	return append([][]byte(nil), l.last[max(0, len(l.last)-keptLines):]...)
 }
 
-// Follow returns a channel of new lines and a function that ends the following.
-func (l *LogLines) Follow() (lines <-chan []byte, end func()) {
+// Follow returns the last lines, a channel of those that follow and a function that ends the following.
+// No line is in both.
+func (l *LogLines) Follow() (last [][]byte, lines <-chan []byte, end func()) {
 	ch := make(chan []byte, followerLines)
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	last = l.lastLines()
 	if l.followers == nil {
 		l.followers = make(map[chan []byte]struct{})
 	}
 	l.followers[ch] = struct{}{}
-	return ch, func() {
+	return last, ch, func() {
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		delete(l.followers, ch)
--- a/entry/operator.go
+++ b/entry/operator.go
@@ -169,9 +169,9 @@
 	}
 	w := c.Response()
 	w.Header().Set(echo.HeaderContentType, "application/x-ndjson")
-	lines, end := e.LogLines.Follow()
+	last, lines, end := e.LogLines.Follow()
 	defer end()
-	for _, line := range e.LogLines.Last() {
+	for _, line := range last {
 		if _, err := w.Write(line); err != nil {
 			return Error.Wrap(err)
 		}
--- a/fleet/standing.go
+++ b/fleet/standing.go
@@ -97,6 +97,16 @@
 	return Sole
 }
 
+// Shared reports whether another entry is likely to serve the cell at the same time: a peer claims it,
+// or a peer that ranks above this entry could own it less than the handover time ago. An entry that can't
+// be heard at all does not count: after a crash that would halve the use of the targets until the fleet
+// list drops the VM, while a target that is really oversubscribed sheds work before it runs it.
+func (v *View) Shared(c CellKey) bool {
+	cell := c.hash()
+	return v.owner(cell) != v.self || v.claimedByOther(c) ||
+		v.heavierWithin(cell, v.times.Handover, func(r *viewRow) time.Duration { return r.servingUntil })
+}
+
 // MayEject reports whether this entry, as sole or contested owner of the cell, may eject targets. A
 // new owner first waits until a former owner that was sole has noticed that it no longer is, because
 // ejections of protected targets by that one and ejections by this one would add up. While MayEject
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -60,6 +61,9 @@
 	Key         string `json:"key"`
 }
 
+// logLevels are the levels that a log can be limited to.
+var logLevels = []string{"debug", "info", "warn", "error"}
+
 // Limits of settings, in milliseconds.
 const (
 	minHeartbeatMs = 50
@@ -145,6 +149,9 @@
 			g.Add(errs.New("%s is empty", f.name))
 		}
 	}
+	if !slices.Contains(logLevels, e.LogLevel) {
+		g.Add(errs.New("logLevel: %q is not one of %v", e.LogLevel, logLevels))
+	}
 	g.Add(e.checkDurations())
 	return g.Err()
 }
