--- a/pool/connection.go
+++ b/pool/connection.go
@@ -116,6 +116,7 @@
 	}
 	s.streak++
 	s.lastFault = now
+	t.evidence.badAt = now
 	if now < s.blamelessUntil || r.started < c.doubt.evidenceFrom {
 		return
 	}
--- a/pool/doubt.go
+++ b/pool/doubt.go
@@ -7,6 +7,10 @@
 // commonCauseTime is how long the cell withholds judgement after most of its targets looked bad.
 const commonCauseTime = 2 * time.Second
 
+// sameTime is how old evidence may be to count as simultaneous. At night old evidence stays for hours, because
+// no success comes to outweigh it.
+const sameTime = 10 * time.Second
+
 // doubt says how far the cell trusts its own observations.
 type doubt struct {
 	// until is the end of the doubt that follows a late tick of the cell's own.
@@ -52,7 +56,9 @@
 			continue
 		}
 		seen++
-		if t.evidence.settled() >= suspectSum || t.evidence.late >= leastLateAvoid || t.state == TargetAvoided {
+		recent := now-t.evidence.badAt <= Time(sameTime)
+		if (recent && (t.evidence.settled() >= suspectSum || t.state == TargetAvoided)) ||
+			t.evidence.late >= leastLateAvoid {
 			bad++
 		}
 	}
--- a/pool/evidence.go
+++ b/pool/evidence.go
@@ -67,6 +67,8 @@
 	late float64
 	// suspicion is the strongest evidence as a share of what makes a target avoided, 0 to 1.
 	suspicion float64
+	// badAt is the time of the last answer, or lost connection, that spoke clearly against the target.
+	badAt Time
 	// failedAt is the time of the last failure, and failedStart when that request started.
 	failedAt, failedStart Time
 	// timeouts counts the last group of overlapping timeouts, and timeoutAt is when its first one ended.
@@ -114,7 +116,7 @@
 	case OutcomeSuccess:
 		c.queue.observeHold(o.Service)
 		progress = c.answered(now, t, r, false)
-		if slow, known := c.collectTime(t, r, o); known && (slow >= overdue || t.reason == ReasonSlow) {
+		if slow, known := c.collectTime(now, t, r, o); known && (slow >= overdue || t.reason == ReasonSlow) {
 			progress = -slow
 		}
 	case OutcomeFailed, OutcomeTruncated:
@@ -140,7 +142,7 @@
 	share := 0.0
 	if failed {
 		share = 1
-		e.failedAt, e.failedStart = now, r.started
+		e.badAt, e.failedAt, e.failedStart = now, now, r.started
 	}
 	e.ratio += (share - e.ratio) * ratioSmoothing
 	base := c.history.baseRatio
@@ -157,7 +159,7 @@
 
 // collectTime compares the service time of an answer with the peers' and returns its evidence of slowness, if
 // the time says anything.
-func (c *Cell) collectTime(t *target, r *request, o *Outcome) (slow float64, known bool) {
+func (c *Cell) collectTime(now Time, t *target, r *request, o *Outcome) (slow float64, known bool) {
 	h, service := &c.history.ordinary, o.Service
 	if r.Upload {
 		h, service = &c.history.uploads, o.AfterBody
@@ -174,6 +176,9 @@
 		return min(slow, 0), true
 	}
 	t.evidence.time.add(slow)
+	if slow > overdue {
+		t.evidence.badAt = now
+	}
 	return slow, true
 }
 
