--- a/measure/detection.go
+++ b/measure/detection.go
@@ -229,8 +229,10 @@
 	add("affected.p50", quantile(affected, 0.5), unitRequests, 0, false)
 	add("affected.p99", quantile(affected, 0.99), unitRequests, requests, hasRequests)
 	add("undetected", float64(undetected), unitCount, 0, hasSeconds || hasRequests)
-	add("ejected.seconds.p50", quantile(ejected, 0.5), unitSeconds, 0, false)
-	add("ejected.seconds.p99", quantile(ejected, 0.99), unitSeconds, 0, false)
+	if len(ejected) > 0 {
+		add("ejected.seconds.p50", quantile(ejected, 0.5), unitSeconds, 0, false)
+		add("ejected.seconds.p99", quantile(ejected, 0.99), unitSeconds, 0, false)
+	}
 	add("ejected.share", percent(len(ejected), len(runs)), unitPercent, 0, false)
 }
 
