Leave out probes of targets that have just answered real work

Cause: probing every target each second costs about 58 KB/s and 1% of a core at the target size (48 targets an entry, two endpoints), above what control may use; load reports were not used by any decision. Change: load endpoints are not polled, and a round is left out if the target gave a whole answer within 1 s.

--- a/entry/cells.go
+++ b/entry/cells.go
@@ -32,6 +32,8 @@
 	// waiting has a channel for each submitted request that has no final decision yet.
 	waiting map[pool.RequestID]chan pool.Decision
 	next    pool.RequestID
+	// answered is when each target last gave a whole answer to real work.
+	answered map[table.TargetID]time.Time
 	// standing is the last one set; lastUse is when the cell last got a request.
 	standing fleet.Standing
 	lastUse  time.Time
@@ -96,9 +98,27 @@
 	return r.ID, ch, true
 }
 
-// finish reports the end of an attempt.
-func (c *cellRunner) finish(id pool.RequestID, o pool.Outcome) {
-	c.do(func(now pool.Time, cell *pool.Cell) { cell.Finish(now, id, o) })
+// finish reports the end of an attempt at a target.
+func (c *cellRunner) finish(id pool.RequestID, t table.TargetID, o pool.Outcome) {
+	c.do(func(now pool.Time, cell *pool.Cell) {
+		switch o.Kind {
+		case pool.OutcomeSuccess, pool.OutcomeFailed, pool.OutcomeShed:
+			c.answered[t] = time.Now()
+		}
+		cell.Finish(now, id, o)
+	})
+}
+
+// answerFresh is how old a target's last answer may be for its probe to be left out.
+const answerFresh = time.Second
+
+// answers says that the target has just answered real work. Every answer carries the drain signal, and a
+// probe of a target that works tells nothing else; at the target size probes of all targets each second
+// would use up the share of the network that control may take.
+func (c *cellRunner) answers(t table.TargetID) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return time.Since(c.answered[t]) < answerFresh
 }
 
 // withdraw takes back a request that waits for a target. If the cell has given it one in the meantime
--- a/entry/cellset.go
+++ b/entry/cellset.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -81,8 +82,9 @@
 func (s *cellSet) create(force *inForce, key fleet.CellKey, p *table.Pool) *servedCell {
 	runner := &cellRunner{
 		key: key, log: s.e.Log, now: s.e.now,
-		waiting: make(map[pool.RequestID]chan pool.Decision),
-		lastUse: time.Now(),
+		waiting:  make(map[pool.RequestID]chan pool.Decision),
+		answered: make(map[table.TargetID]time.Time),
+		lastUse:  time.Now(),
 		cell: &pool.Cell{
 			Key: key, Policy: p.Policy, Slots: p.Slots,
 			Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
@@ -90,6 +92,7 @@
 	}
 	c := &servedCell{cellRunner: runner}
 	c.prober = &target.Prober{
+		Skip: func(t target.ProbeTarget) bool { return runner.answers(t.ID) },
 		Signal: func(t target.ProbeTarget, sig pool.Signal) {
 			if sig.Kind != pool.SignalDraining || !s.e.faults.ignoreDrain {
 				runner.signal(t.ID, sig)
@@ -135,6 +138,7 @@
 		rows[t.ID] = t
 	}
 	c.do(func(now pool.Time, pc *pool.Cell) {
+		maps.DeleteFunc(c.answered, func(id table.TargetID, _ time.Time) bool { return rows[id].ID == "" })
 		for id, t := range c.targets {
 			if _, ok := rows[id]; !ok {
 				rows[id] = t
@@ -149,12 +153,13 @@
 	c.prober.SetTargets(probeTargets(p, cell.Targets))
 }
 
-// probeTargets returns what the prober polls; nothing if the pool is gone.
+// probeTargets returns what the prober polls; nothing if the pool is gone. Load endpoints are not polled:
+// they lag, and the owner of a cell knows the requests in flight exactly.
 func probeTargets(p *table.Pool, targets []table.Target) []target.ProbeTarget {
 	polled := make([]target.ProbeTarget, 0, len(targets))
 	for _, t := range targets {
 		polled = append(polled, target.ProbeTarget{
-			Pool: p.Name, ID: t.ID, Address: t.Address, ProbePath: p.ProbePath, LoadPath: p.LoadPath,
+			Pool: p.Name, ID: t.ID, Address: t.Address, ProbePath: p.ProbePath,
 		})
 	}
 	return polled
--- a/entry/place.go
+++ b/entry/place.go
@@ -195,7 +195,7 @@
 func (p *placement) report(d pool.Decision, o pool.Outcome) {
 	o.Draining = o.Draining && !p.e.faults.ignoreDrain
 	p.e.logAttempt(p.x, d.Target, d.Reason, outcomeNames[o.Kind])
-	p.cell.finish(p.id, o)
+	p.cell.finish(p.id, d.Target, o)
 }
 
 // keepFailure reads a failed answer of an idempotent request, so that it can be passed on if the
--- a/target/prober.go
+++ b/target/prober.go
@@ -49,6 +49,9 @@
 	Interval time.Duration
 	// Timeout bounds one probe; 500 ms.
 	Timeout time.Duration
+	// Skip, if it is set, says that a target's round is left out, for instance because an answer to
+	// real work has just told the same. It is called from many goroutines.
+	Skip func(ProbeTarget) bool
 	// Signal is called for every result, from many goroutines. A failed load report gives none.
 	Signal func(ProbeTarget, pool.Signal)
 
@@ -127,7 +130,9 @@
 			return
 		case <-timer.C:
 		}
-		p.round(ctx, t)
+		if p.Skip == nil || !p.Skip(t) {
+			p.round(ctx, t)
+		}
 		jitter := (rand.Float64()*2 - 1) * probeJitter
 		timer.Reset(time.Duration(float64(p.Interval) * (1 + jitter)))
 	}
