--- a/process/stream_test.go
+++ b/process/stream_test.go
@@ -3,7 +3,6 @@
 package process
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -16,7 +15,6 @@
 	"github.com/matryer/is"
 
 	"github.com/bilberrywood/bilberrywood/caller"
-	"github.com/bilberrywood/bilberrywood/entry"
 	"github.com/bilberrywood/bilberrywood/fleet"
 	"github.com/bilberrywood/bilberrywood/standin"
 	"github.com/bilberrywood/bilberrywood/target"
@@ -38,7 +36,7 @@
 	for _, forwarded := range []bool{false, true} {
 		t.Run(fmt.Sprintf("forwarded=%v", forwarded), func(t *testing.T) {
 			is := is.New(t)
-			answer := w.addresses(uploads)
+			answer := w.addresses(w.list[0].CallerAddress, uploads)
 			to := answer.Entries[0]
 			if forwarded {
 				to = answer.Entries[1]
@@ -78,17 +76,6 @@
 	return len(b), nil
 }
 
-// addresses asks an entry for the addresses of a route.
-func (w *world) addresses(route string) entry.AddressAnswer {
-	w.t.Helper()
-	reply, err := http.Get("http://" + w.list[0].CallerAddress + "/v1/addresses?route=" + route)
-	w.check(err)
-	defer reply.Body.Close()
-	var a entry.AddressAnswer
-	w.check(json.NewDecoder(reply.Body).Decode(&a))
-	return a
-}
-
 // peakMemory returns the most resident memory that an entry's process has used, in bytes.
 func (w *world) peakMemory(id fleet.EntryID) int64 {
 	w.t.Helper()
