--- a/pool/pick.go
+++ b/pool/pick.go
@@ -27,7 +27,7 @@
 const unresolvedSuspicion = 0.3
 
 // suspicionHolds is how long suspicion counts, in mean service times.
-const suspicionHolds = 4
+const suspicionHolds = 2
 
 // pick chooses a target with a free slot for the request, or returns nil.
 func (c *Cell) pick(now Time, r *request) (*target, Reason, bool) {
