process: floor under splits, uploads and stops, tables and leaving targets with rules switched off

Cause: the judges of these failures had never been shown a violation; the floor was not watched during splits.

--- a/entry/cellset.go
+++ b/entry/cellset.go
@@ -56,6 +56,8 @@
 	*cellRunner
 	prober *target.Prober
 	pair   *table.Pair
+	// alwaysSole is faults.alwaysSole.
+	alwaysSole bool
 }
 
 // get returns the cell's runner, which it creates if the cell is in the tables in force.
@@ -88,7 +90,7 @@
 			Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		},
 	}
-	c := &servedCell{cellRunner: runner}
+	c := &servedCell{cellRunner: runner, alwaysSole: s.e.faults.alwaysSole}
 	c.prober = &target.Prober{
 		Signal: func(t target.ProbeTarget, sig pool.Signal) {
 			if sig.Kind != pool.SignalDraining || !s.e.faults.ignoreDrain {
@@ -107,6 +109,9 @@
 		c.applyTables(force)
 	}
 	standing := v.Standing(c.key)
+	if c.alwaysSole {
+		standing = fleet.Sole
+	}
 	inherited, known := v.LastEjected(c.key)
 	poison := make([]pool.Fingerprint, len(v.Poison))
 	for i, f := range v.Poison {
@@ -115,7 +120,7 @@
 	c.do(func(now pool.Time, cell *pool.Cell) {
 		// An entry that places requests although it is not the owner is as limited as an owner
 		// whose cell another entry may serve too.
-		cell.SetStanding(now, max(standing, fleet.Contested), v.SelfDoubt || !v.MayEject(c.key))
+		cell.SetStanding(now, max(standing, fleet.Contested), (v.SelfDoubt || !v.MayEject(c.key)) && !c.alwaysSole)
 		if c.standing == fleet.NotOwner && standing != fleet.NotOwner && known {
 			cell.Inherit(now, inherited)
 		}
--- a/entry/faults.go
+++ b/entry/faults.go
@@ -17,6 +17,8 @@
 	passTruncated bool
 	// cutOnStop ends all requests in flight at a stop.
 	cutOnStop bool
+	// alwaysSole lets the entry eject whatever its standing is.
+	alwaysSole bool
 	// sayNotRun tells callers that requests with an unknown outcome were not run.
 	sayNotRun bool
 }
--- a/entry/faults_on.go
+++ b/entry/faults_on.go
@@ -17,6 +17,7 @@
 		"runForeign": &f.runForeign, "forgetIDs": &f.forgetIDs, "skipAnswerWait": &f.skipAnswerWait,
 		"platformFirst": &f.platformFirst, "ignoreDrain": &f.ignoreDrain,
 		"passTruncated": &f.passTruncated, "cutOnStop": &f.cutOnStop, "sayNotRun": &f.sayNotRun,
+		"alwaysSole": &f.alwaysSole,
 	}
 	names := os.Getenv(faultsVariable)
 	if names == "" {
