entry: a relay without a link answers unknown for ids that another entry decides about

Cause: after the owner was killed, an entry that counted it live through a relay passed the request on; the relay had no link and answered notRun, although an earlier copy of the id had run (I3; TestOwnerKilled, 2 ids, attempts EOF, 502, then notRun 503 after 1.5 ms). Change: every refusal of a relay is unknown if the id is decided about at the next entry, as it was for failed forwards. Result: builds; the failing test was not run again (a race that showed in 1 of 1 runs of the whole suite).

--- a/entry/forward.go
+++ b/entry/forward.go
@@ -156,18 +156,23 @@
 	return e.place(ctx, x, x.Cell)
 }
 
-// relay passes a request on to the entry that it is for, once.
+// relay passes a request on to the entry that it is for, once. Whatever goes wrong with a request
+// whose id that entry decides about, the outcome is unknown: an earlier copy may have run there.
 func (e *Entry) relay(ctx context.Context, x *exchange) *refusal {
+	ref := e.relayOnce(ctx, x)
+	if ref != nil && x.Mode == peer.ForwardDecide {
+		ref.outcome = notice.OutcomeUnknown
+	}
+	return ref
+}
+
+func (e *Entry) relayOnce(ctx context.Context, x *exchange) *refusal {
 	to, ok := e.member(x.To)
 	if !ok || to.Link != fleet.LinkTwoWay {
 		return notRun(http.StatusServiceUnavailable, reasonOwnerGone, "the relay has no link to entry "+string(x.To))
 	}
 	to.Via = ""
-	ref := e.forward(ctx, x, to, x.Mode)
-	if ref != nil && x.Mode == peer.ForwardDecide {
-		ref.outcome = notice.OutcomeUnknown
-	}
-	return ref
+	return e.forward(ctx, x, to, x.Mode)
 }
 
 func minTime(a, b time.Time) time.Time {
