pool: only a sole owner ejects; half the slots only while a cell is shared

Cause: with a misleading fleet list a sole and a contested owner ejected different targets, and their union broke the floor (views, cutListMisleads, 4 pools). After a crash all owners were contested until the fleet list dropped the VM, and half the slots refuse work at 70% load. Ruled out: the protected set; it bounds each observer but not the union. Change: a contested owner only avoids and turns ejections into avoidances; the protected set is gone; SetShared halves slots. The property breaks without each rule.

--- a/entry/cellset.go
+++ b/entry/cellset.go
@@ -112,6 +112,9 @@
 		c.applyTables(force)
 	}
 	standing := v.Standing(c.key)
+	if standing == fleet.Sole && !v.MayEject(c.key) {
+		standing = fleet.Contested
+	}
 	if c.alwaysSole {
 		standing = fleet.Sole
 	}
@@ -123,7 +126,8 @@
 	c.do(func(now pool.Time, cell *pool.Cell) {
 		// An entry that places requests although it is not the owner is as limited as an owner
 		// whose cell another entry may serve too.
-		cell.SetStanding(now, max(standing, fleet.Contested), (v.SelfDoubt || !v.MayEject(c.key)) && !c.alwaysSole)
+		cell.SetShared(now, v.Shared(c.key))
+		cell.SetStanding(now, max(standing, fleet.Contested), v.SelfDoubt && !c.alwaysSole)
 		if c.standing == fleet.NotOwner && standing != fleet.NotOwner && known {
 			cell.Inherit(now, inherited)
 		}
--- a/measure/world.go
+++ b/measure/world.go
@@ -172,11 +172,21 @@
 // Run lets d pass.
 func (w *World) Run(d time.Duration) { w.clock.RunUntil(w.clock.Now()+pool.Time(d), nil) }
 
+// sharer is implemented by choosers that limit their slots while another observer uses the targets.
+type sharer interface {
+	SetShared(now pool.Time, shared bool)
+}
+
 // SetStanding changes the standing of the observer i.
 func (w *World) SetStanding(i int, s fleet.Standing) {
 	o := w.observers[i]
 	o.standing = s
-	o.do(func() { o.chooser.SetStanding(w.clock.Now(), s, false) })
+	o.do(func() {
+		if c, ok := o.chooser.(sharer); ok {
+			c.SetShared(w.clock.Now(), s == fleet.Contested)
+		}
+		o.chooser.SetStanding(w.clock.Now(), s, false)
+	})
 }
 
 // checkFloor counts a violation when the ejections of all observers that place work leave fewer
--- a/pool/cell.go
+++ b/pool/cell.go
@@ -46,6 +46,8 @@
 	// given is the standing that SetStanding reported; standing is the one in use.
 	given    fleet.Standing
 	standing fleet.Standing
+	// shared says that another entry is likely to use the same targets.
+	shared   bool
 	lastTick Time
 	ticked   bool
 
@@ -65,14 +67,14 @@
 
 // faults are rules that tests switch off to show that their checks notice. Never set in programs.
 type faults struct {
-	ignoreFloor            bool
-	ignoreProtected        bool
-	fullSlotsWhenContested bool
-	oneSlotTooMany         bool
-	rerunNonIdempotent     bool
-	forgetCancelled        bool
-	workForLeaving         bool
-	trustAfterGap          bool
+	ignoreFloor         bool
+	ejectContested      bool
+	fullSlotsWhenShared bool
+	oneSlotTooMany      bool
+	rerunNonIdempotent  bool
+	forgetCancelled     bool
+	workForLeaving      bool
+	trustAfterGap       bool
 }
 
 // Submit queues a request. Its ID must not have been used before.
--- a/pool/floor.go
+++ b/pool/floor.go
@@ -27,13 +27,14 @@
 	return remaining, ejected
 }
 
-// mayEject returns why the target may not be ejected, or "".
-func (c *Cell) mayEject(t *target) Reason {
+// mayEject returns why no further target may be ejected, or "". Only a sole owner ejects: then the
+// ejections of all entries together are those of one of them, and its own floor is the fleet's.
+func (c *Cell) mayEject() Reason {
 	remaining, _ := c.notEjected()
 	if remaining-1 < c.Floor && !c.faults.ignoreFloor {
 		return ReasonFloor
 	}
-	if t.protected && c.standing != fleet.Sole && !c.faults.ignoreProtected {
+	if c.standing != fleet.Sole && !c.faults.ejectContested {
 		return ReasonStanding
 	}
 	return ""
@@ -42,10 +43,9 @@
 // enforceFloor turns ejected targets into avoided ones when a changed table, a leaving target or a
 // contested standing no longer permits their ejection. The target with the least evidence goes first.
 func (c *Cell) enforceFloor(now Time) {
-	if c.standing != fleet.Sole && !c.faults.ignoreProtected {
+	if c.standing != fleet.Sole && !c.faults.ejectContested {
 		for i := range c.targets.len() {
-			t := c.targets.at(i)
-			if t.protected && t.state == TargetEjected {
+			if t := c.targets.at(i); t.state == TargetEjected {
 				c.demote(now, t, ReasonStanding)
 			}
 		}
--- a/pool/judge.go
+++ b/pool/judge.go
@@ -110,7 +110,7 @@
 }
 
 func (c *Cell) eject(now Time, t *target, sum, threshold float64, reason Reason, samples int) {
-	blocked := c.mayEject(t)
+	blocked := c.mayEject()
 	t.blocked = blocked
 	if blocked != "" {
 		return
--- a/pool/pick.go
+++ b/pool/pick.go
@@ -2,8 +2,6 @@
 
 import (
 	"time"
-
-	"github.com/bilberrywood/bilberrywood/fleet"
 )
 
 // Bounds of the time that a request waits for a serving target before an avoided one is used.
@@ -155,11 +153,13 @@
 	return c.servingTargets > 0
 }
 
-// refreshLimits recomputes how many attempts each target may run. A contested owner uses half of the
-// slots, rounded up, because another owner may be using the other half.
+// refreshLimits recomputes how many attempts each target may run. While another entry is likely to use
+// the same targets, and after a late tick, the cell uses half of the slots, rounded up. A contested owner
+// that hears of no other uses all of them: after a crash it is contested until the fleet list drops the
+// VM, and targets that are oversubscribed after all shed work before they run it.
 func (c *Cell) refreshLimits(now Time) {
 	slots := max(1, c.Slots)
-	if c.standing != fleet.Sole && !c.faults.fullSlotsWhenContested {
+	if (c.shared || now < c.doubt.until) && !c.faults.fullSlotsWhenShared {
 		slots = (slots + 1) / 2
 	}
 	if c.faults.oneSlotTooMany {
--- a/pool/property_test.go
+++ b/pool/property_test.go
@@ -54,10 +54,16 @@
 		m.listed[targetName(i)] = true
 	}
 	m.update()
-	m.cell.SetStanding(m.now, m.standing, false)
+	m.setStanding()
 	return m
 }
 
+// setStanding reports the standing; an owner that is not sole shares its targets in this model.
+func (m *machine) setStanding() {
+	m.cell.SetShared(m.now, m.standing != fleet.Sole)
+	m.cell.SetStanding(m.now, m.standing, false)
+}
+
 func targetName(i int) table.TargetID { return table.TargetID(fmt.Sprint("t", i)) }
 
 func (m *machine) fail(format string, args ...any) {
@@ -104,7 +110,7 @@
 	case 12:
 		m.standing = rapid.SampledFrom([]fleet.Standing{fleet.Sole, fleet.Sole, fleet.Contested, fleet.NotOwner}).Draw(m.t, "standing")
 		allowed = max(allowed, m.allowed())
-		m.cell.SetStanding(m.now, m.standing, false)
+		m.setStanding()
 	case 13:
 		m.membership()
 	}
@@ -226,8 +232,8 @@
 			continue
 		}
 		ejected++
-		if t.Protected && m.allowedStanding() != fleet.Sole {
-			m.fail("protected target %s is ejected by a contested owner", t.ID)
+		if m.allowedStanding() != fleet.Sole {
+			m.fail("target %s is ejected by an owner that is not sole", t.ID)
 		}
 	}
 	if members-ejected < min(m.floor, members) {
@@ -277,7 +283,7 @@
 	return m.broken
 }
 
-// Guards the floor, the protected set, the slots, one final decision per request, at most one run of a
+// Guards the floor, ejections of owners that are not sole, the slots, one final decision per request, at most one run of a
 // written request that can't be repeated, and no work for leaving targets.
 func TestPromisesHold(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -290,8 +296,8 @@
 // Guards against checks that prove nothing: each promise is broken when its rule is switched off.
 func TestFaultyVariantsAreCaught(t *testing.T) {
 	for name, f := range map[string]faults{
-		"ignoreFloor": {ignoreFloor: true}, "ignoreProtected": {ignoreProtected: true},
-		"fullSlotsWhenContested": {fullSlotsWhenContested: true}, "oneSlotTooMany": {oneSlotTooMany: true},
+		"ignoreFloor": {ignoreFloor: true}, "ejectContested": {ejectContested: true},
+		"fullSlotsWhenShared": {fullSlotsWhenShared: true}, "oneSlotTooMany": {oneSlotTooMany: true},
 		"rerunNonIdempotent": {rerunNonIdempotent: true}, "forgetCancelled": {forgetCancelled: true},
 		"workForLeaving": {workForLeaving: true}, "trustAfterGap": {trustAfterGap: true},
 	} {
--- a/pool/report.go
+++ b/pool/report.go
@@ -31,11 +31,10 @@
 
 // TargetReport is a target's state for operators.
 type TargetReport struct {
-	ID        table.TargetID `json:"id"`
-	State     TargetState    `json:"state"`
-	Reason    Reason         `json:"reason"`
-	Since     Time           `json:"since"`
-	Protected bool           `json:"protected"`
+	ID     table.TargetID `json:"id"`
+	State  TargetState    `json:"state"`
+	Reason Reason         `json:"reason"`
+	Since  Time           `json:"since"`
 	// Blocked says why a target with enough evidence is not ejected.
 	Blocked  Reason `json:"blocked,omitempty"`
 	InFlight int    `json:"inFlight"`
@@ -81,7 +80,7 @@
 	sum, _, samples := t.evidence.strongest()
 	threshold := c.threshold(t)
 	out := TargetReport{
-		ID: t.id, State: t.state, Reason: t.reason, Since: t.since, Protected: t.protected, Blocked: t.blocked,
+		ID: t.id, State: t.state, Reason: t.reason, Since: t.since, Blocked: t.blocked,
 		InFlight: t.inFlight, Limit: t.limit, Evidence: sum, Avoid: c.avoidThreshold(threshold), Threshold: threshold,
 		Samples: samples, FailureRatio: t.evidence.ratio, Flaps: t.trial.flaps, Ramping: t.ramping,
 	}
--- a/pool/standing.go
+++ b/pool/standing.go
@@ -1,10 +1,6 @@
 package pool
 
 import (
-	"slices"
-
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/bilberrywood/bilberrywood/fleet"
 	"github.com/bilberrywood/bilberrywood/table"
 )
@@ -21,7 +17,7 @@
 	for _, listed := range targets {
 		t, fresh := c.targets.add(listed.ID)
 		if fresh {
-			*t = target{id: listed.ID, rank: c.rank(listed.ID), state: TargetServing, since: now, reason: ReasonTable}
+			*t = target{id: listed.ID, state: TargetServing, since: now, reason: ReasonTable}
 			if !first {
 				t.rampCold(now)
 			}
@@ -74,7 +70,7 @@
 		}
 		c.setState(now, t, TargetAvoided, ReasonInherited, EventAvoided, 0, 0, 0)
 		t.trial.reset(now, firstTrial)
-		if c.mayEject(t) == "" {
+		if c.mayEject() == "" {
 			c.setState(now, t, TargetEjected, ReasonInherited, EventEjected, 0, 0, 0)
 			t.trial.reset(now, t.trial.holdOff())
 		}
@@ -149,7 +145,7 @@
 
 // afterMembership recomputes what depends on the set of targets.
 func (c *Cell) afterMembership(now Time) {
-	c.protect()
+	c.countListed()
 	c.enforceFloor(now)
 	c.refreshLimits(now)
 	c.pump(now)
@@ -187,38 +183,24 @@
 	c.delayed = c.delayed[:0]
 }
 
-// rank orders the targets of a cell for the protected set in the same way at every entry.
-func (c *Cell) rank(id table.TargetID) uint64 {
-	var d xxhash.Digest
-	d.Reset()
-	_, _ = d.WriteString(string(c.Key.Pool))
-	_, _ = d.Write([]byte{0, byte(c.Key.Index), byte(c.Key.Index >> 8), byte(c.Key.Index >> 16), 0})
-	_, _ = d.WriteString(string(id))
-	return d.Sum64()
-}
-
-// protect marks the protected set: the first Floor targets by rank. Targets that the table lists as
-// leaving are passed over; a drain signal does not change the set, because other entries may not have
-// received it.
-func (c *Cell) protect() {
-	var order []*target
+// countListed counts the targets that the table lists and that stay.
+func (c *Cell) countListed() {
 	c.listedTargets = 0
 	for i := range c.targets.len() {
-		t := c.targets.at(i)
-		t.protected = false
-		if !t.listed || t.tableLeaving {
-			continue
+		if t := c.targets.at(i); t.listed && !t.tableLeaving {
+			c.listedTargets++
 		}
-		c.listedTargets++
-		order = append(order, t)
 	}
-	slices.SortFunc(order, func(a, b *target) int {
-		if a.rank < b.rank || (a.rank == b.rank && a.id < b.id) {
-			return -1
-		}
-		return 1
-	})
-	for _, t := range order[:min(max(0, c.Floor), len(order))] {
-		t.protected = true
+}
+
+// SetShared says whether another entry is likely to place work at the same targets now. The cell then
+// uses half of their slots.
+func (c *Cell) SetShared(now Time, shared bool) {
+	c.begin(now)
+	if shared == c.shared {
+		return
 	}
+	c.shared = shared
+	c.refreshLimits(now)
+	c.pump(now)
 }
--- a/pool/target.go
+++ b/pool/target.go
@@ -24,10 +24,6 @@
 // target is a row of the table of targets.
 type target struct {
 	id table.TargetID
-	// rank is the hash by which the protected set is ordered.
-	rank uint64
-	// protected targets may only be ejected by a sole owner.
-	protected bool
 	// listed says that the table in force names the target.
 	listed bool
 	// tableLeaving and drainSignalled each make the target leave.
