Probe a target at once when it loses a connection under a request

Cause: whether a lost connection was a crash was only known by the next probe or connection, up to 1 s later; a target that restarts in 500 ms was then up again, and an idempotent poison request ran on a third target. Change: a lost connection under a written request triggers a probe.

--- a/entry/cells.go
+++ b/entry/cells.go
@@ -34,6 +34,8 @@
 	next    pool.RequestID
 	// answered is when each target last gave a whole answer to real work.
 	answered map[table.TargetID]time.Time
+	// probe asks a target's probe endpoint at once.
+	probe func(table.TargetID)
 	// standing is the last one set; lastUse is when the cell last got a request.
 	standing fleet.Standing
 	lastUse  time.Time
@@ -107,6 +109,10 @@
 		}
 		cell.Finish(now, id, o)
 	})
+	if o.Kind == pool.OutcomeConnectionLost && o.Written {
+		// Whether the target crashed decides who is to blame: the request or the connection.
+		c.probe(t)
+	}
 }
 
 // answerFresh is how old a target's last answer may be for its probe to be left out.
--- a/entry/cellset.go
+++ b/entry/cellset.go
@@ -101,6 +101,7 @@
 			}
 		},
 	}
+	runner.probe = c.prober.Probe
 	c.apply(force, s.e.fleet.view())
 	return c
 }
--- a/target/prober.go
+++ b/target/prober.go
@@ -107,6 +107,23 @@
 	}
 }
 
+// Probe asks a polled target's probe endpoint at once, besides its rounds, for instance to learn whether a
+// lost connection meant a crash. It does not wait for the result.
+func (p *Prober) Probe(id table.TargetID) {
+	p.once.Do(p.init)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return
+	}
+	for t := range p.polls {
+		if t.ID == id {
+			p.active.Go(func() { p.round(context.Background(), t) })
+			return
+		}
+	}
+}
+
 // Close ends all polling and waits for signals that are being delivered.
 func (p *Prober) Close() error {
 	p.once.Do(p.init)
