--- a/spec/floor.pml
+++ b/spec/floor.pml
@@ -1,30 +1,35 @@
 /*
  * Ejection against the floor with differing views (design page, sections 8 and 9).
  *
- * ENTRIES entries could own one cell; entry 0 ranks highest. Targets 0..FLOOR-1 are protected. Links
+ * ENTRIES entries could own one cell; entry 0 ranks highest. Only a sole owner ejects. Links
  * are cut and healed one way at a time, entries are paused at any time. Time passes in ticks without end: within
  * a tick every entry that is not paused first receives what was sent in the last tick (or nothing if
  * the link is cut), then judges its standing and ejects as much as the rules allow. All periods are
- * smaller than in the product and keep their order: SUSPECT + 1 < SETTLE, HANDOVER > SETTLE.
+ * smaller than in the product and keep their order: SUSPECT + 1 < SETTLE, HANDOVER > SETTLE. Go: fleet
+ * (Membership.maySole, View.Standing), pool (Cell.mayEject, Cell.enforceFloor).
+ *
+ * The fleet list may wrongly drop one of the entries, and each entry sees that at any time or never. It does not drop
+ * both: then each side of a cut would have its list's word that the other is gone.
  *
  * Safety: the ejections of all entries that are not paused never leave fewer targets than FLOOR.
  *
  * Faulty variants, each of which breaks safety:
- *   KEEP_PROTECTED  an entry that loses sole keeps protected targets ejected
- *   NO_SETTLE       a new owner ejects at once
- *   NO_LINKS        sole does not need two-way links with all entries
- *   NO_DOUBT        a resumed entry trusts its old standing
+ *   KEEP_EJECTED      an entry that loses sole keeps its targets ejected
+ *   CONTESTED_EJECTS  a contested owner ejects too
+ *   NO_HANDOVER       a new owner is sole at once
+ *   NO_LINKS          sole does not need two-way links with all entries
+ *   NO_DOUBT          a resumed entry trusts its old standing
  */
 #define ENTRIES 2
 #define TARGETS 4
 #define FLOOR 2
 #define SUSPECT 1   /* ticks without a heartbeat until a link is silent */
-#define SETTLE 4    /* ticks that a new owner waits before it ejects */
+#define SETTLE 4    /* ticks for which the link must have been two-way */
 #define HANDOVER 5  /* ticks until an owner may be sole */
 #define FAULTS 5    /* cuts, heals, pauses and resumptions together, at any times */
 
 #define ALL 15       /* all targets */
-#define PROTECTED 3  /* targets 0..FLOOR-1 */
+#define HALF 3       /* as many targets as may be ejected */
 
 byte faultsLeft = FAULTS;
 bool cut[ENTRIES];        /* cut[i]: what entry i sends is lost */
@@ -39,12 +44,14 @@
 byte ejected[ENTRIES];    /* bit set of targets */
 byte paused[ENTRIES];     /* 1: paused */
 bool late[ENTRIES];       /* was paused since its last tick */
+byte dropped;             /* 1 + the entry that the fleet list dropped; 0: none */
+bool sees[ENTRIES];       /* entry i has read the list that drops one */
 
 #define twoWay(i) (silent[i] <= SUSPECT && heardBy[i])
 #define count(s) ((s & 1) + ((s >> 1) & 1) + ((s >> 2) & 1) + ((s >> 3) & 1))
 
 byte me, other, lost;
-bool owner, sole, mayEject;
+bool owner, sole;
 
 /* Faults between two ticks, as many as are left. */
 inline faults() {
@@ -53,6 +60,10 @@
 		if
 		:: cut[0] = !cut[0]
 		:: cut[1] = !cut[1]
+		:: dropped == 0 -> dropped = 1
+		:: dropped == 0 -> dropped = 2
+		:: dropped > 0 && !sees[0] -> sees[0] = 1
+		:: dropped > 0 && !sees[1] -> sees[1] = 1
 		:: paused[0] = !paused[0]; late[0] = 1
 		:: paused[1] = !paused[1]; late[1] = 1
 		fi
@@ -67,7 +78,7 @@
 	:: else ->
 		if
 		:: silent[me] <= SUSPECT -> silent[me]++
-		:: else
+		:: else -> claimed[me] = 0  /* a claim that is not repeated expires */
 		fi
 	fi
 }
@@ -97,37 +108,37 @@
 	:: !twoWay(me) -> linked[me] = 0
 	:: else
 	fi;
-	sole = owner && owned[me] >= HANDOVER && !claimed[me];
-#ifndef NO_LINKS
-	sole = sole && twoWay(me) && linked[me] >= SETTLE;
+	sole = owner && !claimed[me];
+#ifndef NO_HANDOVER
+	sole = sole && owned[me] >= HANDOVER;
 #endif
-	mayEject = owner;
-#ifndef NO_SETTLE
-	mayEject = owner && owned[me] >= SETTLE;
+#ifndef NO_LINKS
+	sole = sole && ((twoWay(me) && linked[me] >= SETTLE) || (sees[me] && dropped == other + 1 && silent[me] > SUSPECT));
+	sole = sole && !(sees[me] && dropped == me + 1);
 #endif
 }
 
-/*
- * Ejects as many targets as the local floor allows. A contested owner has only the unprotected ones to
- * choose from. Of a sole owner's choices the two extremes are explored.
- */
+/* Ejects as many targets as the local floor allows. The two extremes of the choices are explored. */
 inline eject() {
 	if
-	:: !mayEject -> ejected[me] = 0
-	:: mayEject && !sole ->
-#ifdef KEEP_PROTECTED
+	:: sole ->
 		if
-		:: ejected[me] == 0 -> ejected[me] = ALL - PROTECTED
-		:: else
+		:: ejected[me] = ALL - HALF
+		:: ejected[me] = HALF
 		fi
-#else
-		ejected[me] = ALL - PROTECTED
-#endif
-	:: mayEject && sole ->
+	:: else ->
+#ifdef CONTESTED_EJECTS
 		if
-		:: ejected[me] = ALL - PROTECTED
-		:: ejected[me] = PROTECTED
+		:: owner -> ejected[me] = ALL - HALF
+		:: else -> ejected[me] = 0
 		fi
+#else
+#ifndef KEEP_EJECTED
+		ejected[me] = 0
+#else
+		skip
+#endif
+#endif
 	fi
 }
 
@@ -171,7 +182,7 @@
 		tick(1);
 		d_step {
 			send(0); send(1); check();
-			owner = 0; sole = 0; mayEject = 0; lost = 0; me = 0; other = 0
+			owner = 0; sole = 0; lost = 0; me = 0; other = 0
 		}
 	}
 	od
