Share one loop for the entry's periodic work

Cause: the tick and the fetch of newer pairs had the same loop twice. Result: tests of entry and the process tests of kills, one-way cuts and a stale platform pass.

--- a/entry/config.go
+++ b/entry/config.go
@@ -109,28 +109,19 @@
 	e.config.offer("entry "+string(from), table.Snapshot{Revision: msg.Revision, Values: msg.Values})
 }
 
-// catchUp fetches a higher accepted pair from the peers that report one, one peer at a time.
+// catchUp fetches a higher accepted pair from one of the peers that report it, if there are any.
 func (e *Entry) catchUp(ctx context.Context) {
-	ticker := time.NewTicker(catchUpEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		v := e.fleet.view()
-		if len(v.Holders) == 0 {
-			continue
-		}
-		id := v.Holders[e.intN(len(v.Holders))]
-		m, ok := v.Member(id)
-		if !ok {
-			continue
-		}
-		if err := e.fetchFrom(ctx, m); err != nil && ctx.Err() == nil {
-			e.Log.Warn().Str("event", "pairFetchFailed").Str("peer", string(id)).Err(err).Msg("could not fetch tables from a peer")
-		}
+	v := e.fleet.view()
+	if len(v.Holders) == 0 {
+		return
+	}
+	id := v.Holders[e.intN(len(v.Holders))]
+	m, ok := v.Member(id)
+	if !ok {
+		return
+	}
+	if err := e.fetchFrom(ctx, m); err != nil && ctx.Err() == nil {
+		e.Log.Warn().Str("event", "pairFetchFailed").Str("peer", string(id)).Err(err).Msg("could not fetch tables from a peer")
 	}
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -87,7 +87,7 @@
 	if err := e.node.Start(); err != nil {
 		return Error.Wrap(err)
 	}
-	e.background.Go(func() { e.tickLoop(work) })
+	e.background.Go(func() { every(work, tickEvery, e.tick) })
 	if err := e.listen(); err != nil {
 		stopWork()
 		e.close()
@@ -96,7 +96,7 @@
 	if !e.faults.platformFirst {
 		e.join(ctx)
 	}
-	e.background.Go(func() { e.catchUp(work) })
+	e.background.Go(func() { every(work, catchUpEvery, func() { e.catchUp(work) }) })
 	e.background.Go(func() { e.watcher.Run(work) })
 	e.awaitTables(ctx)
 	e.setState(fleet.StateServing)
@@ -165,16 +165,16 @@
 	})
 }
 
-// tickLoop runs the systems until ctx ends.
-func (e *Entry) tickLoop(ctx context.Context) {
-	ticker := time.NewTicker(tickEvery)
+// every calls f each period until ctx ends.
+func every(ctx context.Context, period time.Duration, f func()) {
+	ticker := time.NewTicker(period)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			e.tick()
+			f()
 		}
 	}
 }
