--- a/target/client_test.go
+++ b/target/client_test.go
@@ -43,7 +43,7 @@
 // get returns a request whose answer belongs to the nonce.
 func get(address, nonce, query string) *target.Request {
 	return &target.Request{
-		Address: address, Method: http.MethodGet, Path: "/work?" + query, Host: "pool",
+		Address: address, Method: http.MethodGet, Path: "/job?" + query, Host: "pool",
 		Header: http.Header{target.HeaderNonce: {nonce}}, Idempotent: true,
 		Deadline: time.Now().Add(limit),
 	}
--- a/target/stream_test.go
+++ b/target/stream_test.go
@@ -149,7 +149,7 @@
 	}
 	is.Equal(seen.Header.Get("X-Kept"), "2")
 	is.Equal(seen.Host, "pool")
-	is.Equal(seen.RequestURI, "/work?a=%2F&b=1")
+	is.Equal(seen.RequestURI, "/job?a=%2F&b=1")
 	is.Equal(seen.Trailer, http.Header{"X-Check": {"4"}})
 	remaining, ok := target.ParseDeadline(seen.Header)
 	is.True(ok && remaining > limit/2 && remaining <= limit)
