Rename the client of the configuration service to package configuration

Cause: the folder platform/ is to hold only the adapter to the users' platform. Change: a rename; no behaviour changes.

--- a/platform/activity.go
+++ b/configuration/activity.go
@@ -1,4 +1,4 @@
-package platform
+package configuration
 
 import (
 	"context"
--- a/platform/client.go
+++ b/configuration/client.go
@@ -1,4 +1,4 @@
-package platform
+package configuration
 
 import (
 	"bytes"
@@ -18,7 +18,7 @@
 )
 
 // Error is the class of all errors of this package.
-var Error = errs.Class("platform")
+var Error = errs.Class("configuration")
 
 // Operation is a kind of call, for counting. The service's rate limit covers all kinds together.
 type Operation uint8
--- a/platform/client_test.go
+++ b/configuration/client_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package configuration_test
 
 import (
 	"encoding/json"
@@ -11,7 +11,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/bilberrywood/bilberrywood/platform"
+	"github.com/bilberrywood/bilberrywood/configuration"
 	"github.com/bilberrywood/bilberrywood/standin"
 	"github.com/bilberrywood/bilberrywood/table"
 )
@@ -27,13 +27,13 @@
 	return &http.Response{StatusCode: a.status, Header: a.header, Body: io.NopCloser(a.body)}, nil
 }
 
-func clientOf(transport http.RoundTripper) *platform.Client {
-	return &platform.Client{URL: "http://platform", HTTP: &http.Client{Transport: transport}}
+func clientOf(transport http.RoundTripper) *configuration.Client {
+	return &configuration.Client{URL: "http://platform", HTTP: &http.Client{Transport: transport}}
 }
 
 // A broken answer must be an error, counted as failed, and never a shorter table.
 func TestBrokenAnswers(t *testing.T) {
-	revision := http.Header{platform.HeaderRevision: {"7"}}
+	revision := http.Header{configuration.HeaderRevision: {"7"}}
 	cut := io.MultiReader(strings.NewReader("{"), iotestErr{})
 	tests := []struct {
 		name   string
@@ -42,16 +42,16 @@
 		{"status", answers{http.StatusServiceUnavailable, revision, strings.NewReader("{}")}},
 		{"not found", answers{http.StatusNotFound, revision, strings.NewReader("{}")}},
 		{"no revision", answers{http.StatusOK, nil, strings.NewReader("{}")}},
-		{"negative revision", answers{http.StatusOK, http.Header{platform.HeaderRevision: {"-1"}}, strings.NewReader("{}")}},
+		{"negative revision", answers{http.StatusOK, http.Header{configuration.HeaderRevision: {"-1"}}, strings.NewReader("{}")}},
 		{"cut short", answers{http.StatusOK, revision, cut}},
-		{"too large", answers{http.StatusOK, revision, strings.NewReader(strings.Repeat(" ", platform.MaxValueBytes+1))}},
+		{"too large", answers{http.StatusOK, revision, strings.NewReader(strings.Repeat(" ", configuration.MaxValueBytes+1))}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			c := clientOf(tt.answer)
 			_, _, err := c.Value(t.Context(), table.RoutesValue)
-			is.True(platform.Error.Has(err))
+			is.True(configuration.Error.Has(err))
 			is.Equal(c.Counts().Value, uint64(1))
 			is.Equal(c.Counts().Failed, uint64(1))
 		})
@@ -69,14 +69,14 @@
 	w := newService(t)
 	server := httptest.NewServer(w.Handler())
 	defer server.Close()
-	c := &platform.Client{URL: server.URL, HTTP: server.Client()}
-	raw := []byte(strings.Repeat("x", platform.MaxValueBytes))
+	c := &configuration.Client{URL: server.URL, HTTP: server.Client()}
+	raw := []byte(strings.Repeat("x", configuration.MaxValueBytes))
 	_, err := w.PutAll(map[string][]byte{table.RoutesValue: raw, table.PoolsValue: []byte("p"), "other/a b?": []byte("o")})
 	is.NoErr(err)
 	s, index, err := c.ReadSnapshot(t.Context())
 	is.NoErr(err)
 	is.Equal(s.Revision, index.TablesRevision())
-	is.Equal(len(s.Values[table.RoutesValue]), platform.MaxValueBytes)
+	is.Equal(len(s.Values[table.RoutesValue]), configuration.MaxValueBytes)
 	is.Equal(len(s.Values), 2)
 	other, revision, err := c.Value(t.Context(), "other/a b?")
 	is.NoErr(err)
@@ -117,7 +117,7 @@
 		f.Add([]byte(s))
 	}
 	f.Fuzz(func(t *testing.T, raw []byte) {
-		answer := func() *platform.Client {
+		answer := func() *configuration.Client {
 			return clientOf(answers{http.StatusOK, nil, strings.NewReader(string(raw))})
 		}
 		if index, err := answer().Index(t.Context(), ""); err == nil && index.TablesRevision() > index.Revision && len(index.Values) < 2 {
@@ -128,7 +128,7 @@
 			return
 		}
 		for _, e := range list.Entries {
-			if e.ID == "" || e.FailureDomain == "" || (e.State != platform.Live && e.State != platform.Leaving) {
+			if e.ID == "" || e.FailureDomain == "" || (e.State != configuration.Live && e.State != configuration.Leaving) {
 				t.Fatal(e)
 			}
 		}
--- a/platform/convergence_test.go
+++ b/configuration/convergence_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package configuration_test
 
 import (
 	"flag"
@@ -12,7 +12,7 @@
 
 	"pgregory.net/rapid"
 
-	"github.com/bilberrywood/bilberrywood/platform"
+	"github.com/bilberrywood/bilberrywood/configuration"
 	"github.com/bilberrywood/bilberrywood/standin"
 	"github.com/bilberrywood/bilberrywood/table"
 )
@@ -43,7 +43,7 @@
 // node is an entry as far as configuration is concerned.
 type node struct {
 	acceptor
-	watcher *platform.Watcher
+	watcher *configuration.Watcher
 	// highest is the highest revision that was in force.
 	highest table.Revision
 }
@@ -84,8 +84,8 @@
 
 func (c *cluster) newNode() *node {
 	n := &node{acceptor: c.newAcceptor(c)}
-	n.watcher = &platform.Watcher{
-		Client:     &platform.Client{URL: "http://platform", HTTP: &http.Client{Transport: c}},
+	n.watcher = &configuration.Watcher{
+		Client:     &configuration.Client{URL: "http://platform", HTTP: &http.Client{Transport: c}},
 		OnSnapshot: func(s table.Snapshot) { n.Offer(time.Time{}, "platform", s) },
 	}
 	return n
--- a/platform/faulty_test.go
+++ b/configuration/faulty_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package configuration_test
 
 import (
 	"bytes"
@@ -8,7 +8,7 @@
 	"strconv"
 	"time"
 
-	"github.com/bilberrywood/bilberrywood/platform"
+	"github.com/bilberrywood/bilberrywood/configuration"
 	"github.com/bilberrywood/bilberrywood/table"
 )
 
@@ -61,9 +61,9 @@
 // if the reader did not read it.
 func (c *cluster) tamper(r *http.Request, response *http.Response) error {
 	switch {
-	case r.URL.Path == platform.PathFleet:
-	case r.URL.Path != platform.PathIndex:
-		c.served[r.URL.Path[len(platform.PathValues):]] = response.Header.Get(platform.HeaderRevision)
+	case r.URL.Path == configuration.PathFleet:
+	case r.URL.Path != configuration.PathIndex:
+		c.served[r.URL.Path[len(configuration.PathValues):]] = response.Header.Get(configuration.HeaderRevision)
 	case c.served == nil:
 		c.served = make(map[string]string)
 	default:
@@ -73,7 +73,7 @@
 }
 
 func (c *cluster) confirmServed(response *http.Response) error {
-	var index platform.Index
+	var index configuration.Index
 	if err := json.NewDecoder(response.Body).Decode(&index); err != nil {
 		return err
 	}
--- a/platform/watcher_test.go
+++ b/configuration/watcher_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package configuration_test
 
 import (
 	"context"
@@ -14,8 +14,8 @@
 
 	"github.com/matryer/is"
 
+	"github.com/bilberrywood/bilberrywood/configuration"
 	"github.com/bilberrywood/bilberrywood/fleet"
-	"github.com/bilberrywood/bilberrywood/platform"
 	"github.com/bilberrywood/bilberrywood/standin"
 	"github.com/bilberrywood/bilberrywood/table"
 )
@@ -43,17 +43,17 @@
 	*testing.T
 	is      *is.I
 	service *standin.Platform
-	watcher *platform.Watcher
+	watcher *configuration.Watcher
 	mu      sync.Mutex
 	tables  []table.Revision
 	fleets  []int
 	// lists counts the fleet lists handed on; fleets has the lengths of those that differ from the
 	// one before, in order.
 	lists    int
-	lastList []platform.FleetRow
+	lastList []configuration.FleetRow
 }
 
-func (w *world) takeFleet(l platform.FleetList) {
+func (w *world) takeFleet(l configuration.FleetList) {
 	w.add(func() {
 		w.lists++
 		if w.lists > 1 && slices.Equal(l.Entries, w.lastList) {
@@ -69,11 +69,11 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		w := &world{T: t, is: is.New(t), service: &standin.Platform{}}
-		client := &platform.Client{
+		client := &configuration.Client{
 			URL:  "http://platform",
 			HTTP: &http.Client{Transport: inProcess{w.service, w.service.Handler()}},
 		}
-		w.watcher = &platform.Watcher{
+		w.watcher = &configuration.Watcher{
 			Client:     client,
 			Random:     func() float64 { return 0.5 },
 			OnSnapshot: func(s table.Snapshot) { w.add(func() { w.tables = append(w.tables, s.Revision) }) },
@@ -212,7 +212,7 @@
 	for _, every := range []int{1, 3} {
 		t.Run(fmt.Sprint(every), func(t *testing.T) {
 			inBubble(t, func(w *world) {
-				w.service.SetFleet([]platform.FleetRow{newRow("a", "127.0.0.1:1", "live")})
+				w.service.SetFleet([]configuration.FleetRow{newRow("a", "127.0.0.1:1", "live")})
 				w.putBoth()
 				w.is.Equal(w.after(time.Minute), []table.Revision{1, 3})
 				w.fault(standin.PlatformFault{Stale: standin.PlatformStale{Revision: 1, Every: every}})
@@ -249,8 +249,8 @@
 	})
 }
 
-func newRow(id fleet.EntryID, peerAddress string, state platform.State) platform.FleetRow {
-	return platform.FleetRow{
+func newRow(id fleet.EntryID, peerAddress string, state configuration.State) configuration.FleetRow {
+	return configuration.FleetRow{
 		ID: id, PeerAddress: peerAddress, CallerAddress: "127.0.0.1:1", FailureDomain: "d", State: state,
 	}
 }
@@ -259,7 +259,7 @@
 // is absent, and a broken one not at all.
 func TestFleetList(t *testing.T) {
 	inBubble(t, func(w *world) {
-		lists := [][]platform.FleetRow{
+		lists := [][]configuration.FleetRow{
 			{newRow("a", "127.0.0.1:1", "live")},
 			{newRow("a", "localhost:1", "live")},
 			{newRow("a", "127.0.0.1:1", "gone")},
@@ -279,7 +279,7 @@
 // Close must end pending calls and must work before Run as well.
 func TestClose(t *testing.T) {
 	is := is.New(t)
-	w := &platform.Watcher{Client: &platform.Client{}}
+	w := &configuration.Watcher{Client: &configuration.Client{}}
 	is.NoErr(w.Close())
 	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 	defer cancel()
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -13,10 +13,10 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
+	"github.com/bilberrywood/bilberrywood/configuration"
 	"github.com/bilberrywood/bilberrywood/fleet"
 	"github.com/bilberrywood/bilberrywood/notice"
 	"github.com/bilberrywood/bilberrywood/peer"
-	"github.com/bilberrywood/bilberrywood/platform"
 	"github.com/bilberrywood/bilberrywood/pool"
 	"github.com/bilberrywood/bilberrywood/settings"
 	"github.com/bilberrywood/bilberrywood/target"
@@ -42,7 +42,7 @@
 	cells     *cellSet
 	client    *target.Client
 	node      *peer.Node
-	watcher   *platform.Watcher
+	watcher   *configuration.Watcher
 	requests  requestCount
 	answers   answerClock
 	counters  counters
--- a/entry/join.go
+++ b/entry/join.go
@@ -4,8 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/bilberrywood/bilberrywood/configuration"
 	"github.com/bilberrywood/bilberrywood/fleet"
-	"github.com/bilberrywood/bilberrywood/platform"
 	"github.com/bilberrywood/bilberrywood/settings"
 	"github.com/bilberrywood/bilberrywood/table"
 )
@@ -62,21 +62,21 @@
 }
 
 // fleetList passes the platform's fleet list on to the membership.
-func (e *Entry) fleetList(l platform.FleetList) {
+func (e *Entry) fleetList(l configuration.FleetList) {
 	list := make([]fleet.ListRow, 0, len(l.Entries))
 	for _, r := range l.Entries {
 		list = append(list, fleet.ListRow{
 			ID: r.ID, FailureDomain: r.FailureDomain, PeerAddress: r.PeerAddress,
-			CallerAddress: r.CallerAddress, Leaving: r.State == platform.Leaving,
+			CallerAddress: r.CallerAddress, Leaving: r.State == configuration.Leaving,
 		})
 	}
 	e.fleet.update(e.sinceStart(), func(m *fleet.Membership) { m.UpdateList(e.sinceStart(), list) })
 }
 
 // platformWatcher builds the reader of the configuration service.
-func (e *Entry) platformWatcher() *platform.Watcher {
-	return &platform.Watcher{
-		Client: &platform.Client{URL: e.Settings.Platform, Log: e.Log},
+func (e *Entry) platformWatcher() *configuration.Watcher {
+	return &configuration.Watcher{
+		Client: &configuration.Client{URL: e.Settings.Platform, Log: e.Log},
 		Log:    e.Log,
 		OnSnapshot: func(s table.Snapshot) {
 			e.config.offer("platform", s)
--- a/entry/operator.go
+++ b/entry/operator.go
@@ -8,8 +8,8 @@
 	"github.com/labstack/echo/v4"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/bilberrywood/bilberrywood/configuration"
 	"github.com/bilberrywood/bilberrywood/fleet"
-	"github.com/bilberrywood/bilberrywood/platform"
 	"github.com/bilberrywood/bilberrywood/pool"
 	"github.com/bilberrywood/bilberrywood/table"
 )
@@ -26,9 +26,9 @@
 	Digest       uint64    `json:"digest,string"`
 	InForceSince time.Time `json:"inForceSince"`
 	// Rejections are the last pairs that were not accepted, with their problems.
-	Rejections []table.Rejection `json:"rejections"`
-	Platform   platform.Status   `json:"platform"`
-	SelfDoubt  bool              `json:"selfDoubt"`
+	Rejections []table.Rejection    `json:"rejections"`
+	Platform   configuration.Status `json:"platform"`
+	SelfDoubt  bool                 `json:"selfDoubt"`
 	// Reader says that this entry has read the platform within the last 10 s.
 	Reader bool `json:"reader"`
 	// Started is when the process started; the times in the reports of cells count from it.
--- a/measure/latency.go
+++ b/measure/latency.go
@@ -16,7 +16,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"github.com/bilberrywood/bilberrywood/platform"
+	"github.com/bilberrywood/bilberrywood/configuration"
 	"github.com/bilberrywood/bilberrywood/standin"
 	"github.com/bilberrywood/bilberrywood/table"
 )
@@ -115,8 +115,8 @@
 			return Error.Wrap(err)
 		}
 	}
-	local := &standin.LocalFleet{Dir: b.dir, Platform: "http://" + latencyPlatform, List: []platform.FleetRow{{
-		ID: "kb-01", PeerAddress: latencyPeer, CallerAddress: latencyCaller, FailureDomain: "donau-ost", State: platform.Live,
+	local := &standin.LocalFleet{Dir: b.dir, Platform: "http://" + latencyPlatform, List: []configuration.FleetRow{{
+		ID: "kb-01", PeerAddress: latencyPeer, CallerAddress: latencyCaller, FailureDomain: "donau-ost", State: configuration.Live,
 	}}}
 	if err := local.Write(); err != nil {
 		return Error.Wrap(err)
--- a/process/harness_test.go
+++ b/process/harness_test.go
@@ -16,9 +16,9 @@
 	"testing"
 	"time"
 
+	"github.com/bilberrywood/bilberrywood/configuration"
 	"github.com/bilberrywood/bilberrywood/entry"
 	"github.com/bilberrywood/bilberrywood/fleet"
-	"github.com/bilberrywood/bilberrywood/platform"
 	"github.com/bilberrywood/bilberrywood/settings"
 	"github.com/bilberrywood/bilberrywood/standin"
 	"github.com/bilberrywood/bilberrywood/table"
@@ -40,7 +40,7 @@
 	targets  map[string][]*standin.Target
 	routes   table.Routes
 	pools    table.Pools
-	list     []platform.FleetRow
+	list     []configuration.FleetRow
 	local    *standin.LocalFleet
 	relays   *relays
 	entries  map[fleet.EntryID]*process
@@ -166,9 +166,9 @@
 	for i := range o.entries {
 		id := fleet.EntryID(fmt.Sprintf("kb-%02d", i+1))
 		listen[id] = freePort(w.t, "udp")
-		w.list = append(w.list, platform.FleetRow{
+		w.list = append(w.list, configuration.FleetRow{
 			ID: id, PeerAddress: w.relays.add(id, listen[id]), CallerAddress: freePort(w.t, "tcp"),
-			FailureDomain: domains[i%len(domains)], State: platform.Live,
+			FailureDomain: domains[i%len(domains)], State: configuration.Live,
 		})
 	}
 	w.local = &standin.LocalFleet{
--- a/process/targets_test.go
+++ b/process/targets_test.go
@@ -13,8 +13,8 @@
 	"github.com/matryer/is"
 
 	"github.com/bilberrywood/bilberrywood/caller"
+	"github.com/bilberrywood/bilberrywood/configuration"
 	"github.com/bilberrywood/bilberrywood/fleet"
-	"github.com/bilberrywood/bilberrywood/platform"
 	"github.com/bilberrywood/bilberrywood/pool"
 	"github.com/bilberrywood/bilberrywood/standin"
 )
@@ -127,9 +127,9 @@
 	// Each part gets its callers while other targets fail. Without callers there are no trials, so
 	// what an entry holds against a target stays.
 	w.failing(lookups, 0, 1)
-	e.during(w.callers(8, []platform.FleetRow{a}), 300)
+	e.during(w.callers(8, []configuration.FleetRow{a}), 300)
 	w.failing(lookups, 2, 3)
-	e.during(w.callers(8, []platform.FleetRow{b}), 300)
+	e.during(w.callers(8, []configuration.FleetRow{b}), 300)
 	t.Logf("split: at most %d ejected", e.most)
 	w.failing(lookups)
 	w.relays.heal()
--- a/process/traffic_test.go
+++ b/process/traffic_test.go
@@ -14,7 +14,7 @@
 	"time"
 
 	"github.com/bilberrywood/bilberrywood/caller"
-	"github.com/bilberrywood/bilberrywood/platform"
+	"github.com/bilberrywood/bilberrywood/configuration"
 	"github.com/bilberrywood/bilberrywood/standin"
 	"github.com/bilberrywood/bilberrywood/table"
 	"github.com/bilberrywood/bilberrywood/target"
@@ -47,7 +47,7 @@
 }
 
 // callers starts n callers that send lookups and notices in turn, each through the given entries.
-func (w *world) callers(n int, rows []platform.FleetRow) *traffic {
+func (w *world) callers(n int, rows []configuration.FleetRow) *traffic {
 	ctx, cancel := context.WithCancel(context.Background())
 	tr := &traffic{w: w, stop: cancel}
 	for i := range n {
--- a/process/upload_test.go
+++ b/process/upload_test.go
@@ -13,9 +13,9 @@
 	"time"
 
 	"github.com/bilberrywood/bilberrywood/caller"
+	"github.com/bilberrywood/bilberrywood/configuration"
 	"github.com/bilberrywood/bilberrywood/entry"
 	"github.com/bilberrywood/bilberrywood/fleet"
-	"github.com/bilberrywood/bilberrywood/platform"
 	"github.com/bilberrywood/bilberrywood/standin"
 	"github.com/bilberrywood/bilberrywood/table"
 	"github.com/bilberrywood/bilberrywood/target"
@@ -142,13 +142,13 @@
 	return n
 }
 
-func (w *world) row(id fleet.EntryID) platform.FleetRow {
+func (w *world) row(id fleet.EntryID) configuration.FleetRow {
 	for _, r := range w.list {
 		if r.ID == id {
 			return r
 		}
 	}
-	return platform.FleetRow{}
+	return configuration.FleetRow{}
 }
 
 // refusesCallers says that an entry takes no connections of callers.
--- a/standin/local.go
+++ b/standin/local.go
@@ -9,9 +9,9 @@
 	"github.com/tailscale/hujson"
 	"github.com/zeebo/errs"
 
+	"github.com/bilberrywood/bilberrywood/configuration"
 	"github.com/bilberrywood/bilberrywood/fleet"
 	"github.com/bilberrywood/bilberrywood/peer"
-	"github.com/bilberrywood/bilberrywood/platform"
 	"github.com/bilberrywood/bilberrywood/settings"
 )
 
@@ -27,7 +27,7 @@
 	// Dir receives the files; it is created if missing.
 	Dir string
 	// List has the rows of the fleet list; their addresses are loopback addresses.
-	List []platform.FleetRow
+	List []configuration.FleetRow
 	// Platform is the base URL of the configuration service.
 	Platform string
 	// Adjust changes the settings of an entry before they are written; it may be nil.
@@ -35,7 +35,7 @@
 }
 
 // ReadFleetFile returns the first count rows of a fleet list in JSON with comments; 0 means all.
-func ReadFleetFile(path string, count int) ([]platform.FleetRow, error) {
+func ReadFleetFile(path string, count int) ([]configuration.FleetRow, error) {
 	src, err := os.ReadFile(path)
 	if err != nil {
 		return nil, LocalError.Wrap(err)
@@ -44,7 +44,7 @@
 	if err != nil {
 		return nil, LocalError.New("%s: %v", path, err)
 	}
-	var list platform.FleetList
+	var list configuration.FleetList
 	if err := json.Unmarshal(std, &list); err != nil {
 		return nil, LocalError.New("%s: %v", path, err)
 	}
@@ -92,10 +92,10 @@
 
 // fleetFile is a fleet list as the platform's stand-in reads it.
 type fleetFile struct {
-	Entries []platform.FleetRow `json:"entries"`
+	Entries []configuration.FleetRow `json:"entries"`
 }
 
-func (l *LocalFleet) settings(certificates string, r platform.FleetRow) (*settings.Entry, error) {
+func (l *LocalFleet) settings(certificates string, r configuration.FleetRow) (*settings.Entry, error) {
 	operator, err := OperatorAddress(r.CallerAddress)
 	if err != nil {
 		return nil, err
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -11,7 +11,7 @@
 	"github.com/rs/zerolog"
 	"github.com/zeebo/errs"
 
-	"github.com/bilberrywood/bilberrywood/platform"
+	"github.com/bilberrywood/bilberrywood/configuration"
 	"github.com/bilberrywood/bilberrywood/table"
 )
 
@@ -147,7 +147,7 @@
 	return PlatformError.Wrap(g.Err())
 }
 
-// Put changes a value and returns the new revision. A value above platform.MaxValueBytes is refused.
+// Put changes a value and returns the new revision. A value above configuration.MaxValueBytes is refused.
 func (p *Platform) Put(name string, raw []byte) (table.Revision, error) {
 	return p.PutAll(map[string][]byte{name: raw})
 }
@@ -159,8 +159,8 @@
 		if name == "" {
 			return 0, PlatformError.New("name of the value is empty")
 		}
-		if len(raw) > platform.MaxValueBytes {
-			return 0, PlatformError.New("%s: %d bytes are more than %d", name, len(raw), platform.MaxValueBytes)
+		if len(raw) > configuration.MaxValueBytes {
+			return 0, PlatformError.New("%s: %d bytes are more than %d", name, len(raw), configuration.MaxValueBytes)
 		}
 	}
 	return p.store.update(func(next *platformView) {
@@ -181,7 +181,7 @@
 }
 
 // SetFleet replaces the fleet list and returns the new revision.
-func (p *Platform) SetFleet(rows []platform.FleetRow) table.Revision {
+func (p *Platform) SetFleet(rows []configuration.FleetRow) table.Revision {
 	p.init()
 	return p.store.update(func(next *platformView) { next.fleet = rows })
 }
--- a/standin/platform_control.go
+++ b/standin/platform_control.go
@@ -5,7 +5,7 @@
 	"io"
 	"net/http"
 
-	"github.com/bilberrywood/bilberrywood/platform"
+	"github.com/bilberrywood/bilberrywood/configuration"
 	"github.com/bilberrywood/bilberrywood/table"
 )
 
@@ -71,7 +71,7 @@
 		return err
 	}
 	if rows == nil {
-		rows = []platform.FleetRow{}
+		rows = []configuration.FleetRow{}
 	}
 	p.SetFleet(rows)
 	return nil
--- a/standin/platform_files.go
+++ b/standin/platform_files.go
@@ -8,7 +8,7 @@
 
 	"github.com/tailscale/hujson"
 
-	"github.com/bilberrywood/bilberrywood/platform"
+	"github.com/bilberrywood/bilberrywood/configuration"
 )
 
 // Reload reads the files again. The values that differ are changed at one revision, so that a pool and
@@ -41,7 +41,7 @@
 	return nil
 }
 
-func (p *Platform) readFleetFile() ([]platform.FleetRow, error) {
+func (p *Platform) readFleetFile() ([]configuration.FleetRow, error) {
 	if p.FleetFile == "" {
 		return nil, nil
 	}
@@ -57,13 +57,13 @@
 }
 
 // ParseFleet parses a fleet list, {"entries": [...]} in JSON with comments.
-func ParseFleet(raw []byte) ([]platform.FleetRow, error) {
+func ParseFleet(raw []byte) ([]configuration.FleetRow, error) {
 	std, err := hujson.Standardize(bytes.Clone(raw))
 	if err != nil {
 		return nil, PlatformError.Wrap(err)
 	}
 	var list struct {
-		Entries []platform.FleetRow `json:"entries"`
+		Entries []configuration.FleetRow `json:"entries"`
 	}
 	d := json.NewDecoder(bytes.NewReader(std))
 	d.DisallowUnknownFields()
--- a/standin/platform_service.go
+++ b/standin/platform_service.go
@@ -6,7 +6,7 @@
 	"strconv"
 	"time"
 
-	"github.com/bilberrywood/bilberrywood/platform"
+	"github.com/bilberrywood/bilberrywood/configuration"
 	"github.com/bilberrywood/bilberrywood/table"
 )
 
@@ -23,10 +23,10 @@
 
 func (p *Platform) serviceHandler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle("GET "+platform.PathIndex, p.operation(operationIndex, p.getIndex))
-	mux.Handle("GET "+platform.PathValues+"{name...}", p.operation(operationValue, p.getValue))
-	mux.Handle("GET "+platform.PathWatch, p.operation(operationWatch, p.getWatch))
-	mux.Handle("GET "+platform.PathFleet, p.operation(operationFleet, p.getFleet))
+	mux.Handle("GET "+configuration.PathIndex, p.operation(operationIndex, p.getIndex))
+	mux.Handle("GET "+configuration.PathValues+"{name...}", p.operation(operationValue, p.getValue))
+	mux.Handle("GET "+configuration.PathWatch, p.operation(operationWatch, p.getWatch))
+	mux.Handle("GET "+configuration.PathFleet, p.operation(operationFleet, p.getFleet))
 	mux.Handle("/control/", p.controlHandler())
 	return mux
 }
@@ -45,7 +45,7 @@
 
 func (p *Platform) getIndex(c platformCall) {
 	view, _ := p.view(c.nth)
-	platformJSON(c.w, view.index(c.r.URL.Query().Get(platform.ParamPrefix)))
+	platformJSON(c.w, view.index(c.r.URL.Query().Get(configuration.ParamPrefix)))
 }
 
 func (p *Platform) getValue(c platformCall) {
@@ -55,7 +55,7 @@
 		http.Error(c.w, "no such value", http.StatusNotFound)
 		return
 	}
-	c.w.Header().Set(platform.HeaderRevision, strconv.FormatUint(uint64(value.revision), 10))
+	c.w.Header().Set(configuration.HeaderRevision, strconv.FormatUint(uint64(value.revision), 10))
 	c.w.Header().Set("Content-Type", "application/octet-stream")
 	_, _ = c.w.Write(value.raw) // A client that has gone away needs no answer.
 }
@@ -64,24 +64,24 @@
 	view, _ := p.view(c.nth)
 	rows := view.fleet
 	if rows == nil {
-		rows = []platform.FleetRow{}
+		rows = []configuration.FleetRow{}
 	}
-	platformJSON(c.w, platform.FleetList{Revision: view.revision, Entries: rows})
+	platformJSON(c.w, configuration.FleetList{Revision: view.revision, Entries: rows})
 }
 
 func (p *Platform) getWatch(c platformCall) {
 	query := c.r.URL.Query()
-	after, err := strconv.ParseUint(query.Get(platform.ParamAfter), 10, 64)
+	after, err := strconv.ParseUint(query.Get(configuration.ParamAfter), 10, 64)
 	if err != nil {
 		http.Error(c.w, "after: "+err.Error(), http.StatusBadRequest)
 		return
 	}
-	wait, err := time.ParseDuration(query.Get(platform.ParamWait))
+	wait, err := time.ParseDuration(query.Get(configuration.ParamWait))
 	if err != nil || wait < 0 || wait > maxWatchWait {
 		http.Error(c.w, "wait is not a duration up to "+maxWatchWait.String(), http.StatusBadRequest)
 		return
 	}
-	prefix := query.Get(platform.ParamPrefix)
+	prefix := query.Get(configuration.ParamPrefix)
 	if view := p.await(c, prefix, table.Revision(after), wait); view != nil {
 		platformJSON(c.w, view.index(prefix))
 	}
--- a/standin/platform_store.go
+++ b/standin/platform_store.go
@@ -6,7 +6,7 @@
 	"strings"
 	"sync"
 
-	"github.com/bilberrywood/bilberrywood/platform"
+	"github.com/bilberrywood/bilberrywood/configuration"
 	"github.com/bilberrywood/bilberrywood/table"
 )
 
@@ -19,7 +19,7 @@
 	values   map[string]platformValue
 	// deleted holds the revisions of deletions, which change the index as well.
 	deleted map[string]table.Revision
-	fleet   []platform.FleetRow
+	fleet   []configuration.FleetRow
 }
 
 type platformValue struct {
@@ -28,11 +28,11 @@
 }
 
 // index returns the values whose names start with prefix, ordered by name.
-func (v *platformView) index(prefix string) platform.Index {
-	i := platform.Index{Revision: v.revision, Values: []platform.IndexRow{}}
+func (v *platformView) index(prefix string) configuration.Index {
+	i := configuration.Index{Revision: v.revision, Values: []configuration.IndexRow{}}
 	for _, name := range slices.Sorted(maps.Keys(v.values)) {
 		if strings.HasPrefix(name, prefix) {
-			i.Values = append(i.Values, platform.IndexRow{Name: name, Revision: v.values[name].revision})
+			i.Values = append(i.Values, configuration.IndexRow{Name: name, Revision: v.values[name].revision})
 		}
 	}
 	return i
--- a/standin/platform_test.go
+++ b/standin/platform_test.go
@@ -12,7 +12,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/bilberrywood/bilberrywood/platform"
+	"github.com/bilberrywood/bilberrywood/configuration"
 	"github.com/bilberrywood/bilberrywood/table"
 )
 
@@ -56,10 +56,10 @@
 func TestPlatformStore(t *testing.T) {
 	is := is.New(t)
 	p := startPlatform(t)
-	c := &platform.Client{URL: p.URL()}
+	c := &configuration.Client{URL: p.URL()}
 	index, err := c.Index(t.Context(), table.Prefix)
 	is.NoErr(err)
-	is.Equal(index, platform.Index{Revision: 11, Values: []platform.IndexRow{
+	is.Equal(index, configuration.Index{Revision: 11, Values: []configuration.IndexRow{
 		{Name: table.PoolsValue, Revision: 11}, {Name: table.RoutesValue, Revision: 11},
 	}})
 	is.NoErr(os.WriteFile(p.Files[table.PoolsValue], []byte("{} "), 0o600))
@@ -68,8 +68,8 @@
 	is.NoErr(err)
 	is.Equal(string(raw), "{} ")
 	is.Equal(revision, table.Revision(12))
-	is.Equal(post(t, p, "/control/put?name=x", strings.Repeat("x", platform.MaxValueBytes)), http.StatusOK)
-	is.Equal(post(t, p, "/control/put?name=x", strings.Repeat("x", platform.MaxValueBytes+1)), http.StatusBadRequest)
+	is.Equal(post(t, p, "/control/put?name=x", strings.Repeat("x", configuration.MaxValueBytes)), http.StatusOK)
+	is.Equal(post(t, p, "/control/put?name=x", strings.Repeat("x", configuration.MaxValueBytes+1)), http.StatusBadRequest)
 	is.Equal(post(t, p, "/control/put", "x"), http.StatusBadRequest)
 	is.Equal(post(t, p, "/control/delete?name=x", ""), http.StatusOK)
 	is.Equal(post(t, p, "/control/delete?name=x", ""), http.StatusBadRequest)
@@ -80,7 +80,7 @@
 func TestPlatformFaults(t *testing.T) {
 	is := is.New(t)
 	p := startPlatform(t)
-	c := &platform.Client{URL: p.URL(), HTTP: &http.Client{Timeout: 300 * time.Millisecond}}
+	c := &configuration.Client{URL: p.URL(), HTTP: &http.Client{Timeout: 300 * time.Millisecond}}
 	rows := `{"entries": [{"id": "a", "peerAddress": "127.0.0.1:1", "callerAddress": "127.0.0.1:2", "failureDomain": "d", "state": "live"},]} // list` + "\n"
 	is.Equal(post(t, p, "/control/fleet", rows), http.StatusOK)
 	for _, mode := range []PlatformMode{PlatformRefused, PlatformHung, PlatformUnavailable} {
@@ -97,7 +97,7 @@
 	is.Equal(post(t, p, "/control/fault", `{"stale": {"revision": 11, "every": 1}}`), http.StatusOK)
 	list, err := c.Fleet(t.Context())
 	is.NoErr(err)
-	is.Equal(list, platform.FleetList{Revision: 11, Entries: []platform.FleetRow{}})
+	is.Equal(list, configuration.FleetList{Revision: 11, Entries: []configuration.FleetRow{}})
 	is.Equal(post(t, p, "/control/fault", `{"mode": "gone"}`), http.StatusBadRequest)
 	before := p.Operations()
 	_, err = c.Watch(t.Context(), table.Prefix, 11, 50*time.Millisecond)
@@ -116,11 +116,11 @@
 		if err != nil {
 			return
 		}
-		again, err := json.Marshal(platform.FleetList{Entries: rows})
+		again, err := json.Marshal(configuration.FleetList{Entries: rows})
 		if err != nil {
 			t.Fatal(err)
 		}
-		var list platform.FleetList
+		var list configuration.FleetList
 		if err := json.Unmarshal(again, &list); err != nil || len(list.Entries) != len(rows) {
 			t.Fatal(err, list)
 		}
