--- a/cmd/entry/main.go
+++ b/cmd/entry/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -13,6 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/bilberrywood/bilberrywood/entry"
+	"github.com/bilberrywood/bilberrywood/platform"
 	"github.com/bilberrywood/bilberrywood/settings"
 )
 
@@ -23,7 +25,8 @@
 )
 
 type options struct {
-	Settings string `long:"settings" description:"settings file (JSON with comments)" required:"yes"`
+	Settings string `long:"settings" description:"settings file (JSON with comments)"`
+	Platform bool   `long:"platform" description:"serve the users' platform; the settings file is then named by an environment variable unless --settings is given"`
 	Check    bool   `long:"check" description:"check the settings and exit"`
 }
 
@@ -42,8 +45,15 @@
 }
 
 func run(o options) error {
+	path := o.Settings
+	if path == "" && o.Platform {
+		path = os.Getenv(platform.SettingsVariable)
+	}
+	if path == "" {
+		return errors.New("no settings file; use --settings")
+	}
 	var s settings.Entry
-	if err := settings.Read(o.Settings, &s); err != nil {
+	if err := settings.Read(path, &s); err != nil {
 		return err
 	}
 	if o.Check {
@@ -60,5 +70,25 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	e := &entry.Entry{Settings: s, Log: log, LogLines: lines}
+	if o.Platform {
+		platform.Attach(e)
+	}
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	go func() {
+		for range hangups {
+			reload(e, path)
+		}
+	}()
 	return e.Run(ctx)
 }
+
+// reload reads the settings file again. What is in force stays if the file is wrong.
+func reload(e *entry.Entry, path string) {
+	var s settings.Entry
+	if err := settings.Read(path, &s); err != nil {
+		e.Log.Error().Str("event", "settingsRejected").Err(err).Msg("the settings stay as they were")
+		return
+	}
+	e.Reload(s)
+}
--- a/configuration/counters.go
+++ b/configuration/counters.go
@@ -21,13 +21,14 @@
 func (c *counters) failed()             { c.failures.Add(1) }
 
 // Counts returns the calls made so far.
-func (c *Client) Counts() Counts {
-	calls := &c.counters.calls
+func (c *Client) Counts() Counts { return c.counters.snapshot() }
+
+func (c *counters) snapshot() Counts {
 	return Counts{
-		Index:  calls[OperationIndex].Load(),
-		Value:  calls[OperationValue].Load(),
-		Watch:  calls[OperationWatch].Load(),
-		Fleet:  calls[OperationFleet].Load(),
-		Failed: c.counters.failures.Load(),
+		Index:  c.calls[OperationIndex].Load(),
+		Value:  c.calls[OperationValue].Load(),
+		Watch:  c.calls[OperationWatch].Load(),
+		Fleet:  c.calls[OperationFleet].Load(),
+		Failed: c.failures.Load(),
 	}
 }
--- /dev/null
+++ b/configuration/follower.go
@@ -0,0 +1,227 @@
+package configuration
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/bilberrywood/bilberrywood/table"
+)
+
+// ErrHistoryGone says that a store no longer has the changes after a revision, so that it must be listed anew.
+var ErrHistoryGone = Error.New("the store no longer has this history")
+
+// Change is one change in a store. At most one of the first three fields is set.
+type Change struct {
+	Definition   *table.Definition
+	Registration *table.Registration
+	// Withdrawn is a target whose registration was removed.
+	Withdrawn table.TargetID
+	// Key names what changed, for logs; Problem says why it could not be read.
+	Key     string
+	Problem error
+}
+
+// Changes are the changes up to a revision of the store.
+type Changes struct {
+	Revision table.Revision
+	Changes  []Change
+}
+
+// Store is a place where operators publish definitions and where targets register themselves.
+type Store interface {
+	// List returns everything that the store holds. Changes after the revision may be in it already.
+	List(ctx context.Context) (Changes, error)
+	// Next returns the changes after a revision as soon as there are any, or none after wait. The error is
+	// ErrHistoryGone if some of them are no longer known.
+	Next(ctx context.Context, after table.Revision, wait time.Duration) (Changes, error)
+}
+
+// Defaults of a Follower's fields.
+const (
+	// DefaultFollowEvery is the least time between two calls. Targets renew their registrations all the
+	// time, so each call finds changes; twice a second is well within the 2 s in which a change must be in
+	// force, and keeps the calls of a reader low, which are limited over the whole fleet.
+	DefaultFollowEvery = 500 * time.Millisecond
+	// DefaultFollowWait is how long one call waits for a change, so that a silent connection is noticed soon.
+	DefaultFollowWait = time.Second
+	// minFollowBackoff and maxFollowBackoff bound the pause after a failed call.
+	minFollowBackoff = 100 * time.Millisecond
+	maxFollowBackoff = time.Second
+	// awayAfter is how long no call may succeed before the store counts as away.
+	awayAfter = 1500 * time.Millisecond
+)
+
+// Follower turns the changes of a Store into snapshots of the tables. Its exported fields are set before Run.
+type Follower struct {
+	Store Store
+	// Roster joins definitions and registrations; its exported fields are set.
+	Roster table.Roster
+	// OnSnapshot is called with each snapshot that differs from the one before.
+	OnSnapshot func(table.Snapshot)
+	Log        zerolog.Logger
+	// Every and Wait have defaults that stand for 0.
+	Every, Wait time.Duration
+
+	once     sync.Once
+	activity activity
+	status   statusState
+	counts   counters
+	revision table.Revision
+	digest   uint64
+	away     bool
+	// heldUntil is until when targets are kept whose registrations lapsed while the store was away.
+	heldUntil time.Time
+}
+
+func (f *Follower) init() {
+	f.once.Do(func() {
+		f.activity.changed = make(chan struct{})
+		if f.Every == 0 {
+			f.Every = DefaultFollowEvery
+		}
+		if f.Wait == 0 {
+			f.Wait = DefaultFollowWait
+		}
+	})
+}
+
+// Run follows the store while the follower is active, until ctx ends. It is called once.
+func (f *Follower) Run(ctx context.Context) {
+	f.init()
+	f.activity.whileActive(ctx, f.follow)
+}
+
+// SetActive switches the calls to the store on or off.
+func (f *Follower) SetActive(active bool) {
+	f.init()
+	f.activity.set(active)
+}
+
+// Status returns the state of the follower.
+func (f *Follower) Status() Status {
+	f.init()
+	active, _ := f.activity.get()
+	f.status.mu.Lock()
+	defer f.status.mu.Unlock()
+	return Status{
+		Active: active, LastAnswer: f.status.lastAnswer, LastError: f.status.lastError,
+		Revision: f.status.revision, Calls: f.counts.snapshot(),
+	}
+}
+
+// follow reads changes until ctx ends. It begins with a listing, because nothing was read while the follower
+// was not active.
+func (f *Follower) follow(ctx context.Context) {
+	pause := &backoff{least: minFollowBackoff, most: maxFollowBackoff, random: rand.Float64}
+	listed := false
+	for ctx.Err() == nil {
+		started := time.Now()
+		changes, err := f.read(ctx, listed)
+		if ctx.Err() != nil {
+			return
+		}
+		f.noteResult(err)
+		switch {
+		case errors.Is(err, ErrHistoryGone):
+			listed = false
+			continue
+		case err != nil:
+			sleep(ctx, pause.next())
+			continue
+		}
+		pause.reset()
+		f.take(changes, !listed)
+		listed = true
+		sleep(ctx, f.Every-time.Since(started))
+	}
+}
+
+func (f *Follower) read(ctx context.Context, listed bool) (Changes, error) {
+	if !listed {
+		f.counts.called(OperationIndex)
+		return f.Store.List(ctx)
+	}
+	f.counts.called(OperationWatch)
+	return f.Store.Next(ctx, f.revision, f.Wait)
+}
+
+// noteResult keeps the status, and logs when the store is lost and when it is back.
+func (f *Follower) noteResult(err error) {
+	s := &f.status
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err != nil && !errors.Is(err, ErrHistoryGone) {
+		f.counts.failed()
+		s.lastError = err.Error()
+		if !f.away && time.Since(s.lastAnswer) > awayAfter {
+			f.away = true
+			f.Log.Warn().Str("event", "storeLost").Time("lastAnswer", s.lastAnswer).Err(err).Msg("the store does not answer; the tables in force stay")
+		}
+		return
+	}
+	now := time.Now()
+	if f.away || (!s.lastAnswer.IsZero() && now.Sub(s.lastAnswer) > awayAfter) {
+		f.heldUntil = now.Add(f.Roster.Hold)
+		f.Log.Info().Str("event", "storeRegained").Dur("away", now.Sub(s.lastAnswer)).Msg("the store answers again")
+	}
+	f.away = false
+	s.lastError, s.lastAnswer = "", now
+}
+
+// take applies changes to the roster and hands on the tables if they differ. whole says that the changes are a
+// listing of everything.
+func (f *Follower) take(changes Changes, whole bool) {
+	now := time.Now()
+	named := make(map[table.TargetID]bool)
+	for _, c := range changes.Changes {
+		f.apply(c, now, named)
+	}
+	if whole {
+		f.Roster.Keep(named, now, f.heldUntil)
+	}
+	f.Roster.Expire(now)
+	f.revision = max(f.revision, changes.Revision)
+	f.emit()
+}
+
+func (f *Follower) apply(c Change, now time.Time, named map[table.TargetID]bool) {
+	switch {
+	case c.Problem != nil:
+		f.Log.Warn().Str("event", "storeValueIgnored").Str("key", c.Key).Err(c.Problem).Msg("a value in the store can't be used")
+		if c.Withdrawn != "" {
+			f.Roster.Withdraw(c.Withdrawn, now, now)
+		}
+	case c.Definition != nil:
+		f.Roster.Define(*c.Definition)
+	case c.Registration != nil:
+		named[c.Registration.ID] = true
+		f.Roster.Register(*c.Registration)
+	case c.Withdrawn != "":
+		f.Roster.Withdraw(c.Withdrawn, now, f.heldUntil)
+	}
+}
+
+func (f *Follower) emit() {
+	if !f.Roster.Defined() || f.OnSnapshot == nil {
+		return
+	}
+	values, err := f.Roster.Values()
+	if err != nil {
+		f.Log.Error().Str("event", "tablesNotBuilt").Err(err).Msg("the tables could not be written")
+		return
+	}
+	digest := table.Digest(values)
+	if digest == f.digest {
+		return
+	}
+	f.digest = digest
+	f.status.mu.Lock()
+	f.status.revision = f.revision
+	f.status.mu.Unlock()
+	f.OnSnapshot(table.Snapshot{Revision: f.revision, Values: values})
+}
--- a/configuration/status.go
+++ b/configuration/status.go
@@ -26,6 +26,8 @@
 	lastAnswer time.Time
 	lastError  string
 	stale      uint64
+	// revision is that of the last snapshot of a Follower.
+	revision table.Revision
 }
 
 // Status returns the state of the watcher.
--- a/configuration/watcher.go
+++ b/configuration/watcher.go
@@ -214,3 +214,9 @@
 		}
 	})
 }
+
+// ReadFleet reads the fleet list once, whether or not the watcher is active. A failure shows in the status.
+func (w *Watcher) ReadFleet(ctx context.Context) {
+	w.init()
+	_ = w.note(w.readFleet(ctx))
+}
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -8,6 +8,7 @@
 
 	"github.com/bilberrywood/bilberrywood/notice"
 	"github.com/bilberrywood/bilberrywood/peer"
+	"github.com/bilberrywood/bilberrywood/table"
 	"github.com/bilberrywood/bilberrywood/target"
 )
 
@@ -15,14 +16,14 @@
 var buffers = sync.Pool{New: func() any { return new([copyBuffer]byte) }}
 
 // targetRequest builds the request to a target.
-func (e *Entry) targetRequest(x *exchange, address string, patience time.Duration) *target.Request {
+func (e *Entry) targetRequest(x *exchange, row table.Target, patience time.Duration) *target.Request {
 	h := x.Header.Clone()
 	if x.Account != "" {
 		// The token was for the entry; targets get the name of the account.
 		h.Del("Authorization")
 	}
 	r := &target.Request{
-		Address: address, Method: x.Method, Path: x.URI, Host: x.Host, Header: h,
+		Address: row.Address, Instance: string(row.ID), Method: x.Method, Path: x.URI, Host: x.Host, Header: h,
 		ContentLength: x.ContentLength, Idempotent: x.idempotent, Deadline: x.deadline,
 		Patience:    patience,
 		BeforeWrite: func() error { return e.beforeWrite(x.deadline) },
--- a/entry/cellset.go
+++ b/entry/cellset.go
@@ -94,7 +94,8 @@
 	}
 	c := &servedCell{cellRunner: runner, alwaysSole: s.e.faults.alwaysSole}
 	c.prober = &target.Prober{
-		Skip: func(t target.ProbeTarget) bool { return runner.answers(t.ID) },
+		Protocol: s.e.Targets,
+		Skip:     func(t target.ProbeTarget) bool { return runner.answers(t.ID) },
 		Signal: func(t target.ProbeTarget, sig pool.Signal) {
 			if sig.Kind != pool.SignalDraining || !s.e.faults.ignoreDrain {
 				runner.signal(t.ID, sig)
--- a/entry/check.go
+++ b/entry/check.go
@@ -45,14 +45,13 @@
 
 // deadlineOf returns when the answer to a request is of no more use: the smaller of the caller's
 // remaining time and the route's timeout.
-func deadlineOf(h http.Header, now time.Time, timeout time.Duration) (time.Time, error) {
-	v := h.Get(headerDeadline)
+func deadlineOf(v string, now time.Time, timeout time.Duration) (time.Time, error) {
 	if v == "" {
 		return now.Add(timeout), nil
 	}
 	ms, err := strconv.ParseInt(v, 10, 64)
 	if err != nil || ms < 0 {
-		return time.Time{}, Error.New("%s: %q is not a number of milliseconds", headerDeadline, v)
+		return time.Time{}, Error.New("deadline %q is not a number of milliseconds", v)
 	}
 	remaining := time.Duration(min(ms, timeout.Milliseconds())) * time.Millisecond
 	return now.Add(remaining), nil
--- a/entry/config.go
+++ b/entry/config.go
@@ -18,8 +18,10 @@
 	router *table.Router
 	routes map[table.RouteName]*table.Route
 	// own has the pools of this entry's group, so that the tick does not look at the others.
-	own   []*table.Pool
-	since time.Time
+	own []*table.Pool
+	// oneOwner says that the group's targets are few enough for one entry to own them all.
+	oneOwner bool
+	since    time.Time
 }
 
 func newInForce(pair *table.Pair, self fleet.EntryID, since time.Time) *inForce {
@@ -31,6 +33,11 @@
 			f.own = append(f.own, p)
 		}
 	}
+	targets := 0
+	for _, p := range f.own {
+		targets += len(p.Targets)
+	}
+	f.oneOwner = targets <= maxOneOwner
 	f.routes = make(map[table.RouteName]*table.Route, len(pair.Routes.Routes))
 	for i := range pair.Routes.Routes {
 		f.routes[pair.Routes.Routes[i].Name] = &pair.Routes.Routes[i]
@@ -38,6 +45,10 @@
 	return f
 }
 
+// maxOneOwner is how many targets of several pools one entry owns. Up to a cell's size their requests are no
+// more than those of one cell, and callers reach every pool of a host without a hop.
+const maxOneOwner = table.DefaultCellSize
+
 // config holds the tables in force. Snapshots come from the platform and from peers; the acceptor
 // alone decides.
 type config struct {
--- /dev/null
+++ b/entry/dialect.go
@@ -0,0 +1,61 @@
+package entry
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/bilberrywood/bilberrywood/notice"
+)
+
+// Dialect is how callers speak to an entry.
+type Dialect struct {
+	// Deadline names the header field with the remaining time in whole milliseconds.
+	Deadline string
+	// RequestID names the header field with the caller's own id of each attempt; empty means none.
+	RequestID string
+	// UniqueAttempts says that callers send a non-idempotent request again only if they were told that it
+	// did not run, or saw that it was not read. Run ids are then not needed.
+	UniqueAttempts bool
+	// FractionalRetryAfter says that callers read fractions of seconds in Retry-After.
+	FractionalRetryAfter bool
+	// NotRunStatus replaces the statuses of refusals that promise that a proper request did not run; 0 keeps
+	// them.
+	NotRunStatus int
+}
+
+// DefaultDialect is the dialect of bilberrywood's own header fields.
+var DefaultDialect = Dialect{Deadline: headerDeadline}
+
+func (e *Entry) dialect() *Dialect {
+	if e.Dialect == nil {
+		return &DefaultDialect
+	}
+	return e.Dialect
+}
+
+// Advice for callers whose refusal has none of its own: long enough for a slot to become free, and spread
+// so that the callers do not return together.
+const (
+	leastAdvice  = 100 * time.Millisecond
+	adviceSpread = 200 * time.Millisecond
+)
+
+// adapt changes the form of a refusal to what the callers understand. It does not change its outcome.
+func (d *Dialect) adapt(ref *refusal) {
+	ref.fraction = d.FractionalRetryAfter
+	if d.NotRunStatus == 0 {
+		return
+	}
+	switch {
+	case ref.outcome != notice.OutcomeNotRun:
+		if ref.status == http.StatusServiceUnavailable {
+			ref.status = http.StatusBadGateway
+		}
+	case ref.status >= http.StatusInternalServerError:
+		ref.status = d.NotRunStatus
+		if ref.retryAfter == 0 {
+			ref.retryAfter = leastAdvice + rand.N(adviceSpread)
+		}
+	}
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -13,7 +13,6 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
-	"github.com/bilberrywood/bilberrywood/configuration"
 	"github.com/bilberrywood/bilberrywood/fleet"
 	"github.com/bilberrywood/bilberrywood/notice"
 	"github.com/bilberrywood/bilberrywood/peer"
@@ -34,6 +33,14 @@
 	Metrics metrics.Registry
 	// LogLines, if set, gives operators the last log lines and those that follow.
 	LogLines *LogLines
+	// Connect builds the source of the tables; nil means the configuration service of the settings.
+	Connect func(Offer) Source
+	// Dialect is how callers speak to the entry; nil means DefaultDialect.
+	Dialect *Dialect
+	// Extras are further interfaces that Run serves and closes.
+	Extras []Extra
+	// Targets is how targets are spoken to; nil means target.DefaultProtocol.
+	Targets *target.Protocol
 
 	start     time.Time
 	register  *notice.Register
@@ -42,12 +49,13 @@
 	cells     *cellSet
 	client    *target.Client
 	node      *peer.Node
-	watcher   *configuration.Watcher
+	source    Source
 	requests  requestCount
 	answers   answerClock
 	counters  counters
 	callers   *http.Server
 	operators *http.Server
+	extras    []*http.Server
 	// background counts the goroutines that Run waits for.
 	background sync.WaitGroup
 	state      atomic.Uint32
@@ -97,7 +105,7 @@
 		e.join(ctx)
 	}
 	e.background.Go(func() { every(work, catchUpEvery, func() { e.catchUp(work) }) })
-	e.background.Go(func() { e.watcher.Run(work) })
+	e.background.Go(func() { e.source.Run(work) })
 	e.awaitTables(ctx)
 	e.setState(fleet.StateServing)
 	<-ctx.Done()
@@ -129,8 +137,8 @@
 	e.fleet.membership = e.membership(incarnation)
 	e.fleet.update(0, func(*fleet.Membership) {})
 	e.cells = &cellSet{e: e, cells: make(map[fleet.CellKey]*servedCell)}
-	e.client = &target.Client{}
-	e.watcher = e.platformWatcher()
+	e.client = &target.Client{Protocol: e.Targets}
+	e.source = e.newSource()
 	e.node = &peer.Node{
 		ID: s.ID, Address: s.PeerListen, Handler: e, Log: e.Log,
 		TLS: peer.Files{CA: s.TLS.CA, Certificate: s.TLS.Certificate, Key: s.TLS.Key},
@@ -162,6 +170,7 @@
 	e.fleet.update(e.sinceStart(), func(m *fleet.Membership) {
 		m.SetAccepted(f.pair.Revision, f.pair.Digest)
 		m.Groups = f.pair.Pools.FleetGroups
+		m.OneOwner = f.oneOwner
 	})
 }
 
@@ -192,7 +201,7 @@
 		e.fleet.membership.SetPoison(poison)
 		e.fleet.mu.Unlock()
 	}
-	e.watcher.SetActive(v.IsReader(e.Settings.ReadersPerDomain) || !v.ReaderHeard)
+	e.source.SetActive(v.IsReader(e.Settings.ReadersPerDomain) || !v.ReaderHeard)
 	var out []fleet.Outgoing
 	e.fleet.update(e.sinceStart(), func(m *fleet.Membership) {
 		m.SetReader(e.platformWorking())
@@ -225,10 +234,16 @@
 	s := &e.Settings
 	e.callers = e.server(e.callerRoutes())
 	e.operators = e.server(e.operatorRoutes())
-	servers := []struct {
+	type served struct {
 		address string
 		server  *http.Server
-	}{{s.CallerAddress, e.callers}, {s.OperatorAddress, e.operators}}
+	}
+	servers := []served{{s.CallerAddress, e.callers}, {s.OperatorAddress, e.operators}}
+	for _, x := range e.Extras {
+		server := e.server(x.Handler)
+		e.extras = append(e.extras, server)
+		servers = append(servers, served{x.Address, server})
+	}
 	for _, l := range servers {
 		listener, err := net.Listen("tcp", l.address)
 		if err != nil {
@@ -248,7 +263,9 @@
 func (e *Entry) callerRoutes() http.Handler {
 	r := echo.New()
 	r.HideBanner, r.HidePort = true, true
-	r.GET("/v1/addresses", e.addresses)
+	if !e.dialect().UniqueAttempts {
+		r.GET("/v1/addresses", e.addresses)
+	}
 	r.Any("/*", e.serve)
 	return r
 }
@@ -271,6 +288,9 @@
 // close ends what Run started and waits for it.
 func (e *Entry) close() {
 	_ = e.operators.Close()
+	for _, s := range e.extras {
+		_ = s.Close()
+	}
 	_ = e.callers.Close()
 	e.cells.close()
 	_ = e.client.Close()
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -21,7 +21,11 @@
 	peer.ForwardHeader
 	// caller is the address of the caller or the id of the peer, for logs.
 	caller string
-	route  *table.Route
+	// attempt is the caller's own id of the request, for logs; empty if it gave none.
+	attempt string
+	route   *table.Route
+	// pool is where the request goes: the route's pool, or one of its split.
+	pool table.PoolName
 	// id is set for requests that may run at most once.
 	id *notice.ID
 	// idempotent says that a second run does no harm.
@@ -143,7 +147,7 @@
 // id from other requests.
 func (x *exchange) content() uint64 {
 	h := xxhash.New()
-	for _, part := range []string{string(x.Account), x.Method, x.URI} {
+	for _, part := range []string{string(x.Account), x.Method, x.Host, x.URI} {
 		// Writing to a hash does not fail.
 		_, _ = h.WriteString(part)
 		_, _ = h.Write([]byte{0})
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -130,7 +130,7 @@
 	}
 	force := e.config.current()
 	if x.Mode == peer.ForwardDecide {
-		if ref := x.readID(); ref != nil {
+		if ref := e.readID(x); ref != nil {
 			return ref
 		}
 		if x.id == nil || !e.boundHere(x.id) {
@@ -149,7 +149,9 @@
 		return notRun(http.StatusServiceUnavailable, reasonCellReplaced, "the route is not in the tables in force at the owner")
 	}
 	x.route = route
-	x.idempotent = route.Idempotent || safeMethod(x.Method)
+	x.pool = x.Cell.Pool
+	x.attempt = x.Header.Get(e.dialect().RequestID)
+	x.idempotent = route.RunsTwice(x.Method)
 	if err := x.keepBody(e.Settings.ReplayBytes); err != nil {
 		return notRun(http.StatusBadRequest, reasonCallerGone, err.Error())
 	}
--- a/entry/front.go
+++ b/entry/front.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"net/url"
 	"time"
 
 	"github.com/labstack/echo/v4"
 
+	"github.com/bilberrywood/bilberrywood/fleet"
 	"github.com/bilberrywood/bilberrywood/notice"
 	"github.com/bilberrywood/bilberrywood/peer"
 	"github.com/bilberrywood/bilberrywood/table"
@@ -25,6 +27,7 @@
 			Header: r.Header, ContentLength: r.ContentLength,
 		},
 		caller:  r.RemoteAddr,
+		attempt: r.Header.Get(e.dialect().RequestID),
 		out:     sink,
 		body:    r.Body,
 		Trailer: r.Trailer,
@@ -34,7 +37,11 @@
 			_ = sink.c.SetReadDeadline(time.Unix(1, 0))
 		},
 	}
+	if fleet.State(e.state.Load()) == fleet.StateLeaving {
+		c.Response().Header().Set("Connection", "close")
+	}
 	if ref := e.answer(r.Context(), x, r); ref != nil {
+		e.dialect().adapt(ref)
 		e.refuse(x, ref, sink.started)
 		if sink.started {
 			panic(http.ErrAbortHandler)
@@ -58,7 +65,7 @@
 	if reason := checkRequest(r); reason != "" {
 		return e.refuseUnbound(x, http.StatusBadRequest, reason)
 	}
-	if ref := x.readID(); ref != nil {
+	if ref := e.readID(x); ref != nil {
 		return ref
 	}
 	force := e.config.current()
@@ -72,7 +79,7 @@
 	if ref != nil {
 		return ref
 	}
-	if !x.idempotent {
+	if !x.idempotent && !e.dialect().UniqueAttempts {
 		return notRun(http.StatusPreconditionRequired, reasonIDNeeded,
 			"a non-idempotent request needs the header "+headerID+" with an id made from GET /v1/addresses")
 	}
@@ -92,7 +99,10 @@
 }
 
 // readID reads the id header of a request. Ids of GET and HEAD requests are ignored.
-func (x *exchange) readID() *refusal {
+func (e *Entry) readID(x *exchange) *refusal {
+	if e.dialect().UniqueAttempts {
+		return nil
+	}
 	v := x.Header.Get(headerID)
 	if v == "" || safeMethod(x.Method) {
 		return nil
@@ -121,7 +131,7 @@
 	if err != nil {
 		return notRun(http.StatusBadRequest, reasonBadRequest, err.Error())
 	}
-	match, err := force.router.Route(x.Method, path, table.Account(h.Get(headerAccount)), bearer(h))
+	match, err := force.router.Route(x.Method, x.Host, path, table.Account(h.Get(headerAccount)), bearer(h))
 	if err != nil {
 		return routeRefusal(err)
 	}
@@ -130,7 +140,8 @@
 	x.Route = route.Name
 	x.Account = match.Account
 	x.idempotent = match.Idempotent
-	x.deadline, err = deadlineOf(h, now, route.TimeoutMs.Duration())
+	x.pool = route.ChoosePool(rand.Float64())
+	x.deadline, err = deadlineOf(h.Get(e.dialect().Deadline), now, route.TimeoutMs.Duration())
 	if err != nil {
 		return notRun(http.StatusBadRequest, reasonBadRequest, err.Error())
 	}
--- a/entry/join.go
+++ b/entry/join.go
@@ -16,8 +16,8 @@
 func (e *Entry) join(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, settings.Millis(e.Settings.JoinWaitMs))
 	defer cancel()
-	if list, err := e.watcher.Client.Fleet(ctx); err == nil {
-		e.fleetList(list)
+	if l, ok := e.source.(fleetLister); ok {
+		l.ReadFleet(ctx)
 	}
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
@@ -73,8 +73,30 @@
 	e.fleet.update(e.sinceStart(), func(m *fleet.Membership) { m.UpdateList(e.sinceStart(), list) })
 }
 
-// platformWatcher builds the reader of the configuration service.
-func (e *Entry) platformWatcher() *configuration.Watcher {
+// Source reads the tables from where operators publish them.
+type Source interface {
+	// Run follows the tables while it is active, until ctx ends.
+	Run(ctx context.Context)
+	// SetActive switches the reading on or off.
+	SetActive(active bool)
+	// Status is what operators see of the source.
+	Status() configuration.Status
+}
+
+// fleetLister is implemented by sources that know a list of the fleet.
+type fleetLister interface {
+	// ReadFleet reads the list once; a failure shows in the status.
+	ReadFleet(ctx context.Context)
+}
+
+// Offer takes a snapshot of the tables from a source that names itself.
+type Offer func(source string, s table.Snapshot)
+
+// newSource builds the reader of the tables: of the configuration service unless Connect is set.
+func (e *Entry) newSource() Source {
+	if e.Connect != nil {
+		return e.Connect(e.config.offer)
+	}
 	return &configuration.Watcher{
 		Client: &configuration.Client{URL: e.Settings.Platform, Log: e.Log},
 		Log:    e.Log,
@@ -91,6 +113,6 @@
 
 // platformWorking says that this entry has read the platform lately.
 func (e *Entry) platformWorking() bool {
-	s := e.watcher.Status()
+	s := e.source.Status()
 	return s.Active && time.Since(s.LastAnswer) < readerFresh
 }
--- a/entry/observe.go
+++ b/entry/observe.go
@@ -54,16 +54,13 @@
 	if outcome == outcomeNames[pool.OutcomeSuccess] {
 		e.counters.run.Inc(1)
 	}
-	var poolName table.PoolName
-	if x.route != nil {
-		poolName = x.route.Pool
-	}
 	line := e.Log.Info().
 		Str("event", "routingDecision").
 		Str("caller", x.caller).
+		Str("requestId", x.attempt).
 		Str("account", string(x.Account)).
 		Str("route", string(x.Route)).
-		Str("pool", string(poolName)).
+		Str("pool", string(x.pool)).
 		Str("target", string(t)).
 		Str("reason", string(reason)).
 		Uint64("revision", uint64(e.revision())).
@@ -81,6 +78,7 @@
 	e.Log.Info().
 		Str("event", "routingDecision").
 		Str("caller", x.caller).
+		Str("requestId", x.attempt).
 		Str("account", string(x.Account)).
 		Str("route", string(x.Route)).
 		Str("pool", string(x.Cell.Pool)).
@@ -106,6 +104,7 @@
 	line := e.Log.Info().
 		Str("event", "routingDecision").
 		Str("caller", x.caller).
+		Str("requestId", x.attempt).
 		Str("account", string(x.Account)).
 		Str("route", string(x.Route)).
 		Str("reason", string(ref.reason)).
--- a/entry/operator.go
+++ b/entry/operator.go
@@ -91,7 +91,7 @@
 	s := Status{
 		Entry: e.Settings.ID, Incarnation: e.register.Incarnation, FailureDomain: e.Settings.FailureDomain,
 		State:      stateNames[fleet.State(e.state.Load())],
-		Rejections: e.config.acceptor.Rejections(), Platform: e.watcher.Status(),
+		Rejections: e.config.acceptor.Rejections(), Platform: e.source.Status(),
 		SelfDoubt: e.fleet.view().SelfDoubt, Reader: e.platformWorking(), Started: e.start, UpSeconds: time.Since(e.start).Seconds(),
 	}
 	if f := e.config.current(); f != nil {
@@ -130,7 +130,7 @@
 	return c.Blob(http.StatusOK, "application/json", raw)
 }
 
-// explain answers GET /v1/explain?method=M&path=P&account=A&token=T: what would happen to such a
+// explain answers GET /v1/explain?method=M&host=H&path=P&account=A&token=T: what would happen to such a
 // request here, without running it.
 func (e *Entry) explain(c echo.Context) error {
 	f := e.config.current()
@@ -142,24 +142,33 @@
 		method = http.MethodGet
 	}
 	x := Explanation{Revision: f.pair.Revision}
-	m, err := f.router.Route(method, c.QueryParam("path"), table.Account(c.QueryParam("account")), c.QueryParam("token"))
+	m, err := f.router.Route(method, c.QueryParam("host"), c.QueryParam("path"), table.Account(c.QueryParam("account")), c.QueryParam("token"))
 	if err != nil {
 		x.Refused = err.Error()
 		return c.JSON(http.StatusOK, x)
 	}
-	x.Route, x.Pool = m.Route.Name, m.Pool.Name
+	x.Route, x.Pool = m.Route.Name, m.Route.Pool
+	for _, s := range m.Route.Pools() {
+		x.Cells = append(x.Cells, e.cellOwners(f.router.Pool(s.Pool))...)
+	}
+	return c.JSON(http.StatusOK, x)
+}
+
+// cellOwners returns the owners of a pool's cells in this entry's view.
+func (e *Entry) cellOwners(p *table.Pool) []CellOwner {
 	v := e.fleet.view()
-	for index := range table.CellCount(m.Pool) {
-		o := CellOwner{Cell: fleet.CellKey{Pool: m.Pool.Name, Index: index}}
+	var owners []CellOwner
+	for index := range table.CellCount(p) {
+		o := CellOwner{Cell: fleet.CellKey{Pool: p.Name, Index: index}}
 		if owner, ok := v.Owner(o.Cell); ok {
 			o.Owner = owner.ID
 		}
 		for _, b := range v.Backups(o.Cell, backupsNamed) {
 			o.Backups = append(o.Backups, b.ID)
 		}
-		x.Cells = append(x.Cells, o)
+		owners = append(owners, o)
 	}
-	return c.JSON(http.StatusOK, x)
+	return owners
 }
 
 // followLog answers GET /v1/log with the last lines and, with follow=1, those that come.
--- a/entry/place.go
+++ b/entry/place.go
@@ -21,7 +21,7 @@
 // route runs the request at a cell of its pool: here if this entry owns the cell, or else at the
 // owner. It returns a refusal that has not been sent, or nil.
 func (e *Entry) route(ctx context.Context, x *exchange, force *inForce) *refusal {
-	key := e.pickCell(force, x.route.Pool)
+	key := e.pickCell(force, x.pool)
 	owner, ok := e.owner(key)
 	if !ok || owner.ID == e.Settings.ID {
 		return e.place(ctx, x, key)
@@ -49,7 +49,8 @@
 	id, decisions, ok := cell.submit(pool.Request{
 		Route: x.Route, Account: x.Account, Idempotent: x.idempotent, Replayable: x.kept != nil,
 		Deadline: e.now() + pool.Time(time.Until(x.deadline)), Fingerprint: x.fingerprint(),
-		Upload: x.kept == nil,
+		Upload:      x.kept == nil || x.route.Upload,
+		MaxAttempts: x.route.MaxAttempts, Priority: x.route.Priority,
 	})
 	if !ok {
 		return notRun(http.StatusServiceUnavailable, reasonCellReplaced, "the cell has been closed")
@@ -154,13 +155,13 @@
 	x.attempts++
 	row := p.cell.target(d.Target)
 	began := time.Now()
-	answer, err := p.e.client.Do(ctx, p.e.targetRequest(x, row.Address, p.cell.patience()))
+	answer, err := p.e.client.Do(ctx, p.e.targetRequest(x, row, p.cell.patience()))
 	if err != nil {
 		return p.failed(d, err, time.Since(began))
 	}
 	defer func() { _ = answer.Body.Close() }()
 	o := answer.Outcome()
-	if o.Kind == pool.OutcomeShed {
+	if o.Kind == pool.OutcomeShed || o.Kind == pool.OutcomeOtherTarget {
 		p.report(d, o)
 		return nil, false
 	}
@@ -272,6 +273,7 @@
 	pool.OutcomeFailed:           "failed",
 	pool.OutcomeTruncated:        "truncated",
 	pool.OutcomeShed:             "shed",
+	pool.OutcomeOtherTarget:      "otherTarget",
 	pool.OutcomeConnectFailed:    "connectFailed",
 	pool.OutcomeConnectionLost:   "connectionLost",
 	pool.OutcomeConnectionSilent: "connectionSilent",
--- a/entry/refusal.go
+++ b/entry/refusal.go
@@ -52,6 +52,8 @@
 	reason     pool.Reason
 	detail     string
 	retryAfter time.Duration
+	// fraction says that the caller reads fractions of seconds.
+	fraction bool
 }
 
 // refusalStatus gives the HTTP status for refusals of a cell; others are 503.
@@ -76,6 +78,14 @@
 	RetryAfterMs int64       `json:"retryAfterMs,omitempty"`
 }
 
+// retryAfterText returns the advice in seconds, rounded up to what the caller reads.
+func (r *refusal) retryAfterText() string {
+	if r.fraction {
+		return strconv.FormatFloat(r.retryAfter.Seconds(), 'f', 3, 64)
+	}
+	return strconv.Itoa(int((r.retryAfter + time.Second - 1) / time.Second))
+}
+
 // write sends the refusal as the answer.
 func (r *refusal) write(entry string, w peer.AnswerWriter) error {
 	body, err := json.Marshal(refusalBody{r.outcome, r.reason, r.detail, r.retryAfter.Milliseconds()})
@@ -88,7 +98,7 @@
 	h.Set(headerReason, string(r.reason))
 	h.Set(headerEntry, entry)
 	if r.retryAfter > 0 {
-		h.Set("Retry-After", strconv.Itoa(int((r.retryAfter+time.Second-1)/time.Second)))
+		h.Set("Retry-After", r.retryAfterText())
 	}
 	if err := w.WriteHeader(peer.AnswerHeader{Status: r.status, Header: h, ContentLength: int64(len(body))}); err != nil {
 		return Error.Wrap(err)
--- /dev/null
+++ b/entry/reload.go
@@ -0,0 +1,27 @@
+package entry
+
+import (
+	"reflect"
+
+	"github.com/bilberrywood/bilberrywood/fleet"
+	"github.com/bilberrywood/bilberrywood/settings"
+)
+
+// Reload takes settings that have passed their Check while the entry runs. New seeds are contacted at once;
+// other settings that differ are named in the log and hold from the next start.
+func (e *Entry) Reload(s settings.Entry) {
+	var later []string
+	was, is := reflect.ValueOf(e.Settings), reflect.ValueOf(s)
+	for i := range was.NumField() {
+		name := was.Type().Field(i).Name
+		if name != "Seeds" && !reflect.DeepEqual(was.Field(i).Interface(), is.Field(i).Interface()) {
+			later = append(later, name)
+		}
+	}
+	seeds := make([]fleet.Seed, 0, len(s.Seeds))
+	for _, seed := range s.Seeds {
+		seeds = append(seeds, fleet.Seed{ID: seed.ID, PeerAddress: seed.PeerAddress})
+	}
+	e.fleet.update(e.sinceStart(), func(m *fleet.Membership) { m.AddSeeds(e.sinceStart(), seeds) })
+	e.Log.Info().Str("event", "settingsReloaded").Strs("fromNextStart", later).Msg("settings read again")
+}
--- a/fleet/membership.go
+++ b/fleet/membership.go
@@ -77,6 +77,8 @@
 	// Groups is the number of groups of the fleet; 0 means 1. Entries of other groups get no
 	// heartbeats and own no cells of this group.
 	Groups int
+	// OneOwner gives all cells the same owner, so that one entry holds the evidence of all targets.
+	OneOwner bool
 	// Random spreads heartbeats over time. It must be set.
 	Random *rand.Rand
 
@@ -145,12 +147,7 @@
 	m.ownFrom = now
 	m.unlinkedAt = now
 	m.nextBeat = now
-	for _, s := range m.Seeds {
-		if p := m.row(now, s.ID); p != nil {
-			p.seed = true
-			p.PeerAddress = s.PeerAddress
-		}
-	}
+	m.AddSeeds(now, m.Seeds)
 	m.rememberLinks(now)
 }
 
@@ -318,3 +315,16 @@
 		}
 	}
 }
+
+// AddSeeds adds peers that are known from the settings to those that are known already.
+func (m *Membership) AddSeeds(now time.Duration, seeds []Seed) {
+	m.start(now)
+	for _, s := range seeds {
+		if p := m.row(now, s.ID); p != nil {
+			p.seed = true
+			if p.PeerAddress == "" {
+				p.PeerAddress = s.PeerAddress
+			}
+		}
+	}
+}
--- a/fleet/standing.go
+++ b/fleet/standing.go
@@ -80,7 +80,7 @@
 
 // Standing returns how sure this entry may be that no other entry serves the cell.
 func (v *View) Standing(c CellKey) Standing {
-	cell := c.hash()
+	cell := v.rankKey(c)
 	if v.owner(cell) != v.self {
 		return NotOwner
 	}
@@ -102,7 +102,7 @@
 // be heard at all does not count: after a crash that would halve the use of the targets until the fleet
 // list drops the VM, while a target that is really oversubscribed sheds work before it runs it.
 func (v *View) Shared(c CellKey) bool {
-	cell := c.hash()
+	cell := v.rankKey(c)
 	return v.owner(cell) != v.self || v.claimedByOther(c) ||
 		v.heavierWithin(cell, v.times.Handover, func(r *viewRow) time.Duration { return r.servingUntil })
 }
@@ -112,7 +112,7 @@
 // ejections of protected targets by that one and ejections by this one would add up. While MayEject
 // is false, targets that are ejected already must count as avoided.
 func (v *View) MayEject(c CellKey) bool {
-	cell := c.hash()
+	cell := v.rankKey(c)
 	if v.owner(cell) != v.self || !v.mayEject {
 		return false
 	}
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -27,6 +27,7 @@
 	// Poison is the union of the fingerprints that peers reported lately, sorted.
 	Poison []uint64
 
+	oneOwner bool
 	times    Times
 	rows     []viewRow // one for each of Members
 	self     int
@@ -60,6 +61,7 @@
 		Members:         make([]Member, 0, len(m.peers)+1),
 		rows:            make([]viewRow, 0, len(m.peers)+1),
 		times:           m.Times,
+		oneOwner:        m.OneOwner,
 		faults:          m.faults,
 		mayOwn:          m.state == StateServing && !m.listLeave,
 	}
@@ -152,9 +154,17 @@
 	return v.Members[i], true
 }
 
+// rankKey is what the owners of a cell are ranked by.
+func (v *View) rankKey(c CellKey) hash64 {
+	if v.oneOwner {
+		return CellKey{}.hash()
+	}
+	return c.hash()
+}
+
 // Owner returns the owner of a cell, and false if no entry can own it.
 func (v *View) Owner(c CellKey) (Member, bool) {
-	i := v.owner(c.hash())
+	i := v.owner(v.rankKey(c))
 	if i < 0 {
 		return Member{}, false
 	}
@@ -176,7 +186,7 @@
 
 // Rank returns all members that can own the cell, the owner first.
 func (v *View) Rank(c CellKey) []Member {
-	cell := c.hash()
+	cell := v.rankKey(c)
 	return v.ranked(cell, func(i int) bool { return v.rows[i].eligible })
 }
 
--- a/peer/identity.go
+++ b/peer/identity.go
@@ -1,6 +1,9 @@
 package peer
 
 import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
 	"crypto/sha256"
 	"crypto/tls"
 	"crypto/x509"
@@ -19,6 +22,36 @@
 type identity struct {
 	certificate tls.Certificate
 	authorities *x509.CertPool
+	// anybody accepts certificates of any issuer; only their names are checked.
+	anybody bool
+	// resetSeed replaces the private key in the key for resets if it is not nil.
+	resetSeed []byte
+}
+
+// newIdentity reads the PEM files, or makes a certificate for this process if none are named.
+func newIdentity(files Files, id fleet.EntryID) (*identity, error) {
+	if files == (Files{}) {
+		return ephemeralIdentity(id)
+	}
+	return loadIdentity(files, id)
+}
+
+// ephemeralIdentity makes a key and a certificate that nobody vouches for. Connections are encrypted, but any
+// process that reaches the entry can take any name.
+func ephemeralIdentity(id fleet.EntryID) (*identity, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, errorClass.Wrap(err)
+	}
+	leaf := template(string(id))
+	leaf.KeyUsage = x509.KeyUsageDigitalSignature
+	leaf.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}
+	der, err := x509.CreateCertificate(rand.Reader, leaf, leaf, &key.PublicKey, key)
+	if err != nil {
+		return nil, errorClass.Wrap(err)
+	}
+	certificate := tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key}
+	return &identity{certificate: certificate, anybody: true, resetSeed: []byte(id)}, nil
 }
 
 // loadIdentity reads the PEM files and checks that the certificate names the entry.
@@ -69,7 +102,7 @@
 		Intermediates: intermediates,
 		KeyUsages:     []x509.ExtKeyUsage{usage},
 	}
-	if _, err := leaf.Verify(options); err != nil {
+	if _, err := leaf.Verify(options); err != nil && !n.anybody {
 		return errorClass.Wrap(err)
 	}
 	if want == "" && nameOf(leaf) == "" || want != "" && !namedBy(leaf, want) {
@@ -108,9 +141,12 @@
 // resetKey is the same for all processes with this certificate, so that a restarted entry can reset
 // the connections of its former process at once.
 func (n *identity) resetKey() *quic.StatelessResetKey {
-	raw, err := x509.MarshalPKCS8PrivateKey(n.certificate.PrivateKey)
-	if err != nil {
-		return nil
+	raw := n.resetSeed
+	if raw == nil {
+		var err error
+		if raw, err = x509.MarshalPKCS8PrivateKey(n.certificate.PrivateKey); err != nil {
+			return nil
+		}
 	}
 	key := quic.StatelessResetKey(sha256.Sum256(append([]byte(protocol+" stateless reset\x00"), raw...)))
 	return &key
--- a/peer/node.go
+++ b/peer/node.go
@@ -84,6 +84,8 @@
 	ID fleet.EntryID
 	// Address is the UDP address to listen on.
 	Address string
+	// TLS names the files of the entry's identity. Without any, the node makes an identity that nobody
+	// vouches for and accepts those of others.
 	TLS     Files
 	Handler Handler
 	// Log may be left zero.
@@ -111,7 +113,7 @@
 // Start opens the socket and accepts peers. It returns once the socket is open.
 func (n *Node) Start() error {
 	n.Timeouts = n.Timeouts.withDefaults()
-	identity, err := loadIdentity(n.TLS, n.ID)
+	identity, err := newIdentity(n.TLS, n.ID)
 	if err != nil {
 		return err
 	}
--- a/pool/finish.go
+++ b/pool/finish.go
@@ -23,7 +23,7 @@
 	r.target = nil
 	r.lastTarget = t.id
 	r.lastOutcome = o.Kind
-	r.ran = r.ran || (o.Written && o.Kind != OutcomeShed)
+	r.ran = r.ran || !o.notRun()
 	c.dropIfGone(t)
 	c.conclude(now, r, &o)
 	c.pump(now)
@@ -82,8 +82,11 @@
 
 // collect takes the evidence of an attempt that ended.
 func (c *Cell) collect(now Time, t *target, r *request, o *Outcome) {
-	if o.Kind == OutcomeShed {
+	switch o.Kind {
+	case OutcomeShed:
 		c.shed(now, t, o.RetryAfter)
+	case OutcomeOtherTarget:
+		c.shed(now, t, otherTargetPause)
 	}
 	c.collectConnection(now, t, r, o)
 	if r.started < c.doubt.evidenceFrom {
--- a/pool/retry.go
+++ b/pool/retry.go
@@ -44,16 +44,18 @@
 
 // mayRetry says whether an attempt with this outcome may be followed by another, and why not.
 func (c *Cell) mayRetry(now Time, r *request, o *Outcome) (bool, Reason) {
-	unsent := !o.Written || o.Kind == OutcomeShed
+	unsent := o.notRun()
 	switch {
 	case o.AnswerBegun:
 		return false, ReasonNotRetryable
 	case !unsent && !r.replaceable() && !c.faults.rerunNonIdempotent:
 		return false, ReasonNotRetryable
-	case o.Written && !r.Replayable && !c.faults.rerunNonIdempotent:
+	case !unsent && !r.Replayable && !c.faults.rerunNonIdempotent:
 		return false, ReasonNotRetryable
 	case r.Deadline > 0 && now >= r.Deadline:
 		return false, ReasonDeadline
+	case r.MaxAttempts > 0 && r.attempt >= r.MaxAttempts:
+		return false, ReasonAttemptsSpent
 	case r.attempt >= maxUnsentAttempts, r.ran && r.attempt >= maxAttempts:
 		return false, ReasonAttemptsSpent
 	case c.budget.tokens < 1:
--- a/pool/shed.go
+++ b/pool/shed.go
@@ -8,6 +8,9 @@
 const (
 	defaultShedPause = 100 * time.Millisecond
 	maxShedPause     = 5 * time.Second
+	// otherTargetPause is how long a target whose address answers for another one gets no work; the tables
+	// follow such a change within seconds.
+	otherTargetPause = time.Second
 )
 
 // shed stops ordinary work for a target for the time that it asked for. It is no sign of ill health.
--- a/pool/types.go
+++ b/pool/types.go
@@ -30,6 +30,9 @@
 	OutcomeTruncated
 	// OutcomeShed is a refusal by the target before it ran the request.
 	OutcomeShed
+	// OutcomeOtherTarget is a refusal by another target that has got the address; it did not run the
+	// request.
+	OutcomeOtherTarget
 	// OutcomeConnectFailed means that no connection could be opened; nothing was sent.
 	OutcomeConnectFailed
 	// OutcomeConnectionLost means that the connection ended before an answer began.
@@ -59,6 +62,10 @@
 	Fingerprint Fingerprint
 	// Upload marks a request whose service time depends on its body; it is judged apart.
 	Upload bool
+	// MaxAttempts is the most targets that the request may be sent to; 0 means the cell's own limit.
+	MaxAttempts int
+	// Priority orders waiting requests; 0 goes first.
+	Priority int
 }
 
 // Outcome is the report of one attempt.
@@ -97,6 +104,11 @@
 	DecisionFinal
 )
 
+// notRun says that the attempt certainly did not run the request.
+func (o *Outcome) notRun() bool {
+	return !o.Written || o.Kind == OutcomeShed || o.Kind == OutcomeOtherTarget
+}
+
 // Decision is one instruction to the daemon. Every submitted request that is not cancelled gets
 // any number of DecisionRun and then exactly one DecisionRefuse or DecisionFinal.
 type Decision struct {
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -26,6 +26,17 @@
 	PeerListen string `json:"peerListen,omitempty"`
 	// Platform is the base URL of the configuration service, such as "http://10.0.0.5:7000".
 	Platform string `json:"platform"`
+	// DirectoryAddress and ReadyAddress are where callers ask for addresses and where a monitor asks whether
+	// the entry is ready, in deployments that keep these apart from CallerAddress; empty means none.
+	DirectoryAddress string `json:"directoryAddress,omitempty"`
+	ReadyAddress     string `json:"readyAddress,omitempty"`
+	// Node is the name of the VM for logs; empty means the id.
+	Node string `json:"node,omitempty"`
+	// PoolDefaults apply to pools whose operators publish no policy.
+	PoolDefaults PoolDefaults `json:"poolDefaults,omitzero"`
+	// SourceGoneMs is how long a target that is missing after the platform was away is kept: the time in
+	// which targets register again.
+	SourceGoneMs int64 `json:"sourceGoneMs,omitempty"`
 	// Seeds are peers to contact when the fleet list can't be read.
 	Seeds []Seed `json:"seeds,omitempty"`
 	TLS   TLS    `json:"tls"`
@@ -54,11 +65,60 @@
 	PeerAddress string        `json:"peerAddress"`
 }
 
-// TLS names the PEM files for mutual TLS between entries. All are required.
+// TLS names the PEM files for mutual TLS between entries. All are required unless Unauthenticated is set.
 type TLS struct {
-	CA          string `json:"ca"`
-	Certificate string `json:"certificate"`
-	Key         string `json:"key"`
+	CA          string `json:"ca,omitempty"`
+	Certificate string `json:"certificate,omitempty"`
+	Key         string `json:"key,omitempty"`
+	// Unauthenticated makes a key for each process that nobody vouches for: links between entries are
+	// encrypted, but only the network keeps other processes from posing as entries.
+	Unauthenticated bool `json:"unauthenticated,omitempty"`
+}
+
+// PoolDefaults is the policy of pools whose operators publish none. Zero fields have defaults.
+type PoolDefaults struct {
+	// FloorPercent is the part of a pool's targets that must stay in service; 70.
+	FloorPercent int `json:"floorPercent,omitempty"`
+	// RetryPercent is the most retries as a percentage of requests; 10.
+	RetryPercent float64 `json:"retryPercent,omitempty"`
+	// FalseEjectionEveryHours is the mean time between false ejections of a pool; 24.
+	FalseEjectionEveryHours float64 `json:"falseEjectionEveryHours,omitempty"`
+	// RampMs is how long a new target takes to reach all of its slots; 3,000.
+	RampMs int64 `json:"rampMs,omitempty"`
+	// MaxBodyBytes bounds a request's body; 64 MiB.
+	MaxBodyBytes int64 `json:"maxBodyBytes,omitempty"`
+}
+
+func (p *PoolDefaults) setDefaults() {
+	orDefault(&p.FloorPercent, 70)
+	orDefault(&p.RetryPercent, 10)
+	orDefault(&p.FalseEjectionEveryHours, 24)
+	orDefault(&p.RampMs, 3_000)
+	orDefault(&p.MaxBodyBytes, 64<<20)
+}
+
+func orDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+func (p *PoolDefaults) check() error {
+	var g errs.Group
+	if p.FloorPercent < 0 || p.FloorPercent > 100 {
+		g.Add(errs.New("poolDefaults.floorPercent: %d is not between 0 and 100", p.FloorPercent))
+	}
+	if p.RetryPercent < 0 || p.RetryPercent > 100 {
+		g.Add(errs.New("poolDefaults.retryPercent: %v is not between 0 and 100", p.RetryPercent))
+	}
+	if p.FalseEjectionEveryHours < 1 {
+		g.Add(errs.New("poolDefaults.falseEjectionEveryHours: %v is below 1", p.FalseEjectionEveryHours))
+	}
+	if p.RampMs < 0 || p.MaxBodyBytes < 0 {
+		g.Add(errs.New("poolDefaults: rampMs and maxBodyBytes can't be negative"))
+	}
+	return g.Err()
 }
 
 // logLevels are the levels that a log can be limited to.
@@ -107,6 +167,11 @@
 	if e.LogLevel == "" {
 		e.LogLevel = "info"
 	}
+	e.PoolDefaults.setDefaults()
+	orDefault(&e.SourceGoneMs, 2_000)
+	if e.Node == "" {
+		e.Node = string(e.ID)
+	}
 	if e.PeerListen == "" {
 		e.PeerListen = e.PeerAddress
 	}
@@ -141,14 +206,20 @@
 			g.Add(errs.New("seeds: %s: %v", s.ID, err))
 		}
 	}
-	files := []struct{ name, value string }{
-		{"tls.ca", e.TLS.CA}, {"tls.certificate", e.TLS.Certificate}, {"tls.key", e.TLS.Key},
+	optional := []struct{ name, value string }{
+		{"directoryAddress", e.DirectoryAddress},
+		{"readyAddress", e.ReadyAddress},
 	}
-	for _, f := range files {
-		if f.value == "" {
-			g.Add(errs.New("%s is empty", f.name))
+	for _, a := range optional {
+		if a.value == "" {
+			continue
+		}
+		if _, err := netip.ParseAddrPort(a.value); err != nil {
+			g.Add(errs.New("%s: %v", a.name, err))
 		}
 	}
+	g.Add(e.TLS.check())
+	g.Add(e.PoolDefaults.check())
 	if !slices.Contains(logLevels, e.LogLevel) {
 		g.Add(errs.New("logLevel: %q is not one of %v", e.LogLevel, logLevels))
 	}
@@ -156,6 +227,26 @@
 	return g.Err()
 }
 
+// check refuses names of only some of the files.
+func (t TLS) check() error {
+	var g errs.Group
+	if t.Unauthenticated {
+		if t.CA != "" || t.Certificate != "" || t.Key != "" {
+			g.Add(errs.New("tls.unauthenticated: files are named too"))
+		}
+		return g.Err()
+	}
+	files := []struct{ name, value string }{
+		{"tls.ca", t.CA}, {"tls.certificate", t.Certificate}, {"tls.key", t.Key},
+	}
+	for _, f := range files {
+		if f.value == "" {
+			g.Add(errs.New("%s is empty", f.name))
+		}
+	}
+	return g.Err()
+}
+
 func (e *Entry) checkDurations() error {
 	var g errs.Group
 	durations := []struct {
--- a/table/acceptor.go
+++ b/table/acceptor.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -114,6 +115,10 @@
 		return ruling
 	}
 	pair, err := NewPair(s.Revision, s.Values)
+	if err == nil && previous != nil && pair.Routes.Version < previous.Routes.Version {
+		err = Problems{{File: RoutesValue, Pointer: "/version", Reason: fmt.Sprintf(
+			"version %d is below %d, which is in force", pair.Routes.Version, previous.Routes.Version)}}
+	}
 	if err != nil {
 		offer.Problems = asProblems(err)
 		ruling.Verdict, ruling.Problems = Rejected, a.reject(offer)
--- a/table/check.go
+++ b/table/check.go
@@ -22,6 +22,10 @@
 	sha256HexLength   = 64
 	maxPercent        = 100
 	maxPrefixSegments = 32
+	maxWeight         = 1_000_000
+	maxAttempts       = 100
+	maxPriority       = 100
+	maxVersion        = 1 << 62
 )
 
 // Check returns every rule that the two tables break, alone or together. A table that is nil could not
@@ -61,10 +65,12 @@
 	poolsList
 	targetsList
 	methodsList
+	splitList
 )
 
 var listNames = [...]string{
 	routesList: "routes", accountsList: "accounts", poolsList: "pools", targetsList: "targets", methodsList: "methods",
+	splitList: "split",
 }
 
 func row(list listID, index int) place { return place{list: list, index: int32(index)} }
--- a/table/check_pools.go
+++ b/table/check_pools.go
@@ -71,6 +71,7 @@
 		checkName(c, at, "id", t.ID)
 		checkUnique(c, ids, t.ID, at, "id")
 		checkName(c, at, "failureDomain", t.FailureDomain)
+		checkRange(c, at, "slots", t.Slots, 0, maxSlots)
 		if a, ok := checkAddress(c, at, "address", t.Address); ok {
 			checkUnique(c, addresses, a, at, "address")
 		}
--- a/table/check_routes.go
+++ b/table/check_routes.go
@@ -4,6 +4,7 @@
 
 func (c *checker) checkRoutes(t *Routes, pools *Pools) {
 	c.file = RoutesValue
+	checkRange(c, place{}, "version", t.Version, 0, maxVersion)
 	c.checkRoutePools(t, pools)
 	accounts := make(map[Account]place, len(t.Accounts))
 	for i := range t.Accounts {
@@ -16,14 +17,21 @@
 		}
 	}
 	names := make(map[RouteName]place, len(t.Routes))
-	prefixes := make(map[string]place, len(t.Routes))
+	prefixes := make(map[hostPrefix]place, len(t.Routes))
 	for i := range t.Routes {
 		r := &t.Routes[i]
 		at := row(routesList, i)
 		checkName(c, at, "name", r.Name)
 		checkUnique(c, names, r.Name, at, "name")
 		c.checkPrefix(at, r.PathPrefix)
-		checkUnique(c, prefixes, r.PathPrefix, at, "pathPrefix")
+		checkUnique(c, prefixes, hostPrefix{r.Host, r.PathPrefix}, at, "pathPrefix")
+		c.checkHost(at, r.Host)
+		checkRange(c, at, "maxAttempts", r.MaxAttempts, 0, maxAttempts)
+		checkRange(c, at, "priority", r.Priority, 0, maxPriority)
+		checkRange(c, at, "objectiveMs", int64(r.ObjectiveMs), 0, maxMillis)
+		if r.Idempotent && r.NonIdempotent {
+			c.refuse(at, "nonIdempotent", "a route can't be both idempotent and nonIdempotent")
+		}
 		checkRange(c, at, "timeoutMs", int64(r.TimeoutMs), 1, maxMillis)
 		checkRange(c, at, "maxBodyBytes", r.MaxBodyBytes, 0, maxBodyBytes)
 		c.checkMethods(at, r.Methods)
@@ -41,9 +49,33 @@
 		names[pools.Pools[i].Name] = true
 	}
 	for i := range t.Routes {
-		if !names[t.Routes[i].Pool] {
-			c.refuse(row(routesList, i), "pool", "pool %q is not in the pools table", t.Routes[i].Pool)
+		r := &t.Routes[i]
+		at := row(routesList, i)
+		switch {
+		case len(r.Split) > 0 && r.Pool != "":
+			c.refuse(at, "split", "a route has either a pool or a split")
+		case len(r.Split) == 0 && !names[r.Pool]:
+			c.refuse(at, "pool", "pool %q is not in the pools table", r.Pool)
 		}
+		for j, s := range r.Split {
+			if !names[s.Pool] {
+				c.refuse(at.in(splitList, j), "pool", "pool %q is not in the pools table", s.Pool)
+			}
+			checkRange(c, at.in(splitList, j), "weight", s.Weight, 1, maxWeight)
+		}
+	}
+}
+
+// hostPrefix is what no two routes have in common.
+type hostPrefix struct{ host, prefix string }
+
+// checkHost refuses hosts that no request's Host field can equal.
+func (c *checker) checkHost(at place, host string) {
+	if host == "" {
+		return
+	}
+	if len(host) > maxNameLength || !usableName(host) || host != strings.ToLower(host) {
+		c.refuse(at, "host", "host %q is not a host name in lower case", host)
 	}
 }
 
--- /dev/null
+++ b/table/roster.go
@@ -0,0 +1,156 @@
+package table
+
+import (
+	"encoding/json"
+	"maps"
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Definition is what operators publish where targets register themselves: the routes, and the pools without
+// their targets.
+type Definition struct {
+	Routes Routes
+	// Pools have no targets. A pool's Floor, Slots and MaxConnections of 0 are filled in by the Roster.
+	Pools []Pool
+}
+
+// Registration is what a target says of itself.
+type Registration struct {
+	Target
+	Pool PoolName
+	// Since is the revision that created the registration. Of two with one address the later one holds.
+	Since Revision
+}
+
+// Roster joins a definition and the registrations of targets to tables. It is not safe for concurrent use.
+type Roster struct {
+	// FloorPercent is the part of a pool's targets that must stay in service.
+	FloorPercent int
+	// Hold is how long a target is kept whose registration lapsed while the store was away: the time in
+	// which the targets that are alive register again.
+	Hold time.Duration
+
+	definition *Definition
+	targets    map[TargetID]Registration
+	// lapsed holds until when targets without a registration are kept.
+	lapsed map[TargetID]time.Time
+}
+
+// Define replaces the definition.
+func (r *Roster) Define(d Definition) { r.definition = &d }
+
+// Defined says whether there is a definition.
+func (r *Roster) Defined() bool { return r.definition != nil }
+
+// Register adds or replaces the registration of a target.
+func (r *Roster) Register(g Registration) {
+	if r.targets == nil {
+		r.targets = make(map[TargetID]Registration)
+	}
+	r.targets[g.ID] = g
+	delete(r.lapsed, g.ID)
+}
+
+// Withdraw removes a registration. A target that did not say that it was leaving is kept until heldUntil, if
+// that is later than now.
+func (r *Roster) Withdraw(id TargetID, now, heldUntil time.Time) {
+	g, ok := r.targets[id]
+	if !ok {
+		return
+	}
+	if g.Leaving || !heldUntil.After(now) {
+		delete(r.targets, id)
+		delete(r.lapsed, id)
+		return
+	}
+	if r.lapsed == nil {
+		r.lapsed = make(map[TargetID]time.Time)
+	}
+	if _, held := r.lapsed[id]; !held {
+		r.lapsed[id] = heldUntil
+	}
+}
+
+// Keep withdraws every target that is not named, as after a listing of all registrations.
+func (r *Roster) Keep(named map[TargetID]bool, now, heldUntil time.Time) {
+	for id := range r.targets {
+		if !named[id] {
+			r.Withdraw(id, now, heldUntil)
+		}
+	}
+}
+
+// Expire removes the targets whose hold has ended.
+func (r *Roster) Expire(now time.Time) {
+	for id, until := range r.lapsed {
+		if !until.After(now) {
+			delete(r.targets, id)
+			delete(r.lapsed, id)
+		}
+	}
+}
+
+// Values returns the two tables as they would be published. The same definition and registrations give the
+// same bytes. Registrations for pools that are not defined are left out.
+func (r *Roster) Values() (map[string][]byte, error) {
+	pools := Pools{FleetGroups: 1, Pools: make([]Pool, len(r.definition.Pools))}
+	byPool := r.byPool()
+	for i, p := range r.definition.Pools {
+		p.Targets = byPool[p.Name]
+		if p.Targets == nil {
+			p.Targets = []Target{}
+		}
+		p.Floor = share(r.FloorPercent, len(p.Targets), 100)
+		for _, t := range p.Targets {
+			p.Slots = max(p.Slots, t.Slots)
+		}
+		p.Slots = max(p.Slots, 1)
+		p.MaxConnections = max(p.MaxConnections, p.Slots)
+		pools.Pools[i] = p
+	}
+	routes, err := json.Marshal(r.definition.Routes)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	raw, err := json.Marshal(pools)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	return map[string][]byte{RoutesValue: routes, PoolsValue: raw}, nil
+}
+
+// byPool returns the targets of each pool in the order of their ids. An address counts for its latest
+// registration only: an earlier one is of a target that has ended.
+func (r *Roster) byPool() map[PoolName][]Target {
+	latest := make(map[string]Registration, len(r.targets))
+	for _, id := range slices.Sorted(maps.Keys(r.targets)) {
+		g := r.targets[id]
+		if other, ok := latest[g.Address]; !ok || g.Since > other.Since {
+			latest[g.Address] = g
+		}
+	}
+	targets := make(map[PoolName][]Target)
+	for _, g := range latest {
+		targets[g.Pool] = append(targets[g.Pool], g.Target)
+	}
+	for _, list := range targets {
+		slices.SortFunc(list, func(a, b Target) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	}
+	return targets
+}
+
+// Check returns the rules that a registration breaks, so that one bad registration does not make the tables
+// invalid.
+func (g *Registration) Check() error {
+	c := checker{file: PoolsValue}
+	checkName(&c, place{}, "pool", g.Pool)
+	pool := row(poolsList, 0)
+	c.checkTargets(pool, []Target{g.Target}, make(map[netip.AddrPort]place))
+	if len(c.problems) > 0 {
+		return c.problems
+	}
+	return nil
+}
--- a/table/router.go
+++ b/table/router.go
@@ -13,11 +13,13 @@
 type Router struct {
 	pair *Pair
 	// prefixes, pools and accounts hold indexes into the pair's rows.
-	prefixes map[string]uint32
+	prefixes map[hostPrefix]uint32
 	pools    map[PoolName]uint32
 	accounts map[Account]uint32
 	// grants holds the accounts that each restricted route allows.
 	grants map[grant]struct{}
+	// hosted says that some route is for one host only.
+	hosted bool
 	// depth is the number of segments of the deepest prefix; longer paths are cut to it, so a
 	// path of many segments costs no more lookups.
 	depth int
@@ -28,9 +30,8 @@
 
 // Match is the result of routing a request that is allowed.
 type Match struct {
-	// Route and Pool point into the pair and must not be modified.
+	// Route points into the pair and must not be modified.
 	Route *Route
-	Pool  *Pool
 	// Account is the verified account; empty if the caller named none.
 	Account Account
 	// Idempotent says that a second run of this request does no harm: its method is GET or HEAD,
@@ -42,7 +43,7 @@
 func NewRouter(pair *Pair) *Router {
 	r := &Router{
 		pair:     pair,
-		prefixes: make(map[string]uint32, len(pair.Routes.Routes)),
+		prefixes: make(map[hostPrefix]uint32, len(pair.Routes.Routes)),
 		pools:    make(map[PoolName]uint32, len(pair.Pools.Pools)),
 		accounts: make(map[Account]uint32, len(pair.Routes.Accounts)),
 		grants:   make(map[grant]struct{}),
@@ -55,7 +56,8 @@
 	}
 	for i := range pair.Routes.Routes {
 		route := &pair.Routes.Routes[i]
-		r.prefixes[route.PathPrefix] = uint32(i)
+		r.prefixes[hostPrefix{route.Host, route.PathPrefix}] = uint32(i)
+		r.hosted = r.hosted || route.Host != ""
 		r.depth = max(r.depth, strings.Count(route.PathPrefix, "/"))
 		for _, a := range route.Accounts {
 			r.grants[grant{uint32(i), r.accounts[a]}] = struct{}{}
@@ -76,10 +78,10 @@
 	return &r.pair.Pools.Pools[i]
 }
 
-// Route returns the route for a request with the given method and decoded path, after checking the
+// Route returns the route for a request with the given method, host and decoded path, after checking the
 // account that the caller named, if any, and its bearer token. The error is of type *Refusal.
-func (r *Router) Route(method, path string, account Account, token string) (Match, error) {
-	i, err := r.find(path)
+func (r *Router) Route(method, host, path string, account Account, token string) (Match, error) {
+	i, err := r.find(host, path)
 	if err != nil {
 		return Match{}, err
 	}
@@ -92,27 +94,96 @@
 	}
 	return Match{
 		Route:      route,
-		Pool:       r.Pool(route.Pool),
 		Account:    account,
-		Idempotent: route.Idempotent || method == "GET" || method == "HEAD",
+		Idempotent: route.RunsTwice(method),
 	}, nil
 }
 
-// find returns the index of the route with the longest prefix of path, by path segments.
-func (r *Router) find(path string) (uint32, error) {
+// RunsTwice says that a second run of a request with the method does no harm.
+func (r *Route) RunsTwice(method string) bool {
+	return r.Idempotent || !r.NonIdempotent && (method == "GET" || method == "HEAD")
+}
+
+// Pools returns the shares of the route's pools; a route without a split has one.
+func (r *Route) Pools() []Share {
+	if len(r.Split) > 0 {
+		return r.Split
+	}
+	return []Share{{Pool: r.Pool, Weight: 1}}
+}
+
+// ChoosePool returns the pool of one request. at is a random number in [0, 1).
+func (r *Route) ChoosePool(at float64) PoolName {
+	if len(r.Split) == 0 {
+		return r.Pool
+	}
+	total := 0
+	for _, s := range r.Split {
+		total += s.Weight
+	}
+	left := at * float64(total)
+	for _, s := range r.Split {
+		if left -= float64(s.Weight); left < 0 {
+			return s.Pool
+		}
+	}
+	return r.Split[len(r.Split)-1].Pool
+}
+
+// find returns the index of the route with the longest prefix of path, by path segments. A port in host
+// does not count.
+func (r *Router) find(host, path string) (uint32, error) {
 	if !strings.HasPrefix(path, "/") || ambiguousPath(strings.TrimSuffix(path, "/")) {
 		return 0, &Refusal{Reason: RefusedPath}
 	}
-	prefix := cutSegments(path, r.depth)
-	for prefix != "" {
-		if i, ok := r.prefixes[prefix]; ok {
+	deepest := cutSegments(path, r.depth)
+	if r.hosted {
+		if i, ok := r.longest(normalHost(host), deepest); ok {
 			return i, nil
 		}
-		prefix = prefix[:strings.LastIndexByte(prefix, '/')]
+	}
+	if i, ok := r.longest("", deepest); ok {
+		return i, nil
 	}
 	return 0, &Refusal{Reason: RefusedNoRoute}
 }
 
+// longest returns the route of a host with the longest prefix of path.
+func (r *Router) longest(host, path string) (uint32, bool) {
+	for prefix := path; prefix != ""; prefix = prefix[:strings.LastIndexByte(prefix, '/')] {
+		if i, ok := r.prefixes[hostPrefix{host, prefix}]; ok {
+			return i, true
+		}
+	}
+	return 0, false
+}
+
+// normalHost returns a Host field without its port, in lower case.
+func normalHost(host string) string {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:i]
+	}
+	return strings.ToLower(host)
+}
+
+// HostPools returns the pools that requests for a host may go to, in the order of the routes.
+func (r *Router) HostPools(host string) []PoolName {
+	host = normalHost(host)
+	var names []PoolName
+	for i := range r.pair.Routes.Routes {
+		route := &r.pair.Routes.Routes[i]
+		if route.Host != "" && route.Host != host {
+			continue
+		}
+		for _, s := range route.Pools() {
+			if !slices.Contains(names, s.Pool) {
+				names = append(names, s.Pool)
+			}
+		}
+	}
+	return names
+}
+
 // admit checks the account against the routes table. An account that the caller names is verified on
 // every route, because fairness between accounts relies on it.
 func (r *Router) admit(index uint32, route *Route, account Account, token string) error {
--- a/table/schema.go
+++ b/table/schema.go
@@ -56,19 +56,41 @@
 // The schemas of the tables: the only place that names their fields, for decoding and for Diff.
 var (
 	routesSchema = []field[Routes]{
+		number("version", false, func(t *Routes) *int64 { return &t.Version }),
+		{
+			name: "limits",
+			set:  func(d *decoder, v *hujson.Value, t *Routes) { decodeObject(d, v, limitsSchema, &t.Limits) },
+			get:  func(t *Routes) any { return t.Limits },
+		},
 		rows("routes", true, func(t *Routes) *[]Route { return &t.Routes }, decodeRoute),
 		rows("accounts", false, func(t *Routes) *[]AccountRow { return &t.Accounts }, decodeAccount),
 	}
 	routeSchema = []field[Route]{
 		text("name", true, func(r *Route) *RouteName { return &r.Name }),
+		text("host", false, func(r *Route) *string { return &r.Host }),
 		text("pathPrefix", true, func(r *Route) *string { return &r.PathPrefix }),
 		list("methods", func(r *Route) *[]string { return &r.Methods }),
-		text("pool", true, func(r *Route) *PoolName { return &r.Pool }),
+		text("pool", false, func(r *Route) *PoolName { return &r.Pool }),
+		splitField,
 		flag("idempotent", func(r *Route) *bool { return &r.Idempotent }),
+		flag("nonIdempotent", func(r *Route) *bool { return &r.NonIdempotent }),
+		flag("upload", func(r *Route) *bool { return &r.Upload }),
+		number("maxAttempts", false, func(r *Route) *int { return &r.MaxAttempts }),
+		number("priority", false, func(r *Route) *int { return &r.Priority }),
+		number("objectiveMs", false, func(r *Route) *Millis { return &r.ObjectiveMs }),
 		list("accounts", func(r *Route) *[]Account { return &r.Accounts }),
 		number("timeoutMs", true, func(r *Route) *Millis { return &r.TimeoutMs }),
 		number("maxBodyBytes", true, func(r *Route) *int64 { return &r.MaxBodyBytes }),
 	}
+	limitsSchema = []field[CallerLimits]{
+		number("maxHeaderBytes", false, func(l *CallerLimits) *int { return &l.MaxHeaderBytes }),
+		number("headerTimeoutMs", false, func(l *CallerLimits) *Millis { return &l.HeaderTimeoutMs }),
+		number("idleTimeoutMs", false, func(l *CallerLimits) *Millis { return &l.IdleTimeoutMs }),
+	}
+	shareSchema = []field[Share]{
+		text("pool", true, func(s *Share) *PoolName { return &s.Pool }),
+		number("weight", true, func(s *Share) *int { return &s.Weight }),
+	}
 	accountSchema = []field[AccountRow]{
 		text("name", true, func(a *AccountRow) *Account { return &a.Name }),
 		{
@@ -118,9 +140,20 @@
 			get: func(t *Target) any { return t.FailureDomain },
 		},
 		flag("leaving", func(t *Target) *bool { return &t.Leaving }),
+		number("slots", false, func(t *Target) *int { return &t.Slots }),
+		number("started", false, func(t *Target) *int64 { return &t.Started }),
 	}
 )
 
+// splitField decodes the shares of a route; Diff compares them as a whole.
+var splitField = func() field[Route] {
+	f := rows("split", false, func(r *Route) *[]Share { return &r.Split }, decodeShare)
+	f.get = func(r *Route) any { return r.Split }
+	return f
+}()
+
+func decodeShare(d *decoder, v *hujson.Value, s *Share) { decodeObject(d, v, shareSchema, s) }
+
 func decodeRoute(d *decoder, v *hujson.Value, r *Route) { decodeObject(d, v, routeSchema, r) }
 
 func decodeAccount(d *decoder, v *hujson.Value, a *AccountRow) { decodeObject(d, v, accountSchema, a) }
--- a/table/types.go
+++ b/table/types.go
@@ -26,6 +26,10 @@
 
 // Routes is the routes table: what callers may reach.
 type Routes struct {
+	// Version is the operators' own number of the tables; 0 if they don't count. It never falls.
+	Version int64 `json:"version,omitempty"`
+	// Limits bound what callers may send.
+	Limits CallerLimits `json:"limits,omitzero"`
 	// Routes has unique names and unique path prefixes.
 	Routes []Route `json:"routes"`
 	// Accounts has unique names.
@@ -36,15 +40,30 @@
 type Route struct {
 	// Name is not empty.
 	Name RouteName `json:"name"`
+	// Host limits the route to requests for one host; empty means every host. Routes of the
+	// request's host go before those of every host.
+	Host string `json:"host,omitempty"`
 	// PathPrefix starts with "/" and ends without one; the longest prefix by path segments wins.
 	PathPrefix string `json:"pathPrefix"`
 	// Methods lists the allowed methods; empty allows all.
 	Methods []string `json:"methods,omitempty"`
-	// Pool is the name of a row of the pools table.
-	Pool PoolName `json:"pool"`
+	// Pool is the name of a row of the pools table; empty if Split is set.
+	Pool PoolName `json:"pool,omitempty"`
+	// Split distributes the requests over several pools.
+	Split []Share `json:"split,omitempty"`
 	// Idempotent says that running a request twice does no harm. GET and HEAD count as
 	// idempotent on every route; other methods only where this is set.
 	Idempotent bool `json:"idempotent,omitempty"`
+	// NonIdempotent says that no request of the route may run twice, whatever its method.
+	NonIdempotent bool `json:"nonIdempotent,omitempty"`
+	// Upload marks requests with large bodies.
+	Upload bool `json:"upload,omitempty"`
+	// MaxAttempts is the most targets that one request may be sent to; 0 means no limit of the route.
+	MaxAttempts int `json:"maxAttempts,omitempty"`
+	// Priority orders waiting requests of a pool; 0 goes first.
+	Priority int `json:"priority,omitempty"`
+	// ObjectiveMs is the time within which an answer is worth most; 0 means no objective.
+	ObjectiveMs Millis `json:"objectiveMs,omitempty"`
 	// Accounts lists the accounts that may use the route; empty allows every caller.
 	Accounts []Account `json:"accounts,omitempty"`
 	// TimeoutMs bounds a request that brings no deadline of its own. 1 to 3,600,000.
@@ -53,6 +72,25 @@
 	MaxBodyBytes int64 `json:"maxBodyBytes"`
 }
 
+// Share is a pool's part of the requests of a route.
+type Share struct {
+	// Pool is the name of a row of the pools table.
+	Pool PoolName `json:"pool"`
+	// Weight is the pool's part relative to the sum of the route's weights; at least 1.
+	Weight int `json:"weight"`
+}
+
+// CallerLimits bound what callers may send and how long they may take. Fields that are 0 set no limit
+// beyond that of the entry's settings.
+type CallerLimits struct {
+	// MaxHeaderBytes bounds the head of a request.
+	MaxHeaderBytes int `json:"maxHeaderBytes,omitempty"`
+	// HeaderTimeoutMs bounds the time in which the head must arrive.
+	HeaderTimeoutMs Millis `json:"headerTimeoutMs,omitempty"`
+	// IdleTimeoutMs is how long an unused connection is kept.
+	IdleTimeoutMs Millis `json:"idleTimeoutMs,omitempty"`
+}
+
 // AccountRow is one caller's account.
 type AccountRow struct {
 	Name Account `json:"name"`
@@ -112,6 +150,11 @@
 	FailureDomain FailureDomain `json:"failureDomain"`
 	// Leaving says that the target receives no new work.
 	Leaving bool `json:"leaving,omitempty"`
+	// Slots is how many requests the target runs at a time; 0 means the pool's.
+	Slots int `json:"slots,omitempty"`
+	// Started tells the target's process from earlier ones with the same id: the time of its start in
+	// milliseconds since 1970, or 0 if it isn't known.
+	Started int64 `json:"started,omitempty"`
 }
 
 // Pair is a routes table and a pools table that were read at one store-wide revision and that
--- a/target/attempt.go
+++ b/target/attempt.go
@@ -49,7 +49,7 @@
 	if err != nil {
 		return nil, a.fail(err)
 	}
-	answer := newAnswer(response)
+	answer := newAnswer(a.client.Protocol, response)
 	answer.SilentConnection = a.silent
 	answer.Reused = a.conn.used
 	answer.Service = a.firstByte.Sub(a.firstWrite)
@@ -180,7 +180,7 @@
 	defer buffers.Put(head)
 	head.Reset()
 	a.firstWrite = time.Now()
-	appendHead(head, a.request, a.deadline, a.firstWrite)
+	appendHead(head, a.client.Protocol, a.request, a.deadline, a.firstWrite)
 	var body []byte
 	if a.held != nil {
 		body = a.held.Bytes()
@@ -219,9 +219,13 @@
 	return a.readHead()
 }
 
-// readHead reads informational answers away and returns the final one.
+// maxStray is how many whole answers to earlier requests are read away before a connection is given up.
+const maxStray = 2
+
+// readHead reads informational answers away, and late answers to earlier requests on the connection, and
+// returns the final one.
 func (a *attempt) readHead() (*http.Response, error) {
-	for {
+	for stray := 0; ; {
 		response, err := http.ReadResponse(a.conn.reader, &http.Request{Method: a.request.Method})
 		if err != nil {
 			return nil, Error.Wrap(err)
@@ -231,10 +235,18 @@
 			return nil, ErrSwitchingProtocols
 		case response.StatusCode < http.StatusOK:
 			continue
-		case unframed(response):
-			return nil, ErrUnframed
 		case a.misdelivered(response.Header):
-			return nil, ErrMisdelivered
+			if stray++; stray > maxStray || unframed(response) || response.Close {
+				return nil, ErrMisdelivered
+			}
+			if _, err := io.Copy(io.Discard, response.Body); err != nil {
+				return nil, ErrMisdelivered
+			}
+			continue
+		case unframed(response) && !a.client.Protocol.CloseDelimited:
+			return nil, ErrUnframed
+		case a.client.Protocol.Judge(response.StatusCode, response.Header) == VerdictForeign:
+			return nil, ErrForeign
 		}
 		a.conn.headLeft = -1
 		return response, nil
@@ -244,7 +256,8 @@
 // misdelivered says that the target echoed another nonce than it was sent. HTTP/1.1 has no other means
 // to notice a late answer that arrives between the look for late bytes and the write.
 func (a *attempt) misdelivered(answer http.Header) bool {
-	sent, echoed := a.request.Header.Get(HeaderNonce), answer.Get(HeaderNonce)
+	nonce := a.client.Protocol.Nonce
+	sent, echoed := a.request.Header.Get(nonce), answer.Get(nonce)
 	return sent != "" && echoed != "" && sent != echoed && !a.client.store.trustIdle
 }
 
--- a/target/client.go
+++ b/target/client.go
@@ -40,6 +40,8 @@
 	DeadPath time.Duration
 	// MaxHeadBytes bounds the head of an answer; 256 KiB.
 	MaxHeadBytes int
+	// Protocol is how targets are spoken to; nil means DefaultProtocol.
+	Protocol *Protocol
 
 	// noPathWatch switches pathWatch off; only tests set it.
 	noPathWatch bool
@@ -56,6 +58,9 @@
 	orDefault(&c.DialTimeout, defaultDialTimeout)
 	orDefault(&c.DeadPath, defaultDeadPath)
 	orDefault(&c.MaxHeadBytes, defaultMaxHeadBytes)
+	if c.Protocol == nil {
+		c.Protocol = &DefaultProtocol
+	}
 	c.store = &store{
 		dialer:      c.dialer(),
 		maxOpen:     c.MaxConnections,
@@ -141,16 +146,18 @@
 }
 
 // newAnswer turns the head of a response into an Answer without a body.
-func newAnswer(r *http.Response) *Answer {
+func newAnswer(p *Protocol, r *http.Response) *Answer {
+	verdict := p.Judge(r.StatusCode, r.Header)
 	DropHopByHop(r.Header)
 	return &Answer{
 		Status:        r.StatusCode,
 		Header:        r.Header,
 		ContentLength: r.ContentLength,
 		Trailer:       r.Trailer,
-		Shed:          isShed(r.StatusCode, r.Header),
+		Shed:          verdict == VerdictShed || verdict == VerdictOtherTarget,
+		OtherTarget:   verdict == VerdictOtherTarget,
 		RetryAfter:    ParseRetryAfter(r.Header, time.Now()),
-		Draining:      isDraining(r.Header),
+		Draining:      p.Draining(r.Header),
 	}
 }
 
--- a/target/error.go
+++ b/target/error.go
@@ -27,6 +27,8 @@
 	ErrHeadTooLarge = Error.New("answer head is too large")
 	// ErrMisdelivered says that the answer carries the nonce of another request.
 	ErrMisdelivered = Error.New("answer belongs to another request")
+	// ErrForeign says that the answer does not come from the target's work.
+	ErrForeign = Error.New("answer does not come from the target")
 	// ErrSwitchingProtocols says that the target tried to leave HTTP/1.1.
 	ErrSwitchingProtocols = Error.New("target switched protocols unasked")
 )
--- a/target/header.go
+++ b/target/header.go
@@ -23,6 +23,55 @@
 	HeaderNonce = "Bilberrywood-Nonce"
 )
 
+// Verdict is what the head of an answer says of the request.
+type Verdict uint8
+
+// Verdicts.
+const (
+	// VerdictRun means that the target ran the request.
+	VerdictRun Verdict = iota
+	// VerdictShed means that the target refused the request before it ran it.
+	VerdictShed
+	// VerdictOtherTarget means that the address belongs to another target now, which did not run the
+	// request.
+	VerdictOtherTarget
+	// VerdictForeign means that the answer does not come from the target's work, so that nothing is
+	// known of the request.
+	VerdictForeign
+)
+
+// Protocol is how targets are spoken to: the names of the header fields and the meaning of the head of an
+// answer. Fields with an empty name are not used.
+type Protocol struct {
+	// Deadline holds the remaining time in whole milliseconds.
+	Deadline string
+	// Nonce is chosen by the caller and echoed by targets, to recognise misdelivered answers.
+	Nonce string
+	// Instance names the target that the request is for. A process that has got the address of another
+	// one refuses such a request without running it.
+	Instance string
+	// Judge returns the verdict on the head of a final answer.
+	Judge func(status int, h http.Header) Verdict
+	// Draining says whether an answer's header, or a probe's, carries the signal that the target is leaving.
+	Draining func(h http.Header) bool
+	// CloseDelimited allows answers without a length that end with their connection. One that is reset
+	// on the way is truncated.
+	CloseDelimited bool
+}
+
+// DefaultProtocol is the protocol of bilberrywood's own header fields.
+var DefaultProtocol = Protocol{
+	Deadline: HeaderDeadline,
+	Nonce:    HeaderNonce,
+	Judge: func(status int, h http.Header) Verdict {
+		if isShed(status, h) {
+			return VerdictShed
+		}
+		return VerdictRun
+	},
+	Draining: isDraining,
+}
+
 // maxAdvice bounds durations that a peer names, so that a wrong value can't stop traffic for long.
 const maxAdvice = time.Hour
 
@@ -91,22 +140,25 @@
 	return min(max(at.Sub(now), 0), maxAdvice)
 }
 
-// parseCount reads a decimal count of unit, bounded by maxAdvice.
+// parseCount reads a decimal count of unit, which may have a fraction, bounded by maxAdvice.
 func parseCount(value string, unit time.Duration) (time.Duration, bool) {
 	value = textproto.TrimString(value)
 	if value == "" {
 		return 0, false
 	}
-	for _, c := range []byte(value) {
-		if c < '0' || c > '9' {
+	for i, c := range []byte(value) {
+		if (c < '0' || c > '9') && (c != '.' || i == 0) {
 			return 0, false
 		}
 	}
-	n, err := strconv.ParseInt(value, 10, 64)
-	if err != nil || n > int64(maxAdvice/unit) {
+	n, err := strconv.ParseFloat(value, 64)
+	if err != nil {
+		return 0, false
+	}
+	if n > float64(maxAdvice/unit) {
 		return maxAdvice, true
 	}
-	return time.Duration(n) * unit, true
+	return time.Duration(n * float64(unit)), true
 }
 
 // isDraining says whether h carries the drain signal.
--- a/target/prober.go
+++ b/target/prober.go
@@ -49,6 +49,8 @@
 	Interval time.Duration
 	// Timeout bounds one probe; 500 ms.
 	Timeout time.Duration
+	// Protocol is how targets are spoken to; nil means DefaultProtocol.
+	Protocol *Protocol
 	// Skip, if it is set, says that a target's round is left out, for instance because an answer to
 	// real work has just told the same. It is called from many goroutines.
 	Skip func(ProbeTarget) bool
@@ -67,6 +69,9 @@
 func (p *Prober) init() {
 	orDefault(&p.Interval, defaultProbeInterval)
 	orDefault(&p.Timeout, defaultProbeTimeout)
+	if p.Protocol == nil {
+		p.Protocol = &DefaultProtocol
+	}
 	p.polls = make(map[ProbeTarget]context.CancelFunc)
 	p.client = http.Client{
 		Transport: &http.Transport{
@@ -165,7 +170,7 @@
 			signal.Kind = pool.SignalProbeOK
 		}
 		p.report(ctx, t, signal)
-		if err == nil && isDraining(header) {
+		if err == nil && p.Protocol.Draining(header) {
 			p.report(ctx, t, pool.Signal{Kind: pool.SignalDraining})
 		}
 	}
--- a/target/request.go
+++ b/target/request.go
@@ -17,9 +17,11 @@
 	// Path is the path with the query, as it stands in the request line.
 	Path string
 	Host string
-	// Header may contain hop-by-hop fields; they are not sent. If it has a HeaderNonce, an answer
+	// Header may contain hop-by-hop fields; they are not sent. If it has the protocol's nonce, an answer
 	// that echoes another one is refused.
 	Header http.Header
+	// Instance names the target for protocols that send it.
+	Instance string
 	// Body is nil if there is none. It is read until Do returns an error or the answer's body is
 	// closed.
 	Body io.Reader
@@ -84,6 +86,8 @@
 	Trailer http.Header
 	// Shed says that the target refused the request before it ran it.
 	Shed bool
+	// OtherTarget says that it was refused because the address belongs to another target now.
+	OtherTarget bool
 	// RetryAfter is the target's advice; 0 means none.
 	RetryAfter time.Duration
 	// Draining says that the target announced that it is leaving.
@@ -113,6 +117,8 @@
 		NewConnection: !a.Reused,
 	}
 	switch {
+	case a.OtherTarget:
+		o.Kind = pool.OutcomeOtherTarget
 	case a.Shed:
 		o.Kind = pool.OutcomeShed
 	case a.Status >= http.StatusInternalServerError:
--- a/target/write.go
+++ b/target/write.go
@@ -38,7 +38,7 @@
 }()
 
 // appendHead writes the request line and the header to b.
-func appendHead(b *bytes.Buffer, r *Request, deadline, now time.Time) {
+func appendHead(b *bytes.Buffer, p *Protocol, r *Request, deadline, now time.Time) {
 	b.WriteString(r.Method)
 	b.WriteByte(' ')
 	b.WriteString(r.Path)
@@ -46,18 +46,22 @@
 	b.WriteString(r.Host)
 	b.WriteString("\r\n")
 	if !deadline.IsZero() {
-		appendField(b, HeaderDeadline, FormatDeadline(deadline.Sub(now)))
+		appendField(b, p.Deadline, FormatDeadline(deadline.Sub(now)))
+	}
+	if p.Instance != "" && r.Instance != "" {
+		appendField(b, p.Instance, r.Instance)
 	}
 	appendFraming(b, r)
 	// Writing to a buffer does not fail. WriteSubset leaves out fields with invalid names and
 	// replaces line ends in values.
-	_ = r.Header.WriteSubset(b, excluded(r.Header))
+	_ = r.Header.WriteSubset(b, excluded(r.Header, p.Deadline, p.Instance))
 	b.WriteString("\r\n")
 }
 
-// excluded returns the keys of h that are not sent. It copies notSent only if h has a Connection
-// field or keys in another spelling, such as "content-length".
-func excluded(h http.Header) map[string]bool {
+// excluded returns the keys of h that are not sent: notSent, the fields named, and those that the Connection
+// field names. It copies notSent only if h has one of these, or keys in another spelling, such as
+// "content-length".
+func excluded(h http.Header, named ...string) map[string]bool {
 	exclude := notSent
 	add := func(name string) {
 		if len(exclude) == len(notSent) {
@@ -68,6 +72,9 @@
 	options := connectionOptions(h)
 	for name := range h {
 		canonical := textproto.CanonicalMIMEHeaderKey(name)
+		if !notSent[name] && slices.Contains(named, canonical) {
+			add(name)
+		}
 		if canonical != name && notSent[canonical] || slices.Contains(options, canonical) && !notSent[name] {
 			add(name)
 		}
