--- a/target/client.go
+++ b/target/client.go
@@ -157,7 +157,7 @@
 		Shed:          verdict == VerdictShed || verdict == VerdictOtherTarget,
 		OtherTarget:   verdict == VerdictOtherTarget,
 		RetryAfter:    ParseRetryAfter(r.Header, time.Now()),
-		Draining:      p.Draining(r.Header),
+		Draining:      p.draining(r.Header),
 	}
 }
 
--- a/target/header.go
+++ b/target/header.go
@@ -52,13 +52,17 @@
 	Instance string
 	// Judge returns the verdict on the head of a final answer.
 	Judge func(status int, h http.Header) Verdict
-	// Draining says whether an answer's header, or a probe's, carries the signal that the target is leaving.
+	// Draining says whether an answer's header, or a probe's, carries the signal that the target is leaving;
+	// nil if targets give none. Periodic probes then tell nothing that real work doesn't.
 	Draining func(h http.Header) bool
 	// CloseDelimited allows answers without a length that end with their connection. One that is reset
 	// on the way is truncated.
 	CloseDelimited bool
 }
 
+// draining is Draining, or false without one.
+func (p *Protocol) draining(h http.Header) bool { return p.Draining != nil && p.Draining(h) }
+
 // DefaultProtocol is the protocol of bilberrywood's own header fields.
 var DefaultProtocol = Protocol{
 	Deadline: HeaderDeadline,
--- a/target/prober.go
+++ b/target/prober.go
@@ -41,7 +41,8 @@
 	InFlight int `json:"inFlight"`
 }
 
-// Prober polls the probe and load endpoints of targets. Its fields are set before the first call of
+// Prober polls the probe and load endpoints of targets, or only asks them on demand if the protocol has no drain
+// signal. Its fields are set before the first call of
 // SetTargets; zero values mean the defaults. Every probe uses a connection of its own, so that a
 // silent connection is not taken for a silent target.
 type Prober struct {
@@ -107,7 +108,9 @@
 		if _, ok := p.polls[t]; !ok && polled {
 			ctx, cancel := context.WithCancel(context.Background())
 			p.polls[t] = cancel
-			p.active.Go(func() { p.poll(ctx, t) })
+			if p.Protocol.Draining != nil {
+				p.active.Go(func() { p.poll(ctx, t) })
+			}
 		}
 	}
 }
@@ -170,7 +173,7 @@
 			signal.Kind = pool.SignalProbeOK
 		}
 		p.report(ctx, t, signal)
-		if err == nil && p.Protocol.Draining(header) {
+		if err == nil && p.Protocol.draining(header) {
 			p.report(ctx, t, pool.Signal{Kind: pool.SignalDraining})
 		}
 	}
