pool: judge targets by the belief that they are in a bad spell

Cause: about a third of the targets reset most requests for 5 to 8 s while their probes pass. The ratio tests needed two faults, returned a target after 21 successes only, and took three resetting targets for a common cause, which cleared all. Change: with policy.spellMs a two-state filter per target (fault, success, time) decides who gets work; single repeatable requests test doubtful targets; lost connections alone no longer condemn a request as poison. fleet: Missing and Epoch had one CBOR key.

--- a/fleet/types.go
+++ b/fleet/types.go
@@ -122,7 +122,7 @@
 	// them, because of a one-way cut, stops naming them to callers too.
 	Leaving KeySet `cbor:"22,keyasint,omitempty"`
 	// Epoch is the epoch of run ids that callers of the sender make now.
-	Epoch uint32 `cbor:"20,keyasint,omitempty"`
+	Epoch uint32 `cbor:"23,keyasint,omitempty"`
 }
 
 // Introduction tells how to reach an entry.
--- a/pool/cell.go
+++ b/pool/cell.go
@@ -51,6 +51,9 @@
 	lastTick Time
 	ticked   bool
 
+	// badShare is the share of targets assumed to be in a bad spell at any time.
+	badShare float64
+
 	// Counts over targets, kept by refreshLimits.
 	servingSlots   int
 	servingTargets int
@@ -131,6 +134,7 @@
 	c.lastTick = now
 	c.settleStanding(now)
 	c.refreshLimits(now)
+	c.refreshShare(now)
 	c.observe(now)
 	c.judge(now)
 	c.refreshLimits(now)
@@ -157,6 +161,7 @@
 // begin notices a late tick before anything is decided: a process that was paused resumes with a
 // standing that may have passed to another entry in the meantime.
 func (c *Cell) begin(now Time) {
+	c.poison.crashOnly = c.spells()
 	if !c.ticked {
 		c.ticked = true
 		c.history.lastTick = now
--- a/pool/connection.go
+++ b/pool/connection.go
@@ -59,7 +59,9 @@
 		c.reachable(now, t)
 		if r.started > s.lastFault {
 			s.streak = 0
-			t.evidence.connections.add(llrFailure90.of(false, baseFailureRatio))
+			if !c.spells() {
+				t.evidence.connections.add(llrFailure90.of(false, baseFailureRatio))
+			}
 		}
 		if o.Kind == OutcomeSuccess {
 			c.poison.clear(r.Fingerprint)
@@ -120,6 +122,9 @@
 	if now < s.blamelessUntil || r.started < c.doubt.evidenceFrom {
 		return
 	}
+	if c.spells() {
+		return
+	}
 	if s.streak > free || (fresh && s.streak > 1) {
 		t.evidence.connections.add(llrFailure90.of(true, baseFailureRatio))
 	}
--- a/pool/evidence.go
+++ b/pool/evidence.go
@@ -139,6 +139,12 @@
 	e := &t.evidence
 	c.history.count()
 	e.samples++
+	if c.spells() {
+		if failed {
+			return -failedEvidence
+		}
+		return -llrFailure20.of(false, baseFailureRatio)
+	}
 	share := 0.0
 	if failed {
 		share = 1
--- a/pool/finish.go
+++ b/pool/finish.go
@@ -94,5 +94,8 @@
 		c.endTrial(now, t, r, 0)
 		return
 	}
+	if c.spells() {
+		c.learnOutcome(now, t, r, o)
+	}
 	c.collectOutcome(now, t, r, o)
 }
--- a/pool/pick.go
+++ b/pool/pick.go
@@ -32,6 +32,9 @@
 	if t := c.pickTrial(now, r); t != nil {
 		return t, ReasonTrial, true
 	}
+	if c.spells() {
+		return c.pickByBelief(now, r)
+	}
 	if t := c.leastInFlight(now, r, TargetServing); t != nil {
 		if r.attempt > 0 {
 			return t, ReasonRetry, false
@@ -176,7 +179,8 @@
 			if t.suspicion(now-Time(suspicionHolds*c.queue.hold)) > 0 {
 				suspected++
 			}
-			if now >= t.shedUntil {
+			doubtful := c.spells() && c.badness(now, t) >= clearBelief
+			if now >= t.shedUntil && !doubtful {
 				c.servingSlots += t.limit
 			}
 		case TargetAvoided:
--- a/pool/poison.go
+++ b/pool/poison.go
@@ -26,6 +26,9 @@
 // poisonTable holds the fingerprints of requests that ran when targets crashed.
 type poisonTable struct {
 	rows rows[Fingerprint, poisonRow]
+	// crashOnly says that lost connections alone, without a crash, condemn nothing: targets lose many without
+	// any request's fault.
+	crashOnly bool
 	// sweepAt is the time of the next removal of old rows.
 	sweepAt Time
 }
@@ -77,10 +80,10 @@
 		return false
 	}
 	row.losses = append(row.losses, id)
-	if len(row.losses) >= poisonCrashes {
+	if len(row.losses) >= poisonCrashes && !p.crashOnly {
 		row.heldUntil = now + Time(crashConfirmTime)
 	}
-	return len(row.losses) >= poisonLosses && p.condemn(now, row)
+	return !p.crashOnly && len(row.losses) >= poisonLosses && p.condemn(now, row)
 }
 
 // crashed notes that a target crashed under the request, and says whether that makes it poison.
--- a/pool/retry.go
+++ b/pool/retry.go
@@ -33,6 +33,9 @@
 		percent = *c.Policy.RetryPercent
 	}
 	limit := float64(retryBurst)
+	if c.Policy.RetryBurst > 0 {
+		limit = float64(c.Policy.RetryBurst)
+	}
 	if percent == 0 {
 		limit = 0
 	}
--- a/pool/target.go
+++ b/pool/target.go
@@ -56,6 +56,7 @@
 	cold      bool
 	shedUntil Time
 
+	belief     belief
 	evidence   evidence
 	trial      trialState
 	connection connectionState
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -83,6 +83,11 @@
 	RetryPercent float64 `json:"retryPercent,omitempty"`
 	// FalseEjectionEveryHours is the mean time between false ejections of a pool; 24.
 	FalseEjectionEveryHours float64 `json:"falseEjectionEveryHours,omitempty"`
+	// RetryBurst is how many retries may follow each other beyond RetryPercent; 5.
+	RetryBurst int `json:"retryBurst,omitempty"`
+	// SpellMs is the mean length of the spells in which a target fails most requests; 0 means that targets
+	// are judged by their failure ratio.
+	SpellMs int64 `json:"spellMs,omitempty"`
 	// RampMs is how long a new target takes to reach all of its slots; 3,000.
 	RampMs int64 `json:"rampMs,omitempty"`
 	// MaxBodyBytes bounds a request's body; 64 MiB.
@@ -115,8 +120,8 @@
 	if p.FalseEjectionEveryHours < 1 {
 		g.Add(errs.New("poolDefaults.falseEjectionEveryHours: %v is below 1", p.FalseEjectionEveryHours))
 	}
-	if p.RampMs < 0 || p.MaxBodyBytes < 0 {
-		g.Add(errs.New("poolDefaults: rampMs and maxBodyBytes can't be negative"))
+	if p.RampMs < 0 || p.MaxBodyBytes < 0 || p.SpellMs < 0 || p.RetryBurst < 0 {
+		g.Add(errs.New("poolDefaults: rampMs, spellMs, retryBurst and maxBodyBytes can't be negative"))
 	}
 	return g.Err()
 }
--- a/table/check_pools.go
+++ b/table/check_pools.go
@@ -60,6 +60,8 @@
 	if p.RetryPercent != nil {
 		checkRange(c, at, "policy/retryPercent", *p.RetryPercent, 0, maxPercent)
 	}
+	checkRange(c, at, "policy/spellMs", int64(p.SpellMs), 0, maxMillis)
+	checkRange(c, at, "policy/retryBurst", p.RetryBurst, 0, maxQueueLimit)
 	checkRange(c, at, "policy/rampMs", int64(p.RampMs), 0, maxMillis)
 }
 
--- a/table/check_routes.go
+++ b/table/check_routes.go
@@ -69,6 +69,9 @@
 // hostPrefix is what no two routes have in common.
 type hostPrefix struct{ host, prefix string }
 
+// String returns the prefix behind its host, if it has one.
+func (h hostPrefix) String() string { return h.host + h.prefix }
+
 // checkHost refuses hosts that no request's Host field can equal.
 func (c *checker) checkHost(at place, host string) {
 	if host == "" {
--- a/table/schema.go
+++ b/table/schema.go
@@ -129,6 +129,8 @@
 			},
 			get: func(p *Policy) any { return *p.RetryPercent },
 		},
+		number("spellMs", false, func(p *Policy) *Millis { return &p.SpellMs }),
+		number("retryBurst", false, func(p *Policy) *int { return &p.RetryBurst }),
 		number("rampMs", false, func(p *Policy) *Millis { return &p.RampMs }),
 	}
 	targetSchema = []field[Target]{
--- a/table/types.go
+++ b/table/types.go
@@ -138,6 +138,11 @@
 	QueueLimit int `json:"queueLimit,omitempty"`
 	// RetryPercent is the most retries as a percentage of requests; 0 to 100. The default is 10.
 	RetryPercent *float64 `json:"retryPercent,omitempty"`
+	// SpellMs is the mean length of the spells in which a target of the pool fails most requests and then
+	// recovers by itself. 0 means that targets are not judged by spells but by their failure ratio.
+	SpellMs Millis `json:"spellMs,omitempty"`
+	// RetryBurst is how many retries may follow each other beyond RetryPercent; 0 means 5.
+	RetryBurst int `json:"retryBurst,omitempty"`
 	// RampMs is how long a new or returned target takes to reach all of its slots.
 	RampMs Millis `json:"rampMs,omitempty"`
 }
