fleet: a star of prominent entries instead of a full mesh; pairs travel packed

Change: with slowHeartbeatMs only entries that own a cell or are next to do so have links with all; others beat to them slowly and say how slowly; path MTU probes are off; pairs are packed and fetched in the own failure domain if possible. A longer period that held before it was announced made peers flap (0.12 GB); it is announced first now. A request whose owner was lost is not placed again where the route limits attempts (BUDGET at 1.282 s).

--- a/entry/config.go
+++ b/entry/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -19,6 +20,10 @@
 	routes map[table.RouteName]*table.Route
 	// own has the pools of this entry's group, so that the tick does not look at the others.
 	own []*table.Pool
+	// cells are the cells of these pools.
+	cells []fleet.CellKey
+	// fromPeer says that another entry had the pair first.
+	fromPeer bool
 	// oneOwner says that the group's targets are few enough for one entry to own them all.
 	oneOwner bool
 	since    time.Time
@@ -36,6 +41,9 @@
 	targets := 0
 	for _, p := range f.own {
 		targets += len(p.Targets)
+		for index := range table.CellCount(p) {
+			f.cells = append(f.cells, fleet.CellKey{Pool: p.Name, Index: index})
+		}
 	}
 	f.oneOwner = targets <= maxOneOwner
 	f.routes = make(map[table.RouteName]*table.Route, len(pair.Routes.Routes))
@@ -74,6 +82,7 @@
 	switch r.Verdict {
 	case table.Accepted:
 		f := newInForce(r.Pair, c.self, now)
+		f.fromPeer = strings.HasPrefix(r.Source, peerSource)
 		c.force.Store(f)
 		c.log.Info().Str("event", "tablesAccepted").Uint64("revision", uint64(r.Revision)).Uint64("digest", f.pair.Digest).
 			Str("source", r.Source).Msg("tables are in force")
@@ -86,6 +95,18 @@
 	}
 }
 
+// peerSource begins the name of a source that is another entry.
+const peerSource = "entry "
+
+// ownCells returns the cells of this entry's group.
+func (c *config) ownCells() []fleet.CellKey {
+	force := c.current()
+	if force == nil {
+		return []fleet.CellKey{{}}
+	}
+	return force.cells
+}
+
 func problemTexts(ps table.Problems) []string {
 	texts := make([]string, len(ps))
 	for i, p := range ps {
@@ -117,7 +138,7 @@
 	if msg.Revision == 0 {
 		return
 	}
-	e.config.offer("entry "+string(from), table.Snapshot{Revision: msg.Revision, Values: msg.Values})
+	e.config.offer(peerSource+string(from), table.Snapshot{Revision: msg.Revision, Values: msg.Values})
 }
 
 // catchUp fetches a higher accepted pair from one of the peers that report it, if there are any.
@@ -126,7 +147,7 @@
 	if len(v.Holders) == 0 {
 		return
 	}
-	id := v.Holders[e.intN(len(v.Holders))]
+	id := e.holder(v)
 	m, ok := v.Member(id)
 	if !ok {
 		return
@@ -136,6 +157,21 @@
 	}
 }
 
+// holder chooses a peer that has a newer pair, in the own failure domain if there is one: links between
+// failure domains are dear.
+func (e *Entry) holder(v *fleet.View) fleet.EntryID {
+	var near []fleet.EntryID
+	for _, id := range v.Holders {
+		if m, ok := v.Member(id); ok && m.FailureDomain == e.Settings.FailureDomain {
+			near = append(near, id)
+		}
+	}
+	if len(near) == 0 {
+		near = v.Holders
+	}
+	return near[e.intN(len(near))]
+}
+
 // catchUpEvery is how often an entry looks whether a peer has a newer pair. Heartbeats announce a
 // new pair at once, so this and one heartbeat bound the spread inside a group.
 const catchUpEvery = 100 * time.Millisecond
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -61,6 +61,8 @@
 	state      atomic.Uint32
 	lastTick   atomic.Int64
 	faults     faults
+	// links are the states of the links at the last tick; only the tick uses them.
+	links map[fleet.EntryID]fleet.LinkState
 }
 
 // now returns the monotonic time since the start for decisions.
@@ -118,6 +120,7 @@
 // prepare builds the parts from the settings.
 func (e *Entry) prepare() {
 	e.start = time.Now()
+	e.links = make(map[fleet.EntryID]fleet.LinkState)
 	if e.Metrics == nil {
 		e.Metrics = metrics.NewRegistry()
 	}
@@ -139,9 +142,12 @@
 	e.cells = &cellSet{e: e, cells: make(map[fleet.CellKey]*servedCell)}
 	e.client = &target.Client{Protocol: e.Targets}
 	e.source = e.newSource()
+	slow := settings.Millis(max(s.HeartbeatMs, s.SlowHeartbeatMs))
 	e.node = &peer.Node{
 		ID: s.ID, Address: s.PeerListen, Handler: e, Log: e.Log,
-		TLS: peer.Files{CA: s.TLS.CA, Certificate: s.TLS.Certificate, Key: s.TLS.Key},
+		// Heartbeats keep the connections; packets for that alone are left out.
+		Timeouts: peer.Timeouts{Idle: 4 * slow, KeepAlive: slow + settings.Millis(s.HeartbeatMs)},
+		TLS:      peer.Files{CA: s.TLS.CA, Certificate: s.TLS.Certificate, Key: s.TLS.Key},
 	}
 }
 
@@ -154,7 +160,7 @@
 		ID: s.ID, Incarnation: incarnation, FailureDomain: s.FailureDomain,
 		PeerAddress: s.PeerAddress, CallerAddress: s.CallerAddress,
 		Times: fleet.Times{
-			Heartbeat: settings.Millis(s.HeartbeatMs), Suspect: settings.Millis(s.SuspectMs),
+			Heartbeat: settings.Millis(s.HeartbeatMs), Slow: settings.Millis(s.SlowHeartbeatMs), Suspect: settings.Millis(s.SuspectMs),
 			Gone: settings.Millis(s.GoneMs), Handover: settings.Millis(s.HandoverMs), Tick: tickEvery,
 		},
 		Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
@@ -168,7 +174,7 @@
 // tablesChanged announces a new pair to peers.
 func (e *Entry) tablesChanged(f *inForce) {
 	e.fleet.update(e.sinceStart(), func(m *fleet.Membership) {
-		m.SetAccepted(f.pair.Revision, f.pair.Digest)
+		m.SetAccepted(e.sinceStart(), f.pair.Revision, f.pair.Digest, f.fromPeer)
 		m.Groups = f.pair.Pools.FleetGroups
 		m.OneOwner = f.oneOwner
 	})
@@ -194,6 +200,7 @@
 	e.lastTick.Store(int64(e.sinceStart()))
 	v := e.fleet.view()
 	if force := e.config.current(); force != nil {
+		e.dropSilent(v)
 		e.cells.adopt(force, v)
 		claims, poison := e.cells.tick(force, v)
 		e.fleet.mu.Lock()
@@ -205,6 +212,7 @@
 	var out []fleet.Outgoing
 	e.fleet.update(e.sinceStart(), func(m *fleet.Membership) {
 		m.SetReader(e.platformWorking())
+		m.SetProminent(e.sinceStart(), v.Prominent(e.config.ownCells()))
 		m.SetEpoch(uint32(e.register.Binding(e.sinceStart()).Epoch))
 		out = m.Tick(e.sinceStart())
 	})
--- a/entry/members.go
+++ b/entry/members.go
@@ -32,6 +32,22 @@
 	f.current.Store(f.membership.View(now))
 }
 
+// dropSilent ends the connections with peers that have fallen silent, so that requests that were passed to them
+// fail now and not when the connection times out.
+func (e *Entry) dropSilent(v *fleet.View) {
+	for _, m := range v.Members {
+		was, known := e.links[m.ID]
+		e.links[m.ID] = m.Link
+		if known && was != fleet.LinkSilent && m.Link == fleet.LinkSilent {
+			e.Log.Info().Str("event", "peerLost").Str("peer", string(m.ID)).Msg("peer fell silent")
+			e.node.Drop(m.ID)
+		}
+		if m.Link != fleet.LinkSilent && (!known || was == fleet.LinkSilent) && m.ID != e.Settings.ID {
+			e.Log.Info().Str("event", "peerHeard").Str("peer", string(m.ID)).Msg("peer is heard")
+		}
+	}
+}
+
 // member returns a live member by id.
 func (e *Entry) member(id fleet.EntryID) (fleet.Member, bool) {
 	m, ok := e.fleet.view().Member(id)
--- a/entry/place.go
+++ b/entry/place.go
@@ -31,7 +31,8 @@
 	if ref == nil || ref.reason != reasonOwnerGone {
 		return ref
 	}
-	again := ref.outcome == notice.OutcomeNotRun || x.idempotent
+	// The owner may have used up the attempts that the route allows.
+	again := ref.outcome == notice.OutcomeNotRun || x.idempotent && x.route.MaxAttempts == 0
 	if !again || !x.replayable() || ctx.Err() != nil {
 		return ref
 	}
--- a/fleet/fleet_bench_test.go
+++ b/fleet/fleet_bench_test.go
@@ -27,7 +27,7 @@
 			Seeds: seeds, Random: rand.New(rand.NewPCG(uint64(i), 3)),
 		}
 		group[i].SetState(0, StateServing)
-		group[i].SetAccepted(123_456, 0xfedcba9876543210)
+		group[i].SetAccepted(0, 123_456, 0xfedcba9876543210, false)
 	}
 	for now := time.Duration(0); now < 3*time.Second; now += simTick {
 		exchange(now, group)
@@ -50,7 +50,9 @@
 // heartbeatOf returns one brief and one full heartbeat of a settled group.
 func heartbeatsOf(m *Membership, now time.Duration) (brief, full Heartbeat) {
 	m.refresh(now)
+	m.beatAll(now)
 	brief = m.heartbeats(now)[0].Heartbeat
+	m.beatAll(now)
 	m.peers[0].digest++
 	full = m.heartbeats(now)[0].Heartbeat
 	m.peers[0].digest--
--- a/fleet/link_test.go
+++ b/fleet/link_test.go
@@ -129,7 +129,7 @@
 func TestAcceptedPairAndReaders(t *testing.T) {
 	is := is.New(t)
 	group := settledGroup(11)
-	group[3].SetAccepted(200_000, 5)
+	group[3].SetAccepted(0, 200_000, 5, false)
 	group[3].SetReader(true)
 	now := 3 * time.Second
 	for ; now < 4*time.Second; now += simTick {
--- a/fleet/membership.go
+++ b/fleet/membership.go
@@ -13,6 +13,9 @@
 type Times struct {
 	// Heartbeat is the mean time between heartbeats to a peer; 500 ms.
 	Heartbeat time.Duration
+	// Slow is the mean time between heartbeats of entries that are not prominent; the same as Heartbeat
+	// unless it is longer.
+	Slow time.Duration
 	// Suspect is how long a peer counts as heard after its last heartbeat; 2 s.
 	Suspect time.Duration
 	// Gone is after which silence a peer counts as gone; 5 s.
@@ -54,6 +57,7 @@
 			*d.field = d.value
 		}
 	}
+	t.Slow = max(t.Slow, t.Heartbeat)
 	return t
 }
 
@@ -82,20 +86,24 @@
 	// Random spreads heartbeats over time. It must be set.
 	Random *rand.Rand
 
-	started  bool
-	key      memberKey
-	hash     hash64
-	peers    []*peer // sorted by id
-	byID     map[EntryID]*peer
-	byName   map[nameKey]*peer
-	unknown  map[nameKey]time.Duration // entries that peers report and that have no row, by when
-	state    State
-	accepted table.Revision
-	digest   uint64
-	epoch    uint32
-	reader   bool
-	claims   []CellClaim
-	poison   []uint64
+	started bool
+	// startedAt is the time of the first call.
+	startedAt time.Duration
+	key       memberKey
+	hash      hash64
+	peers     []*peer // sorted by id
+	byID      map[EntryID]*peer
+	byName    map[nameKey]*peer
+	unknown   map[nameKey]time.Duration // entries that peers report and that have no row, by when
+	state     State
+	accepted  table.Revision
+	digest    uint64
+	epoch     uint32
+	reader    bool
+	claims    []CellClaim
+	poison    []uint64
+	// prominent entries own cells or are next to do so, and beat fast.
+	prominent bool
 
 	lastTick   time.Duration
 	tickLate   time.Duration
@@ -143,6 +151,7 @@
 	m.byID = make(map[EntryID]*peer)
 	m.byName = make(map[nameKey]*peer)
 	m.unknown = make(map[nameKey]time.Duration)
+	m.startedAt = now
 	m.lastTick = now
 	m.ownFrom = now
 	m.unlinkedAt = now
@@ -176,19 +185,71 @@
 	m.start(now)
 	if s != m.state {
 		m.ownFrom = now
-		m.nextBeat = now
+		m.beatAll(now)
 	}
 	m.state = s
 }
 
-// SetAccepted sets the pair of tables in force. A change is announced with the next tick.
-func (m *Membership) SetAccepted(r table.Revision, digest uint64) {
-	if r != m.accepted {
-		m.nextBeat = 0
+// beatAll makes heartbeats to all peers due.
+func (m *Membership) beatAll(now time.Duration) {
+	m.nextBeat = now
+	for _, p := range m.peers {
+		p.sentAt = never
+	}
+}
+
+// SetAccepted sets the pair of tables in force. A change is announced to all peers with the next tick, or
+// with the usual heartbeats if another entry has announced it before.
+func (m *Membership) SetAccepted(now time.Duration, r table.Revision, digest uint64, announced bool) {
+	if r != m.accepted && (!announced || m.prominent || !m.star()) {
+		m.beatAll(now)
 	}
 	m.accepted, m.digest = r, digest
 }
 
+// SetProminent says whether this entry owns a cell or is next to do so.
+func (m *Membership) SetProminent(now time.Duration, prominent bool) {
+	if prominent && !m.prominent {
+		m.beatAll(now)
+	}
+	m.prominent = prominent
+}
+
+// settleTime is how long after its start an entry calls silent peers often.
+const settleTime = 5 * time.Second
+
+// star says that only prominent entries have links with all others, so that the cost of a group grows with its
+// size and not with the square of it.
+func (m *Membership) star() bool { return m.Times.Slow > m.Times.Heartbeat }
+
+// anchored says that a prominent peer and this entry hear each other.
+func (m *Membership) anchored() bool {
+	for _, p := range m.peers {
+		if p.prominent && p.link == LinkTwoWay {
+			return true
+		}
+	}
+	return false
+}
+
+// period is the mean time between heartbeats to a peer; 0 means none.
+func (m *Membership) period(now time.Duration, p *peer, anchored bool) time.Duration {
+	settled := now-m.startedAt >= settleTime
+	switch {
+	case !m.star():
+		return m.Times.Heartbeat
+	case p.link == LinkSilent && settled && (m.prominent || p.prominent):
+		return m.Times.Slow
+	case m.prominent, p.prominent && p.link != LinkTwoWay, !anchored:
+		return m.Times.Heartbeat
+	case m.state == StateLeaving && p.link != LinkSilent:
+		return m.Times.Heartbeat
+	case p.prominent:
+		return m.Times.Slow
+	}
+	return 0
+}
+
 // SetReader says whether this entry read the platform lately.
 func (m *Membership) SetReader(working bool) { m.reader = working }
 
--- a/fleet/peer.go
+++ b/fleet/peer.go
@@ -43,6 +43,14 @@
 	poison []uint64
 	reader bool
 	left   bool
+	// prominent is what the peer says of itself.
+	prominent bool
+	// sentAt is when a heartbeat was last sent to the peer.
+	sentAt time.Duration
+	// told is the period that this heartbeat promised.
+	told time.Duration
+	// promised is the longest time until the peer's next heartbeat, as it said itself.
+	promised time.Duration
 
 	link          LinkState
 	live          bool
@@ -68,6 +76,7 @@
 		unlistedAt:    now,
 		firstHeard:    now,
 		heardAt:       never,
+		sentAt:        never,
 		reportAt:      never,
 		reportedAt:    never,
 		servingUntil:  never,
@@ -124,12 +133,27 @@
 	p.reportAt = never
 }
 
+// patienceBeats is how many promised heartbeats may be late or lost before a peer counts as silent.
+const patienceBeats = 2.5
+
+// patience is how long a peer may be silent.
+func (m *Membership) patience(p *peer) time.Duration {
+	return max(m.Times.Suspect, time.Duration(patienceBeats*float64(p.promised)))
+}
+
+// fresh says that the peer may own cells as far as its last sign tells. In a star only a peer's own heartbeats
+// count: those that may own cells beat fast, and what others report may be seconds old.
+func (m *Membership) fresh(now time.Duration, p *peer) bool {
+	return !m.star() || now-p.heardAt <= m.Times.Suspect
+}
+
 // linkOf returns the state of the direct link.
 func (m *Membership) linkOf(now time.Duration, p *peer) LinkState {
-	if now-p.heardAt > m.Times.Suspect {
+	patience := m.patience(p)
+	if now-p.heardAt > patience {
 		return LinkSilent
 	}
-	if !p.hearsMe || now-p.reportAt > m.Times.Suspect {
+	if !p.hearsMe || now-p.reportAt > patience {
 		return LinkOneWayIn
 	}
 	return LinkTwoWay
--- a/fleet/receive.go
+++ b/fleet/receive.go
@@ -21,8 +21,10 @@
 	p.AcceptedRevision, p.Digest = h.AcceptedRevision, h.Digest
 	p.Epoch = h.Epoch
 	p.reader = h.Reader
+	p.prominent = h.Prominent
 	p.poison = h.Poison
 	p.digest = h.Links
+	p.promised = time.Duration(h.NextMs) * time.Millisecond
 	p.takeClaims(now, h)
 	if h.Full {
 		p.FailureDomain, p.PeerAddress, p.CallerAddress = h.FailureDomain, h.PeerAddress, h.CallerAddress
--- a/fleet/send.go
+++ b/fleet/send.go
@@ -24,7 +24,7 @@
 	keys := make(KeySet, 0, len(m.peers)+1)
 	keys = append(keys, m.key)
 	for _, p := range m.peers {
-		if m.linkOf(now, p) == LinkTwoWay {
+		if m.linkOf(now, p) == LinkTwoWay && (p.prominent || !m.star()) {
 			keys = append(keys, p.name.with(p.Incarnation))
 		}
 	}
@@ -55,6 +55,7 @@
 		Epoch:            m.epoch,
 		Digest:           m.digest,
 		Reader:           m.reader,
+		Prominent:        m.prominent,
 		TickLateMs:       m.tickLate.Milliseconds(),
 		Poison:           m.nextPoison(),
 	}
@@ -67,17 +68,30 @@
 	full.FailureDomain, full.PeerAddress, full.CallerAddress = m.FailureDomain, m.PeerAddress, m.CallerAddress
 	full.Heard = slices.Clone(set.keys)
 	full.Introduced = m.nextIntroduction(now)
+	anchored := m.anchored()
 	out := make([]Outgoing, 0, len(m.peers))
 	for _, p := range m.peers {
 		if p.PeerAddress == "" || p.left && !p.listed && now-p.heardAt > m.Times.Gone {
 			continue
 		}
+		period := m.period(now, p, anchored)
+		if period == 0 {
+			continue
+		}
+		// A longer period holds only once the peer was told of it.
+		if now-p.sentAt < min(period, max(p.told, m.Times.Heartbeat))-m.Times.Heartbeat/2 {
+			continue
+		}
+		p.sentAt, p.told = now, period
 		h := full
 		if p.link == LinkTwoWay && p.digest == set.digest {
 			h = brief
 		} else if now-p.heardAt <= m.Times.Suspect {
 			h.You = p.Incarnation
 		}
+		if period > m.Times.Heartbeat {
+			h.NextMs = period.Milliseconds()
+		}
 		out = append(out, Outgoing{ID: p.ID, Address: p.PeerAddress, Heartbeat: h})
 	}
 	return out
--- a/fleet/types.go
+++ b/fleet/types.go
@@ -116,6 +116,11 @@
 	Poison []uint64 `cbor:"17,keyasint,omitempty"`
 	// TickLateMs is by how much the sender's last tick was late, in milliseconds.
 	TickLateMs int64 `cbor:"18,keyasint,omitempty"`
+	// Prominent says that the sender owns a cell or is next to do so.
+	Prominent bool `cbor:"25,keyasint,omitempty"`
+	// NextMs is the longest time until the sender's next heartbeat to the receiver, in milliseconds; 0 means
+	// the time that both have in their settings.
+	NextMs int64 `cbor:"24,keyasint,omitempty"`
 	// Introduced names one peer of the sender, so that entries find peers that no list names.
 	Introduced *Introduction `cbor:"19,keyasint,omitempty"`
 	// Leaving names peers that the sender hears and that leave, so that an entry that does not hear
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -28,13 +28,16 @@
 	Poison []uint64
 
 	oneOwner bool
-	times    Times
-	rows     []viewRow // one for each of Members
-	self     int
-	mayOwn   bool // this entry may own cells at all
-	maySole  bool // all conditions of sole hold that don't depend on the cell
-	mayEject bool
-	faults   faults
+	star     bool
+	// prominent is what this entry last said of itself.
+	prominent bool
+	times     Times
+	rows      []viewRow // one for each of Members
+	self      int
+	mayOwn    bool // this entry may own cells at all
+	maySole   bool // all conditions of sole hold that don't depend on the cell
+	mayEject  bool
+	faults    faults
 }
 
 // viewRow is what the view keeps of a member besides the public part.
@@ -62,6 +65,8 @@
 		rows:            make([]viewRow, 0, len(m.peers)+1),
 		times:           m.Times,
 		oneOwner:        m.OneOwner,
+		star:            m.star(),
+		prominent:       m.prominent,
 		faults:          m.faults,
 		mayOwn:          m.state == StateServing && !m.listLeave,
 	}
@@ -112,10 +117,10 @@
 	member := p.Member
 	member.Link, member.Live, member.Via = p.link, p.live, p.via
 	v.Members = append(v.Members, member)
-	heard := now-p.heardAt <= m.Times.Suspect
+	heard := now-p.heardAt <= m.patience(p)
 	v.rows = append(v.rows, viewRow{
 		hash:          p.hash,
-		eligible:      p.live && p.State == StateServing && !p.listLeave,
+		eligible:      p.live && p.State == StateServing && !p.listLeave && m.fresh(now, p),
 		servingUntil:  p.servingUntil,
 		eligibleUntil: p.eligibleUntil,
 		heardAt:       p.heardAt,
@@ -184,6 +189,31 @@
 	return best
 }
 
+// prominentRank is how many entries from the top of a cell's ranking beat fast: the owner, and two that may
+// follow it when it goes.
+const prominentRank = 3
+
+// Prominent says that this entry owns one of the cells or is next to do so.
+func (v *View) Prominent(cells []CellKey) bool {
+	for _, c := range cells {
+		cell := v.rankKey(c)
+		own := weight(v.rows[v.self].hash, cell)
+		above := 0
+		for i := range v.rows {
+			if i != v.self && v.rows[i].eligible && weight(v.rows[i].hash, cell) > own {
+				above++
+			}
+		}
+		if above < prominentRank {
+			return true
+		}
+		if v.oneOwner {
+			return false
+		}
+	}
+	return false
+}
+
 // Rank returns all members that can own the cell, the owner first.
 func (v *View) Rank(c CellKey) []Member {
 	cell := v.rankKey(c)
@@ -235,8 +265,12 @@
 	return r[:min(n, len(r))]
 }
 
-// IsReader says whether this entry is one of the n readers of its failure domain.
+// IsReader says whether this entry is one of the n readers of its failure domain. In a star, where entries don't
+// hear all others of their domain, the prominent ones read.
 func (v *View) IsReader(n int) bool {
+	if v.star {
+		return v.prominent
+	}
 	self := v.Members[v.self]
 	return slices.ContainsFunc(v.Readers(self.FailureDomain, n), func(m Member) bool { return m.ID == v.Self })
 }
--- a/peer/codec_test.go
+++ b/peer/codec_test.go
@@ -69,6 +69,26 @@
 	fuzz(f, maxPair, PairMessage{Revision: 3, Digest: 4, Values: map[string][]byte{"tables/routes": []byte("{}")}})
 }
 
+// Guards against packed pairs that crash an entry, that take more memory than a pair may have, or that change on
+// the way.
+func FuzzPackedPair(f *testing.F) {
+	f.Add([]byte("{}"), true)
+	f.Add(bytes.Repeat([]byte("x"), 1<<16), true)
+	f.Add([]byte{1, 2, 3}, false)
+	f.Fuzz(func(t *testing.T, raw []byte, pack bool) {
+		is := is.New(t)
+		if !pack {
+			_, _ = wirePair{Packed: map[string][]byte{"tables/routes": raw}}.unpack()
+			return
+		}
+		packed, err := packPair(PairMessage{Revision: 7, Values: map[string][]byte{"tables/routes": raw}})
+		is.NoErr(err)
+		m, err := packed.unpack()
+		is.NoErr(err)
+		is.True(bytes.Equal(m.Values["tables/routes"], raw))
+	})
+}
+
 // Guards against bodies that end without an end frame, or frames that announce too much, being taken
 // for whole ones.
 func FuzzBody(f *testing.F) {
--- a/peer/forward.go
+++ b/peer/forward.go
@@ -195,7 +195,11 @@
 		return PairMessage{}, x.fail(Sent, err)
 	}
 	x.closeBody(nil)
-	pair, err := readMessage[PairMessage](x.stream, framePair)
+	packed, err := readMessage[wirePair](x.stream, framePair)
+	var pair PairMessage
+	if err == nil {
+		pair, err = packed.unpack()
+	}
 	if err != nil {
 		return PairMessage{}, x.fail(Sent, err)
 	}
--- a/peer/node.go
+++ b/peer/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -155,6 +156,9 @@
 		MaxIncomingStreams:             maxStreams,
 		MaxIncomingUniStreams:          -1,
 		EnableDatagrams:                true,
+		// Heartbeats are small, and probing the path would cost more than all of them: about 15 KB for
+		// each connection of a full mesh.
+		DisablePathMTUDiscovery: true,
 	}
 }
 
@@ -185,6 +189,19 @@
 	return errorClass.Wrap(err)
 }
 
+// Drop closes the connections with a peer, which ends the requests on them. A later heartbeat opens a new one.
+func (n *Node) Drop(id fleet.EntryID) {
+	n.mu.Lock()
+	var connections []*connection
+	if l := n.links[id]; l != nil {
+		connections = slices.Clone(l.connections)
+	}
+	n.mu.Unlock()
+	for _, c := range connections {
+		_ = c.CloseWithError(codeSuperseded, "peer is silent")
+	}
+}
+
 // accept takes the connections that peers open.
 func (n *Node) accept() {
 	for {
--- a/peer/serve.go
+++ b/peer/serve.go
@@ -73,7 +73,11 @@
 	if err != nil {
 		return err
 	}
-	frame, err := encodeFrame(framePair, n.Handler.Pair(m.Than))
+	packed, err := packPair(n.Handler.Pair(m.Than))
+	if err != nil {
+		return err
+	}
+	frame, err := encodeFrame(framePair, packed)
 	if err != nil {
 		return err
 	}
--- a/peer/types.go
+++ b/peer/types.go
@@ -1,6 +1,8 @@
 package peer
 
 import (
+	"bytes"
+	"compress/flate"
 	"context"
 	"io"
 	"net/http"
@@ -71,6 +73,49 @@
 	Values   map[string][]byte `cbor:"3,keyasint,omitempty"`
 }
 
+// wirePair is a PairMessage as it is sent: tables of many like rows shrink to about a fifth.
+type wirePair struct {
+	Revision table.Revision    `cbor:"1,keyasint"`
+	Digest   uint64            `cbor:"2,keyasint"`
+	Packed   map[string][]byte `cbor:"3,keyasint,omitempty"`
+}
+
+func packPair(m PairMessage) (wirePair, error) {
+	w := wirePair{Revision: m.Revision, Digest: m.Digest, Packed: make(map[string][]byte, len(m.Values))}
+	for name, raw := range m.Values {
+		var b bytes.Buffer
+		z, err := flate.NewWriter(&b, flate.BestSpeed)
+		if err == nil {
+			_, err = z.Write(raw)
+		}
+		if err == nil {
+			err = z.Close()
+		}
+		if err != nil {
+			return wirePair{}, errorClass.Wrap(err)
+		}
+		w.Packed[name] = b.Bytes()
+	}
+	return w, nil
+}
+
+// unpack is the inverse of packPair; the values together may have at most maxPair bytes.
+func (w wirePair) unpack() (PairMessage, error) {
+	m := PairMessage{Revision: w.Revision, Digest: w.Digest, Values: make(map[string][]byte, len(w.Packed))}
+	left := int64(maxPair)
+	for name, packed := range w.Packed {
+		raw, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), left+1))
+		if err != nil {
+			return PairMessage{}, errorClass.Wrap(err)
+		}
+		if left -= int64(len(raw)); left < 0 {
+			return PairMessage{}, errorClass.New("pair is longer than %d bytes", maxPair)
+		}
+		m.Values[name] = raw
+	}
+	return m, nil
+}
+
 // Handler is the entry's side of the messages that arrive.
 type Handler interface {
 	// Heartbeat is called for each heartbeat whose sender's certificate names it.
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -43,7 +43,10 @@
 	// LogLevel is debug, info, warn or error; empty means info.
 	LogLevel string `json:"logLevel,omitempty"`
 
-	HeartbeatMs      int64 `json:"heartbeatMs,omitempty"`
+	HeartbeatMs int64 `json:"heartbeatMs,omitempty"`
+	// SlowHeartbeatMs is the time between heartbeats of entries that own no cell and are not next to; 0
+	// means HeartbeatMs.
+	SlowHeartbeatMs  int64 `json:"slowHeartbeatMs,omitempty"`
 	SuspectMs        int64 `json:"suspectMs,omitempty"`
 	GoneMs           int64 `json:"goneMs,omitempty"`
 	HandoverMs       int64 `json:"handoverMs,omitempty"`
