fleet: full heartbeats name peers that beat slowly as heard; peer: a heartbeat waits for its connection

Cause: You was set only for peers heard within the suspect time, so slow beaters took their links for one-way and called everybody; a slow heartbeat without a connection was dropped, and the next one was 4 s away.

--- a/fleet/send.go
+++ b/fleet/send.go
@@ -86,7 +86,7 @@
 		h := full
 		if p.link == LinkTwoWay && p.digest == set.digest {
 			h = brief
-		} else if now-p.heardAt <= m.Times.Suspect {
+		} else if now-p.heardAt <= m.patience(p) {
 			h.You = p.Incarnation
 		}
 		if period > m.Times.Heartbeat {
--- a/peer/heartbeat.go
+++ b/peer/heartbeat.go
@@ -10,8 +10,8 @@
 	"github.com/bilberrywood/bilberrywood/fleet"
 )
 
-// SendHeartbeat sends a heartbeat, or drops it if there is no connection yet; it never blocks. A
-// missing connection is opened in the background.
+// SendHeartbeat sends a heartbeat in the background, where a missing connection is opened first, or drops it if
+// several are waiting already; it never blocks.
 func (n *Node) SendHeartbeat(o fleet.Outgoing) {
 	b, err := encodeHeartbeat(o.Heartbeat)
 	if err != nil {
@@ -26,12 +26,6 @@
 	}
 	l := n.linkTo(o.ID)
 	l.address = o.Address
-	if n.best(l) == nil {
-		n.Counters.HeartbeatsDropped.Add(1)
-		n.dialForHeartbeat(l)
-		return
-	}
-	l.firstWanted = time.Time{}
 	select {
 	case l.queue <- b:
 	default:
@@ -39,30 +33,16 @@
 	}
 }
 
-// dialForHeartbeat opens a connection unless it is the other end's turn or the last attempt was too
-// recent. n.mu is held.
-func (n *Node) dialForHeartbeat(l *link) {
-	now := time.Now()
-	if l.firstWanted.IsZero() {
-		l.firstWanted = now
-	}
-	if n.ID > l.id && now.Sub(l.firstWanted) < n.Timeouts.Grace || now.Before(l.nextDial) {
-		return
-	}
-	n.startDial(l)
-}
-
 // sendQueue hands the heartbeats of one peer to its connection. It is a task of its own because
-// SendDatagram blocks while the congestion window is full.
+// SendDatagram blocks while the congestion window is full, and because a heartbeat waits for a missing
+// connection: the next one may not be due for seconds.
 func (n *Node) sendQueue(l *link) {
 	for {
 		select {
 		case <-n.ctx.Done():
 			return
 		case b := <-l.queue:
-			n.mu.Lock()
-			c := n.best(l)
-			n.mu.Unlock()
+			c := n.connectForHeartbeat(l)
 			if c == nil || c.SendDatagram(b) != nil {
 				n.Counters.HeartbeatsDropped.Add(1)
 				continue
@@ -72,6 +52,34 @@
 	}
 }
 
+// connectForHeartbeat returns the connection with a peer. It opens one if there is none, after leaving the other
+// end its turn and not sooner than Redial after the last attempt; nil means that there is none.
+func (n *Node) connectForHeartbeat(l *link) *connection {
+	n.mu.Lock()
+	c, pause := n.best(l), time.Until(l.nextDial)
+	n.mu.Unlock()
+	if c != nil {
+		return c
+	}
+	if n.ID > l.id {
+		pause = max(pause, n.Timeouts.Grace)
+	}
+	select {
+	case <-n.ctx.Done():
+		return nil
+	case <-time.After(pause):
+	}
+	n.mu.Lock()
+	if c = n.best(l); c != nil || n.closed {
+		n.mu.Unlock()
+		return c
+	}
+	d := n.startDial(l)
+	n.mu.Unlock()
+	<-d.done
+	return d.connection
+}
+
 // receiveDatagrams takes the heartbeats that arrive on a connection.
 func (n *Node) receiveDatagrams(id fleet.EntryID, c *connection) {
 	leaf := c.ConnectionState().TLS.PeerCertificates[0]
--- a/peer/link.go
+++ b/peer/link.go
@@ -22,7 +22,6 @@
 	connections []*connection
 	dial        *dial
 	nextDial    time.Time
-	firstWanted time.Time
 	queue       chan []byte
 }
 
