--- a/entry/front.go
+++ b/entry/front.go
@@ -68,7 +68,7 @@
 	if ref := e.readID(x); ref != nil {
 		return ref
 	}
-	force := e.config.current()
+	force := e.awaitForce(ctx)
 	if x.id != nil && !e.boundHere(x.id) {
 		return e.forwardToBound(ctx, x, force)
 	}
@@ -88,6 +88,21 @@
 	return e.route(ctx, x, force)
 }
 
+// startWait is how long a request waits for the first tables of a process that has just started. They come within
+// a few calls to the platform; a caller that is refused returns later than that, or not at all.
+const startWait = 400 * time.Millisecond
+
+// awaitForce returns the tables in force, or nil if none came in time.
+func (e *Entry) awaitForce(ctx context.Context) *inForce {
+	if force := e.config.current(); force != nil {
+		return force
+	}
+	ctx, cancel := context.WithTimeout(ctx, startWait)
+	defer cancel()
+	e.awaitTables(ctx)
+	return e.config.current()
+}
+
 // refuseUnbound refuses a request before its id was read. If it has an id, a copy may be running
 // elsewhere, so "not run" would not be certain.
 func (e *Entry) refuseUnbound(x *exchange, status int, detail string) *refusal {
--- a/pool/belief.go
+++ b/pool/belief.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/bilberrywood/bilberrywood/table"
 )
 
 // Likelihood ratios of outcomes: how much likelier each is at a target in a bad spell than at a sound one. In a
@@ -20,12 +22,17 @@
 	// clearBelief is the belief below which a target gets ordinary work: one failed answer of a target
 	// that just succeeded stays below it, a lost connection does not.
 	clearBelief = 0.15
-	// trialBelief is the belief below which a target is tried with a request that can be repeated.
-	trialBelief = 0.6
-	// riskBelief is the belief below which it is tried with one that can't, where no others come.
-	riskBelief = 0.4
-	// noRepeatable is how long no repeatable request must have come for riskBelief to count.
+	// tryAgainShare is the part of a spell's usual length between a failed test of a target and the next.
+	tryAgainShare = 0.4
+	// repeatableShare is the part of the usual times after which a request that can be repeated tests a
+	// target, since it loses only time.
+	repeatableShare = 0.5
+	// noRepeatable is how long no repeatable request must have come before others test targets.
 	noRepeatable = time.Second
+	// lengthSmoothing is the weight of one spell in the usual length of a pool's spells.
+	lengthSmoothing = 0.1
+	// mostLengthFactor bounds that length, as a multiple of the pool's setting and as a part of it.
+	mostLengthFactor = 2.0
 	// leastBelief keeps a long series of successes from making the next fault unbelievable.
 	leastBelief = 0.01
 	// mostBelief bounds how long a target stays out after a long series of faults.
@@ -36,8 +43,11 @@
 	// shareMemory is the time over which that share is averaged.
 	shareMemory = 20 * time.Second
 	// desperateShare is the part of a request's time to its deadline after which it goes to the least
-	// doubtful target, whatever the belief.
-	desperateShare = 0.5
+	// doubtful target, whatever the belief; desperateRepeatable is the same for one that can be repeated.
+	// slowWaitShare is the same for a target that is only slow: capacity goes before speed.
+	slowWaitShare       = 0.03
+	desperateShare      = 0.5
+	desperateRepeatable = 0.3
 )
 
 // belief is the probability that a target is in a bad spell, in which it fails most requests. Between outcomes it
@@ -47,18 +57,37 @@
 	at  Time
 	// faultAt is the time of the last outcome that spoke against the target.
 	faultAt Time
+	// began is the time of the first fault of the spell that the target is believed to be in.
+	began Time
+	// tryAt is when the target may be tested with a request that can't be repeated.
+	tryAt Time
 }
 
 // spells says that the pool's targets are judged by belief.
 func (c *Cell) spells() bool { return c.Policy.SpellMs > 0 }
 
+// spell is the usual length of a bad spell in the pool.
+func (c *Cell) spell() time.Duration {
+	if c.spellLength == 0 {
+		return c.Policy.SpellMs.Duration()
+	}
+	return c.spellLength
+}
+
+// observeSpell takes the length of a spell that has ended.
+func (c *Cell) observeSpell(length time.Duration) {
+	usual := c.Policy.SpellMs.Duration()
+	next := c.spell() + time.Duration(lengthSmoothing*float64(length-c.spell()))
+	c.spellLength = min(max(next, time.Duration(float64(usual)/mostLengthFactor)), time.Duration(float64(usual)*mostLengthFactor))
+}
+
 // badness returns the belief at now.
 func (c *Cell) badness(now Time, t *target) float64 {
 	b := &t.belief
 	if b.at == 0 {
 		return c.badShare
 	}
-	kept := math.Exp(-float64(now-b.at) / float64(c.Policy.SpellMs.Duration()))
+	kept := math.Exp(-float64(now-b.at) / float64(c.spell()))
 	return c.badShare + (b.bad-c.badShare)*kept
 }
 
@@ -94,13 +123,53 @@
 	default:
 		return
 	}
+	c.noteSpell(now, t, before)
+}
+
+// noteSpell keeps when a target's spell began and when it may be tested, and reports changes. clear says that the
+// target was in no doubt before the last outcome.
+func (c *Cell) noteSpell(now Time, t *target, clear bool) {
+	b := &t.belief
 	bad := c.badness(now, t)
-	switch after := bad < clearBelief; {
-	case before && !after:
+	if bad < clearBelief {
+		if !clear {
+			// The spell ended somewhere between the last fault and now.
+			c.observeSpell(time.Duration((b.faultAt+now)/2 - b.began))
+			c.event(Event{At: now, Kind: EventRestored, Target: t.id, Reason: ReasonRecovered, Evidence: bad, Threshold: clearBelief})
+		}
+		return
+	}
+	if clear {
+		b.began = now
 		c.event(Event{At: now, Kind: EventAvoided, Target: t.id, Reason: ReasonFailures, Evidence: bad, Threshold: clearBelief})
-	case !before && after:
-		c.event(Event{At: now, Kind: EventRestored, Target: t.id, Reason: ReasonRecovered, Evidence: bad, Threshold: clearBelief})
 	}
+	// Weak evidence keeps a target out for a shorter time.
+	usual := Time(float64(c.spell()) * bad)
+	b.tryAt = max(b.began+usual, now+Time(tryAgainShare*float64(usual)))
+}
+
+// handedOver is the belief from which a target is named to the next owner, and what that owner then believes.
+const handedOver = 0.5
+
+// inSpell returns the targets that are believed to be in a spell, so that the next owner starts with them.
+func (c *Cell) inSpell(now Time) []table.TargetID {
+	var ids []table.TargetID
+	for i := range c.targets.len() {
+		if t := c.targets.at(i); t.state != TargetLeaving && c.badness(now, t) >= handedOver {
+			ids = append(ids, t.id)
+		}
+	}
+	return ids
+}
+
+// inheritDoubt takes the former owner's word that a target is in a spell, of which about half has passed.
+func (c *Cell) inheritDoubt(now Time, t *target) {
+	if c.badness(now, t) >= handedOver {
+		return
+	}
+	half := Time(c.spell() / 2)
+	t.belief = belief{bad: mostBelief, at: now, faultAt: now, began: now - half, tryAt: now + half}
+	c.event(Event{At: now, Kind: EventAvoided, Target: t.id, Reason: ReasonInherited, Evidence: mostBelief, Threshold: clearBelief})
 }
 
 // refreshShare averages the share of targets that are believed to be in a spell.
@@ -127,79 +196,104 @@
 	c.badShare = min(mostShare, max(leastShare, c.badShare))
 }
 
-// pickByBelief chooses a serving target with a free slot: the least loaded of those in no doubt; else one to be
-// tried; else, for a request that has waited long, the least doubtful one.
+// pickByBelief chooses a target with a free slot: the least loaded of those in no doubt; else one to be tried; else
+// one that is only slow; else, for a request that has waited long, the least doubtful one.
 func (c *Cell) pickByBelief(now Time, r *request) (*target, Reason, bool) {
 	if r.replaceable() {
 		c.trials.lastSafe = now
 	}
-	var clear, doubtful *target
-	clearScore, doubt := 0.0, 0.0
 	n := c.targets.len()
 	if n == 0 {
 		return nil, "", false
 	}
+	var found candidates
 	position := c.Random.IntN(n)
 	for range n {
 		t := c.targets.at(position)
 		if position++; position == n {
 			position = 0
 		}
-		if !c.usable(now, t, r) {
-			continue
-		}
-		b := c.badness(now, t)
-		if b >= clearBelief {
-			if doubtful == nil || b < doubt {
-				doubtful, doubt = t, b
-			}
-			continue
-		}
-		score := float64(t.inFlight)/float64(t.limit) + c.suspicion(now, t) + b
-		if clear == nil || score < clearScore {
-			clear, clearScore = t, score
+		if c.usable(now, t, r) {
+			c.consider(now, t, &found)
 		}
 	}
-	if doubtful != nil && c.mayTry(now, r, doubtful, doubt) {
+	switch doubtful := found.doubtful.target; {
+	case doubtful != nil && c.mayTry(now, r, doubtful):
 		return doubtful, ReasonTrial, false
-	}
-	if clear != nil {
-		if r.attempt > 0 {
-			return clear, ReasonRetry, false
-		}
-		return clear, ReasonLeastInFlight, false
-	}
-	if doubtful != nil && c.desperate(now, r) {
+	case found.clear.target != nil && r.attempt > 0:
+		return found.clear.target, ReasonRetry, false
+	case found.clear.target != nil:
+		return found.clear.target, ReasonLeastInFlight, false
+	case found.slow.target != nil && c.waited(now, r, slowWaitShare):
+		return found.slow.target, ReasonSaturated, false
+	case doubtful != nil && c.desperate(now, r):
 		return doubtful, ReasonSaturated, false
 	}
 	return nil, "", false
 }
 
+// candidates are the best targets of each kind.
+type candidates struct{ clear, slow, doubtful candidate }
+
+// candidate is a target with its score; a lower one is better.
+type candidate struct {
+	target *target
+	score  float64
+}
+
+func (b *candidate) offer(t *target, score float64) {
+	if b.target == nil || score < b.score {
+		b.target, b.score = t, score
+	}
+}
+
+// consider sorts a usable target into its kind.
+func (c *Cell) consider(now Time, t *target, found *candidates) {
+	bad := c.badness(now, t)
+	load := float64(t.inFlight) / float64(t.limit)
+	switch {
+	case bad >= clearBelief:
+		found.doubtful.offer(t, bad)
+	case t.state == TargetAvoided:
+		found.slow.offer(t, load+t.evidence.late)
+	default:
+		found.clear.offer(t, load+c.suspicion(now, t)+bad)
+	}
+}
+
 // usable says that the target may run the request as far as its state and slots are concerned.
 func (c *Cell) usable(now Time, t *target, r *request) bool {
-	return t.state == TargetServing && now >= t.shedUntil && t.freeSlots() > 0 &&
+	inService := t.state == TargetServing || t.state == TargetAvoided && t.reason == ReasonSlow
+	return inService && now >= t.shedUntil && t.freeSlots() > 0 &&
 		!(r.suspect && t.suspectsInFlight > 0) && !(r.attempt > 0 && t.id == r.lastTarget)
 }
 
 // mayTry says that the request may test whether a doubtful target has recovered. One test runs at a time, and a
 // request that can't be repeated is risked only where none that can comes.
-func (c *Cell) mayTry(now Time, r *request, t *target, doubt float64) bool {
+func (c *Cell) mayTry(now Time, r *request, t *target) bool {
 	if t.inFlight > 0 || r.attempt > 0 || r.suspect {
 		return false
 	}
 	if r.replaceable() {
-		return doubt < trialBelief && c.budget.tokens >= 1
+		wait := Time(repeatableShare * float64(t.belief.tryAt-t.belief.faultAt))
+		return now >= t.belief.faultAt+wait && c.retriesLeft(now) >= 1
 	}
-	return doubt < riskBelief && now-c.trials.lastSafe >= Time(noRepeatable)
+	return now >= t.belief.tryAt && now-c.trials.lastSafe >= Time(noRepeatable)
 }
 
 // desperate says that the request has waited for so long that a doubtful target is better than none.
 func (c *Cell) desperate(now Time, r *request) bool {
-	if r.replaceable() && c.budget.tokens >= 1 {
-		return true
+	share := desperateShare
+	if r.replaceable() && c.retriesLeft(now) >= 1 {
+		share = desperateRepeatable
 	}
+	return c.waited(now, r, share)
+}
+
+// waited says that a request has waited for the given share of the time to its deadline.
+func (c *Cell) waited(now Time, r *request, share float64) bool {
 	if r.Deadline == 0 {
 		return c.waitedLong(now, r)
 	}
-	return float64(now-r.submitted) >= desperateShare*float64(r.Deadline-r.submitted)
+	return float64(now-r.submitted) >= share*float64(r.Deadline-r.submitted)
 }
--- a/pool/cell.go
+++ b/pool/cell.go
@@ -53,6 +53,8 @@
 
 	// badShare is the share of targets assumed to be in a bad spell at any time.
 	badShare float64
+	// spellLength is the usual length of spells as observed; 0 before the first.
+	spellLength time.Duration
 
 	// Counts over targets, kept by refreshLimits.
 	servingSlots   int
@@ -90,7 +92,7 @@
 	}
 	row.Request = r
 	row.submitted = now
-	c.payIn()
+	c.payIn(now)
 	c.trials.requests++
 	switch {
 	case c.standing == fleet.NotOwner:
--- a/pool/pick.go
+++ b/pool/pick.go
@@ -162,7 +162,8 @@
 // VM, and targets that are oversubscribed after all shed work before they run it.
 func (c *Cell) refreshLimits(now Time) {
 	slots := max(1, c.Slots)
-	if (c.shared || now < c.doubt.until) && !c.faults.fullSlotsWhenShared {
+	// Where targets are judged by spells they queue and shed by themselves, and slots are too scarce to halve.
+	if (c.shared || now < c.doubt.until) && !c.faults.fullSlotsWhenShared && !c.spells() {
 		slots = (slots + 1) / 2
 	}
 	if c.faults.oneSlotTooMany {
@@ -186,6 +187,9 @@
 		case TargetAvoided:
 			c.avoidedTargets++
 			c.trials.waiting++
+			if c.spells() && t.reason == ReasonSlow {
+				c.servingSlots += t.limit
+			}
 		case TargetEjected, TargetUnreachable:
 			c.trials.waiting++
 		}
--- a/pool/report.go
+++ b/pool/report.go
@@ -95,6 +95,9 @@
 
 // Ejected returns the ejected targets, for the next owner of the cell.
 func (c *Cell) Ejected() []table.TargetID {
+	if c.spells() {
+		return c.inSpell(c.lastTick)
+	}
 	var out []table.TargetID
 	for i := range c.targets.len() {
 		if t := c.targets.at(i); t.state == TargetEjected {
--- a/pool/retry.go
+++ b/pool/retry.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/bilberrywood/bilberrywood/fleet"
 )
 
 // Limits of retries.
@@ -25,17 +27,41 @@
 type retryBudget struct {
 	tokens float64
 	filled bool
+	window retryWindowCount
 }
 
-func (c *Cell) payIn() {
-	percent := float64(defaultRetryPercent)
-	if c.Policy.RetryPercent != nil {
-		percent = *c.Policy.RetryPercent
+// sharedBudgetShare is the part of a windowed budget that a cell uses while another entry may use the rest.
+const sharedBudgetShare = 0.5
+
+// retriesLeft is how many retries the budget allows now.
+func (c *Cell) retriesLeft(now Time) float64 {
+	if c.Policy.RetryBurst == 0 {
+		return c.budget.tokens
 	}
-	limit := float64(retryBurst)
-	if c.Policy.RetryBurst > 0 {
-		limit = float64(c.Policy.RetryBurst)
+	share := 1.0
+	if c.shared || c.standing == fleet.NotOwner {
+		share = sharedBudgetShare
 	}
+	return c.budget.window.left(now, share*c.retryPercent(), int(share*float64(c.Policy.RetryBurst)))
+}
+
+// spendRetry takes one retry from the budget.
+func (c *Cell) spendRetry(now Time) {
+	c.budget.tokens--
+	c.budget.window.addRetry(now)
+}
+
+func (c *Cell) retryPercent() float64 {
+	if c.Policy.RetryPercent == nil {
+		return defaultRetryPercent
+	}
+	return *c.Policy.RetryPercent
+}
+
+func (c *Cell) payIn(now Time) {
+	c.budget.window.addRequest(now)
+	percent := c.retryPercent()
+	limit := float64(retryBurst)
 	if percent == 0 {
 		limit = 0
 	}
@@ -61,7 +87,7 @@
 		return false, ReasonAttemptsSpent
 	case r.attempt >= maxUnsentAttempts, r.ran && r.attempt >= maxAttempts:
 		return false, ReasonAttemptsSpent
-	case c.budget.tokens < 1:
+	case c.retriesLeft(now) < 1:
 		return false, ReasonNoBudget
 	}
 	return true, ReasonRetry
@@ -70,7 +96,7 @@
 // delay schedules the next attempt of a request. The first retry of a request that was not sent to any
 // target is immediate, because it adds no load.
 func (c *Cell) delay(now Time, r *request, o *Outcome) {
-	c.budget.tokens--
+	c.spendRetry(now)
 	if o.Kind == OutcomeConnectFailed && r.attempt == 1 {
 		c.push(r, true)
 		return
--- a/pool/standing.go
+++ b/pool/standing.go
@@ -65,6 +65,10 @@
 	c.begin(now)
 	for _, id := range ejected {
 		t := c.targets.get(id)
+		if t != nil && c.spells() {
+			c.inheritDoubt(now, t)
+			continue
+		}
 		if t == nil || t.state != TargetServing {
 			continue
 		}
--- a/pool/trial.go
+++ b/pool/trial.go
@@ -113,7 +113,11 @@
 	if s.inFlight || now < s.due || now < t.shedUntil || t.freeSlots() <= 0 {
 		return false
 	}
-	if c.servingTargets > 0 && (c.budget.tokens < 1 || (c.trials.requests < s.share() && !s.urgent)) {
+	if c.spells() && t.state == TargetAvoided && c.badness(now, t) >= clearBelief {
+		// The target is in a spell besides being slow; pickByBelief tests it when the spell should be over.
+		return false
+	}
+	if c.servingTargets > 0 && (c.retriesLeft(now) < 1 || (c.trials.requests < s.share() && !s.urgent)) {
 		return false
 	}
 	if r.replaceable() || t.state == TargetUnreachable || t.onlySlow() {
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -86,7 +86,7 @@
 	RetryPercent float64 `json:"retryPercent,omitempty"`
 	// FalseEjectionEveryHours is the mean time between false ejections of a pool; 24.
 	FalseEjectionEveryHours float64 `json:"falseEjectionEveryHours,omitempty"`
-	// RetryBurst is how many retries may follow each other beyond RetryPercent; 5.
+	// RetryBurst is how many retries beyond RetryPercent may come in any 10 s; 0 means a burst of five.
 	RetryBurst int `json:"retryBurst,omitempty"`
 	// SpellMs is the mean length of the spells in which a target fails most requests; 0 means that targets
 	// are judged by their failure ratio.
--- a/table/types.go
+++ b/table/types.go
@@ -141,7 +141,8 @@
 	// SpellMs is the mean length of the spells in which a target of the pool fails most requests and then
 	// recovers by itself. 0 means that targets are not judged by spells but by their failure ratio.
 	SpellMs Millis `json:"spellMs,omitempty"`
-	// RetryBurst is how many retries may follow each other beyond RetryPercent; 0 means 5.
+	// RetryBurst is how many retries beyond RetryPercent may come in any 10 s. 0 means that five may follow
+	// each other, after which they are earned again by requests.
 	RetryBurst int `json:"retryBurst,omitempty"`
 	// RampMs is how long a new or returned target takes to reach all of its slots.
 	RampMs Millis `json:"rampMs,omitempty"`
