Old reports don't bring leaving targets back; retries of a new owner; tests of the adapter, the star and spells

Members of a star learned one peer a heartbeat and named two owners at 15 s. Change: registrations are ordered by start and sequence, a drain is final for a process; the slack of the retry window is there only for an owner that has settled; a heartbeat introduces up to six peers; silent peers are not called for their old prominence. Ruled out: the hold of lapsed targets (drained ones are never held).

--- a/configuration/follower.go
+++ b/configuration/follower.go
@@ -52,8 +52,9 @@
 	// minFollowBackoff and maxFollowBackoff bound the pause after a failed call.
 	minFollowBackoff = 100 * time.Millisecond
 	maxFollowBackoff = time.Second
-	// awayAfter is how long no call may succeed before the store counts as away.
-	awayAfter = 1500 * time.Millisecond
+	// awayAfter is how long no call may succeed before the store counts as away: more than a call that waits
+	// and the pause after it.
+	awayAfter = 2 * time.Second
 )
 
 // Follower turns the changes of a Store into snapshots of the tables. Its exported fields are set before Run.
--- /dev/null
+++ b/configuration/follower_test.go
@@ -0,0 +1,137 @@
+package configuration
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"github.com/bilberrywood/bilberrywood/table"
+)
+
+// scriptedStore answers each call with the next step of a script and then waits for its context.
+type scriptedStore struct {
+	steps []step
+	lists int
+}
+
+type step struct {
+	changes Changes
+	err     error
+	// after is how long the answer takes.
+	after time.Duration
+}
+
+func (s *scriptedStore) next(ctx context.Context) (Changes, error) {
+	if len(s.steps) == 0 {
+		<-ctx.Done()
+		return Changes{}, ctx.Err()
+	}
+	first := s.steps[0]
+	s.steps = s.steps[1:]
+	time.Sleep(first.after)
+	return first.changes, first.err
+}
+
+func (s *scriptedStore) List(ctx context.Context) (Changes, error) {
+	s.lists++
+	return s.next(ctx)
+}
+
+func (s *scriptedStore) Next(ctx context.Context, _ table.Revision, _ time.Duration) (Changes, error) {
+	return s.next(ctx)
+}
+
+var errDown = errors.New("store is down")
+
+// change returns a registration, or a removal if sequence is 0.
+func change(id table.TargetID, sequence int64) Change {
+	if sequence == 0 {
+		return Change{Withdrawn: id}
+	}
+	return Change{Registration: &table.Registration{
+		Target:   table.Target{ID: id, Address: "10.0.0." + string(id) + ":80", FailureDomain: "riga-a", Slots: 2},
+		Pool:     "pas-serviss",
+		Sequence: sequence,
+	}}
+}
+
+func definition(version int64) Change {
+	return Change{Definition: &table.Definition{
+		Routes: table.Routes{Version: version, Routes: []table.Route{{Name: "r", PathPrefix: "/o", Pool: "pas-serviss", TimeoutMs: 1000}}},
+		Pools:  []table.Pool{{Name: "pas-serviss", Policy: table.Policy{FalseEjectionEveryHours: 24}}},
+	}}
+}
+
+// follow runs a script and returns the snapshots, as the names of their targets, and the log.
+func follow(t *testing.T, steps []step) (targets []string, lists int, log string) {
+	t.Helper()
+	is := is.New(t)
+	var lines bytes.Buffer
+	store := &scriptedStore{steps: steps}
+	f := &Follower{
+		Store: store, Roster: table.Roster{Hold: 2 * time.Second}, Log: zerolog.New(&lines),
+		OnSnapshot: func(s table.Snapshot) {
+			pair, err := table.NewPair(s.Revision, s.Values)
+			is.NoErr(err)
+			var names []string
+			for _, target := range pair.Pools.Pools[0].Targets {
+				names = append(names, string(target.ID))
+			}
+			targets = append(targets, strings.Join(names, " "))
+		},
+	}
+	f.SetActive(true)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	f.Run(ctx)
+	return targets, store.lists, lines.String()
+}
+
+// Guards against a follower that stops at a lost history, that drops targets because the store was away, or that
+// lets a value which can't be read take what is in force with it.
+func TestFollower(t *testing.T) {
+	start := step{changes: Changes{Revision: 5, Changes: []Change{definition(1), change("1", 1), change("2", 1)}}}
+	for _, tt := range []struct {
+		name  string
+		steps []step
+		want  []string
+		lists int
+		log   string
+	}{
+		{"changes in order", []step{
+			start, {changes: Changes{Revision: 6, Changes: []Change{change("2", 0)}}},
+		}, []string{"1 2", "1"}, 1, ""},
+		{"nothing new", []step{
+			start, {changes: Changes{Revision: 6, Changes: []Change{change("2", 2)}}},
+		}, []string{"1 2"}, 1, ""},
+		{"history gone", []step{
+			start, {err: ErrHistoryGone}, {changes: Changes{Revision: 9, Changes: []Change{definition(1), change("2", 4)}}},
+		}, []string{"1 2", "2"}, 2, ""},
+		{"lapsed while the store was away", []step{
+			start, {err: errDown, after: 3 * time.Second},
+			{changes: Changes{Revision: 9, Changes: []Change{change("1", 0), change("2", 0)}}},
+			{changes: Changes{Revision: 10, Changes: []Change{change("1", 5)}}},
+			{changes: Changes{Revision: 11}, after: 3 * time.Second},
+		}, []string{"1 2", "1"}, 1, "storeLost"},
+		{"a value that can't be read", []step{
+			start, {changes: Changes{Revision: 6, Changes: []Change{{Key: "op/x", Problem: errDown}, change("3", 1)}}},
+		}, []string{"1 2", "1 2 3"}, 1, "storeValueIgnored"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				targets, lists, log := follow(t, tt.steps)
+				is.Equal(targets, tt.want)
+				is.Equal(lists, tt.lists)
+				is.True(strings.Contains(log, tt.log))
+			})
+		})
+	}
+}
--- a/fleet/membership.go
+++ b/fleet/membership.go
@@ -238,8 +238,12 @@
 	switch {
 	case !m.star():
 		return m.Times.Heartbeat
-	case p.link == LinkSilent && settled && (m.prominent || p.prominent):
+	case p.link == LinkSilent && settled && m.prominent:
 		return m.Times.Slow
+	case p.link == LinkSilent && settled && anchored:
+		// A prominent peer that is cut off calls again itself, and one that is no longer prominent need not
+		// be called.
+		return 0
 	case m.prominent, p.prominent && p.link != LinkTwoWay, !anchored:
 		return m.Times.Heartbeat
 	case m.state == StateLeaving && p.link != LinkSilent:
--- a/fleet/receive.go
+++ b/fleet/receive.go
@@ -127,12 +127,11 @@
 	}
 }
 
-// introduce adds an entry that a peer tells of, so that it gets heartbeats.
-func (m *Membership) introduce(now time.Duration, i *Introduction) {
-	if i == nil {
-		return
-	}
-	if p := m.row(now, i.ID); p != nil && p.PeerAddress == "" {
-		p.PeerAddress = i.PeerAddress
+// introduce adds entries that a peer tells of, so that they get heartbeats.
+func (m *Membership) introduce(now time.Duration, list []Introduction) {
+	for _, i := range list {
+		if p := m.row(now, i.ID); p != nil && p.PeerAddress == "" {
+			p.PeerAddress = i.PeerAddress
+		}
 	}
 }
--- a/fleet/send.go
+++ b/fleet/send.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -67,7 +68,8 @@
 	full.Full = true
 	full.FailureDomain, full.PeerAddress, full.CallerAddress = m.FailureDomain, m.PeerAddress, m.CallerAddress
 	full.Heard = slices.Clone(set.keys)
-	full.Introduced = m.nextIntroduction(now)
+	many := m.nextIntroductions(now, m.introductions(), nil)
+	one := m.nextIntroductions(now, 1, m.candidates(now))
 	anchored := m.anchored()
 	out := make([]Outgoing, 0, len(m.peers))
 	for _, p := range m.peers {
@@ -84,6 +86,10 @@
 		}
 		p.sentAt, p.told = now, period
 		h := full
+		h.Introduced = many
+		if m.star() && p.link == LinkTwoWay && !p.prominent {
+			h.Introduced = one
+		}
 		if p.link == LinkTwoWay && p.digest == set.digest {
 			h = brief
 		} else if now-p.heardAt <= m.patience(p) {
@@ -180,13 +186,51 @@
 	return n
 }
 
-// nextIntroduction names the peers in turn.
-func (m *Membership) nextIntroduction(now time.Duration) *Introduction {
-	for i := range m.peers {
-		p := m.peers[(int(m.sequence)+i)%len(m.peers)]
+// maxIntroductions is the most peers that one heartbeat introduces, and introducedCandidates how many of those that
+// may own cells next are introduced to entries that don't beat to all others.
+const (
+	maxIntroductions     = 6
+	introducedCandidates = 8
+)
+
+// introductions is how many peers a heartbeat introduces. In a mesh heartbeats come from everybody, and list all
+// links, so that there is room for one only.
+func (m *Membership) introductions() int {
+	if m.star() {
+		return maxIntroductions
+	}
+	return 1
+}
+
+// nextIntroductions names up to n peers in turn, of those given or of all that are heard.
+func (m *Membership) nextIntroductions(now time.Duration, n int, peers []*peer) []Introduction {
+	if peers == nil {
+		for _, p := range m.peers {
+			if m.linkOf(now, p) == LinkTwoWay {
+				peers = append(peers, p)
+			}
+		}
+	}
+	var out []Introduction
+	for i := range min(n, len(peers)) {
+		p := peers[(int(m.sequence)*n+i)%len(peers)]
+		out = append(out, Introduction{ID: p.ID, PeerAddress: p.PeerAddress})
+	}
+	return out
+}
+
+// candidates are the peers that rank highest for the cells when all have the same owner; nil otherwise.
+func (m *Membership) candidates(now time.Duration) []*peer {
+	if !m.OneOwner || !m.star() {
+		return nil
+	}
+	key := CellKey{}.hash()
+	var heard []*peer
+	for _, p := range m.peers {
 		if m.linkOf(now, p) == LinkTwoWay {
-			return &Introduction{ID: p.ID, PeerAddress: p.PeerAddress}
+			heard = append(heard, p)
 		}
 	}
-	return nil
+	slices.SortFunc(heard, func(a, b *peer) int { return cmp.Compare(weight(b.hash, key), weight(a.hash, key)) })
+	return heard[:min(introducedCandidates, len(heard))]
 }
--- /dev/null
+++ b/fleet/star_test.go
@@ -0,0 +1,126 @@
+package fleet
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/bilberrywood/bilberrywood/table"
+)
+
+// starTimes are those of a deployment with a star.
+var starTimes = Times{
+	Heartbeat: 400 * time.Millisecond, Slow: 4 * time.Second, Suspect: 1500 * time.Millisecond,
+	Gone: 2500 * time.Millisecond, Handover: 3 * time.Second, Tick: simTick,
+}
+
+// star is a group whose members know three seeds and are linked without loss.
+type star struct {
+	now     time.Duration
+	members map[EntryID]*Membership
+	order   []EntryID
+	sent    int
+	stopped map[EntryID]bool
+}
+
+func newStar(size int) *star {
+	s := &star{now: time.Minute, members: make(map[EntryID]*Membership), stopped: make(map[EntryID]bool)}
+	var seeds []Seed
+	for i := range size {
+		id := EntryID(fmt.Sprintf("10.0.0.%d:8544", i))
+		if i%(size/3) == 0 && len(seeds) < 3 {
+			seeds = append(seeds, Seed{ID: id, PeerAddress: string(id)})
+		}
+		s.order = append(s.order, id)
+		s.members[id] = &Membership{
+			ID: id, Incarnation: Incarnation(i + 1), PeerAddress: string(id), CallerAddress: string(id),
+			FailureDomain: table.FailureDomain(fmt.Sprint("d", i%3)), Times: starTimes, OneOwner: true,
+			Random: rand.New(rand.NewPCG(uint64(i), 7)),
+		}
+	}
+	for _, m := range s.members {
+		m.Seeds = seeds
+		m.SetState(s.now, StateServing)
+	}
+	return s
+}
+
+// run advances the group; heartbeats arrive with the next tick.
+func (s *star) run(d time.Duration) {
+	for end := s.now + d; s.now < end; s.now += simTick {
+		var out []Outgoing
+		for _, id := range s.order {
+			if s.stopped[id] {
+				continue
+			}
+			m := s.members[id]
+			m.SetProminent(s.now, m.View(s.now).Prominent([]CellKey{{}}))
+			out = append(out, m.Tick(s.now)...)
+		}
+		s.sent += len(out)
+		for _, o := range out {
+			if to := s.members[o.ID]; to != nil && !s.stopped[o.ID] {
+				to.Receive(s.now, o.Heartbeat)
+			}
+		}
+	}
+}
+
+// owners counts the running members that take each entry for the owner.
+func (s *star) owners() map[EntryID]int {
+	owners := make(map[EntryID]int)
+	for id, m := range s.members {
+		if s.stopped[id] {
+			continue
+		}
+		if owner, ok := m.View(s.now).Owner(CellKey{Pool: "pas-serviss"}); ok {
+			owners[owner.ID]++
+		}
+	}
+	return owners
+}
+
+// Guards against a group whose heartbeats grow with the square of its size, and against members that name different
+// owners to callers once the group has settled.
+func TestStarSettlesOnOneOwner(t *testing.T) {
+	for _, size := range []int{9, 44, 126} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			is := is.New(t)
+			s := newStar(size)
+			s.run(15 * time.Second)
+			is.Equal(len(s.owners()), 1)
+			s.sent = 0
+			const span = 20 * time.Second
+			s.run(span)
+			is.Equal(len(s.owners()), 1)
+			// Three prominent members beat 2.5 times a second to all, with a jitter of 10%; the others beat
+			// every 4 s to those.
+			perSecond := float64(s.sent) / span.Seconds()
+			is.True(perSecond < 1.2*float64(3*size)*(2.5+0.25))
+		})
+	}
+}
+
+// Guards against callers that are sent to a lost owner for long: every member has to name the next one within the
+// suspect time and two heartbeats, also when the owner and both entries that follow it are lost together.
+func TestStarReplacesLostOwners(t *testing.T) {
+	for lost := 1; lost <= 3; lost++ {
+		t.Run(fmt.Sprint(lost), func(t *testing.T) {
+			is := is.New(t)
+			s := newStar(44)
+			s.run(15 * time.Second)
+			for _, m := range s.members[s.order[0]].View(s.now).Rank(CellKey{})[:lost] {
+				s.stopped[m.ID] = true
+			}
+			s.run(starTimes.Suspect + 2*starTimes.Heartbeat)
+			owners := s.owners()
+			is.Equal(len(owners), 1)
+			for id := range owners {
+				is.True(!s.stopped[id])
+			}
+		})
+	}
+}
--- a/fleet/types.go
+++ b/fleet/types.go
@@ -121,8 +121,8 @@
 	// NextMs is the longest time until the sender's next heartbeat to the receiver, in milliseconds; 0 means
 	// the time that both have in their settings.
 	NextMs int64 `cbor:"24,keyasint,omitempty"`
-	// Introduced names one peer of the sender, so that entries find peers that no list names.
-	Introduced *Introduction `cbor:"19,keyasint,omitempty"`
+	// Introduced names peers of the sender in turn, so that entries find peers that no list names.
+	Introduced []Introduction `cbor:"19,keyasint,omitempty"`
 	// Leaving names peers that the sender hears and that leave, so that an entry that does not hear
 	// them, because of a one-way cut, stops naming them to callers too.
 	Leaving KeySet `cbor:"22,keyasint,omitempty"`
--- a/peer/codec_test.go
+++ b/peer/codec_test.go
@@ -51,7 +51,7 @@
 func FuzzHeartbeat(f *testing.F) {
 	fuzz(f, maxHeartbeat, fleet.Heartbeat{From: "a", Incarnation: 7, Full: true, Heard: fleet.KeySet{1, 2, 9}, You: 3,
 		Claims:     []fleet.CellClaim{{Cell: fleet.CellKey{Pool: "mengen-buch", Index: 1}}},
-		Introduced: &fleet.Introduction{ID: "b", PeerAddress: "10.0.0.1:1"}, Poison: []uint64{1}}, fleet.Heartbeat{From: "b"})
+		Introduced: []fleet.Introduction{{ID: "b", PeerAddress: "10.0.0.1:1"}}, Poison: []uint64{1}}, fleet.Heartbeat{From: "b"})
 }
 
 // Guards against forwarded requests that crash an entry.
--- a/pool/belief.go
+++ b/pool/belief.go
@@ -85,7 +85,8 @@
 func (c *Cell) badness(now Time, t *target) float64 {
 	b := &t.belief
 	if b.at == 0 {
-		return c.badShare
+		// A target that was never used is in no doubt.
+		return min(c.badShare, clearBelief/2)
 	}
 	kept := math.Exp(-float64(now-b.at) / float64(c.spell()))
 	return c.badShare + (b.bad-c.badShare)*kept
@@ -148,14 +149,11 @@
 	b.tryAt = max(b.began+usual, now+Time(tryAgainShare*float64(usual)))
 }
 
-// handedOver is the belief from which a target is named to the next owner, and what that owner then believes.
-const handedOver = 0.5
-
 // inSpell returns the targets that are believed to be in a spell, so that the next owner starts with them.
 func (c *Cell) inSpell(now Time) []table.TargetID {
 	var ids []table.TargetID
 	for i := range c.targets.len() {
-		if t := c.targets.at(i); t.state != TargetLeaving && c.badness(now, t) >= handedOver {
+		if t := c.targets.at(i); t.state != TargetLeaving && c.badness(now, t) >= clearBelief {
 			ids = append(ids, t.id)
 		}
 	}
@@ -164,7 +162,7 @@
 
 // inheritDoubt takes the former owner's word that a target is in a spell, of which about half has passed.
 func (c *Cell) inheritDoubt(now Time, t *target) {
-	if c.badness(now, t) >= handedOver {
+	if c.badness(now, t) >= clearBelief {
 		return
 	}
 	half := Time(c.spell() / 2)
@@ -257,6 +255,7 @@
 	case t.state == TargetAvoided:
 		found.slow.offer(t, load+t.evidence.late)
 	default:
+		// Of equally loaded targets the one that answered last is in the least doubt; its connection is warm.
 		found.clear.offer(t, load+c.suspicion(now, t)+bad)
 	}
 }
--- /dev/null
+++ b/pool/belief_test.go
@@ -0,0 +1,172 @@
+package pool
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/bilberrywood/bilberrywood/fleet"
+	"github.com/bilberrywood/bilberrywood/table"
+)
+
+// spellPolicy is that of pools whose targets have spells.
+var spellPolicy = table.Policy{FalseEjectionEveryHours: 24, SpellMs: 6000, RetryBurst: 45, RampMs: 1}
+
+// spellCell returns a cell of n targets with 4 slots that has run for a while without faults.
+func spellCell(n int, spellMs table.Millis) (*Cell, Time) {
+	policy := spellPolicy
+	policy.SpellMs = spellMs
+	policy.SetDefaults()
+	c := &Cell{Policy: policy, Slots: 4, Random: rand.New(rand.NewPCG(1, 2))}
+	targets := make([]table.Target, n)
+	for i := range targets {
+		targets[i].ID = table.TargetID(fmt.Sprintf("t%02d", i))
+	}
+	now := Time(time.Second)
+	c.Update(now, targets, n*7/10)
+	c.SetStanding(now, fleet.Contested, false)
+	return c, now
+}
+
+// traffic sends requests at a rate until end and returns how many each target lost. bad says whether a target
+// resets requests now; every other request is answered after service.
+func traffic(c *Cell, now, end Time, perSecond int, r Request, service time.Duration, bad func(Time, table.TargetID) bool) map[table.TargetID]int {
+	type running struct {
+		id RequestID
+		at Time
+	}
+	lost := make(map[table.TargetID]int)
+	var inFlight []running
+	gap := Time(time.Second) / Time(perSecond)
+	nextTick := now
+	for ; now < end; now += gap {
+		for nextTick <= now {
+			c.Tick(nextTick)
+			nextTick += Time(Interval)
+		}
+		for len(inFlight) > 0 && inFlight[0].at <= now {
+			c.Finish(now, inFlight[0].id, Outcome{Kind: OutcomeSuccess, Written: true, Service: service})
+			inFlight = inFlight[1:]
+		}
+		r.ID++
+		r.Deadline = now + Time(3*time.Second)
+		c.Submit(now, r)
+		for queue := c.Decisions(); len(queue) > 0; queue = c.Decisions() {
+			for _, d := range append([]Decision(nil), queue...) {
+				switch {
+				case d.Kind != DecisionRun:
+				case bad(now, d.Target):
+					lost[d.Target]++
+					c.Finish(now, d.Request, Outcome{Kind: OutcomeConnectionLost, Written: true, NewConnection: true})
+				default:
+					inFlight = append(inFlight, running{d.Request, now + Time(service)})
+				}
+			}
+		}
+	}
+	return lost
+}
+
+// Guards against losing many requests that can't be repeated to a target that resets all of them for 6 s while its
+// probes pass: the first loss has to stop its work until the spell is usually over. Without spells in the policy the
+// same load loses several times as many.
+func TestSpellCostsFewRequests(t *testing.T) {
+	const start, length = Time(10 * time.Second), Time(6 * time.Second)
+	losses := func(spellMs table.Millis) int {
+		c, now := spellCell(19, spellMs)
+		lost := traffic(c, now, Time(40*time.Second), 76, Request{}, 320*time.Millisecond,
+			func(now Time, id table.TargetID) bool { return id == "t03" && now >= start && now < start+length })
+		return lost["t03"]
+	}
+	is := is.New(t)
+	with := losses(6000)
+	is.True(with >= 1)
+	is.True(with <= 2)
+	is.True(losses(0) > with)
+}
+
+// Guards against a target that stays out after its spell: it has to carry its share again within two usual spells.
+func TestTargetReturnsAfterSpell(t *testing.T) {
+	is := is.New(t)
+	c, now := spellCell(6, 6000)
+	traffic(c, now, Time(14*time.Second), 10, Request{}, 380*time.Millisecond,
+		func(now Time, id table.TargetID) bool { return id == "t01" && now < Time(6*time.Second) })
+	is.Equal(len(c.inSpell(c.lastTick)), 0)
+}
+
+// Guards against a capacity lost to slowness: with every other slot taken, requests go to slow targets instead of
+// waiting until they are late (seen: 5 of 19 targets stood aside while requests queued for 1.2 s).
+func TestSlowTargetsServeWhenSlotsAreShort(t *testing.T) {
+	is := is.New(t)
+	c, now := spellCell(2, 6000)
+	c.Tick(now)
+	slow := c.targets.get("t01")
+	c.setState(now, slow, TargetAvoided, ReasonSlow, EventAvoided, 0, 0, 0)
+	slow.trial.due = Time(time.Hour)
+	c.refreshLimits(now)
+	for id := RequestID(1); id <= 5; id++ {
+		c.Submit(now, Request{ID: id, Deadline: now + Time(3*time.Second)})
+	}
+	is.Equal(len(c.Decisions()), 4) // the slots of the target in no doubt
+	for now += Time(Interval); now <= Time(1200*time.Millisecond); now += Time(Interval) {
+		c.Tick(now)
+	}
+	late := c.Decisions()
+	is.Equal(len(late), 1)
+	is.Equal(late[0].Target, table.TargetID("t01"))
+}
+
+// Guards against a new owner that has to lose a request to each target that the former one knew to be bad.
+func TestDoubtIsHandedOver(t *testing.T) {
+	is := is.New(t)
+	former, now := spellCell(6, 6000)
+	traffic(former, now, Time(6*time.Second), 80, Request{}, 200*time.Millisecond,
+		func(_ Time, id table.TargetID) bool { return id == "t02" })
+	is.Equal(former.Ejected(), []table.TargetID{"t02"})
+	next, now := spellCell(6, 6000)
+	next.Inherit(now, former.Ejected())
+	lost := traffic(next, now, Time(3*time.Second), 80, Request{}, 200*time.Millisecond,
+		func(_ Time, id table.TargetID) bool { return id == "t02" })
+	is.Equal(lost["t02"], 0)
+}
+
+// Guards against more retries in any span of 10 s than the share of its requests and the slack allow, and against a
+// budget that is not earned again after it was spent.
+func TestRetryWindow(t *testing.T) {
+	is := is.New(t)
+	const percent, slack = 18.0, 45
+	random := rand.New(rand.NewPCG(3, 4))
+	var w retryWindowCount
+	var requests, retries []Time
+	for now := Time(0); now < Time(time.Minute); now += Time(10 * time.Millisecond) {
+		if random.IntN(2) == 0 {
+			w.addRequest(now)
+			requests = append(requests, now)
+		}
+		if now/Time(7*time.Second)%2 == 0 && w.left(now, percent, slack) >= 1 {
+			w.addRetry(now)
+			retries = append(retries, now)
+		}
+	}
+	within := func(times []Time, end Time) (n int) {
+		for _, at := range times {
+			if at <= end && at > end-Time(retryWindow) {
+				n++
+			}
+		}
+		return n
+	}
+	most := 0
+	for _, end := range retries {
+		n := within(retries, end)
+		most = max(most, n)
+		// The parts of the window add one part's requests at the most.
+		part := float64(within(requests, end)) * (1 + 1.0/windowParts)
+		is.True(float64(n) <= percent/100*part+slack+1)
+	}
+	is.True(most > slack)
+	is.True(len(retries) > 3*slack)
+}
--- a/pool/cell.go
+++ b/pool/cell.go
@@ -166,6 +166,7 @@
 	c.poison.crashOnly = c.spells()
 	if !c.ticked {
 		c.ticked = true
+		c.budget.ownFrom = now
 		c.history.lastTick = now
 		c.history.configure(c.Policy.SlowFactor)
 		c.lastTick = now
--- a/pool/pick.go
+++ b/pool/pick.go
@@ -173,7 +173,11 @@
 	suspected := 0
 	for i := range c.targets.len() {
 		t := c.targets.at(i)
-		t.limit = c.rampedSlots(now, t, slots)
+		own := slots
+		if t.slots > 0 && c.spells() {
+			own = t.slots
+		}
+		t.limit = c.rampedSlots(now, t, own)
 		switch t.state {
 		case TargetServing:
 			c.servingTargets++
--- a/pool/retry.go
+++ b/pool/retry.go
@@ -2,8 +2,6 @@
 
 import (
 	"time"
-
-	"github.com/bilberrywood/bilberrywood/fleet"
 )
 
 // Limits of retries.
@@ -28,9 +26,12 @@
 	tokens float64
 	filled bool
 	window retryWindowCount
+	// ownFrom is since when no other entry is likely to use the budget.
+	ownFrom Time
 }
 
-// sharedBudgetShare is the part of a windowed budget that a cell uses while another entry may use the rest.
+// sharedBudgetShare is the part of the percentage of a windowed budget that a cell uses while another entry may
+// use the rest.
 const sharedBudgetShare = 0.5
 
 // retriesLeft is how many retries the budget allows now.
@@ -38,11 +39,16 @@
 	if c.Policy.RetryBurst == 0 {
 		return c.budget.tokens
 	}
-	share := 1.0
-	if c.shared || c.standing == fleet.NotOwner {
-		share = sharedBudgetShare
+	percent := c.retryPercent()
+	slack := float64(c.Policy.RetryBurst)
+	if c.shared {
+		// Another entry may have used the slack of this window up.
+		percent *= sharedBudgetShare
+		slack = 0
 	}
-	return c.budget.window.left(now, share*c.retryPercent(), int(share*float64(c.Policy.RetryBurst)))
+	// An owner that has just taken over can't know what the former one has used.
+	slack *= min(1, float64(now-c.budget.ownFrom)/float64(retryWindow))
+	return c.budget.window.left(now, percent, int(slack))
 }
 
 // spendRetry takes one retry from the budget.
--- a/pool/standing.go
+++ b/pool/standing.go
@@ -22,6 +22,10 @@
 				t.rampCold(now)
 			}
 		}
+		if !fresh && t.started != listed.Started {
+			c.restarted(now, t)
+		}
+		t.started, t.slots = listed.Started, listed.Slots
 		t.listed = true
 		t.tableLeaving = listed.Leaving
 	}
@@ -33,6 +37,18 @@
 	c.afterMembership(now)
 }
 
+// restarted starts over with a new process that has a former target's id.
+func (c *Cell) restarted(now Time, t *target) {
+	t.evidence.reset()
+	t.belief = belief{}
+	t.connection = connectionState{}
+	t.drainSignalled = false
+	if t.state != TargetServing {
+		c.setState(now, t, TargetServing, ReasonTable, EventReturned, 0, 0, 0)
+	}
+	t.rampCold(now)
+}
+
 // SetPolicy replaces the pool's settings, as when the tables change.
 func (c *Cell) SetPolicy(now Time, policy table.Policy, slots int) {
 	c.begin(now)
@@ -205,6 +221,7 @@
 		return
 	}
 	c.shared = shared
+	c.budget.ownFrom = now
 	c.refreshLimits(now)
 	c.pump(now)
 }
--- a/pool/target.go
+++ b/pool/target.go
@@ -26,6 +26,10 @@
 	id table.TargetID
 	// listed says that the table in force names the target.
 	listed bool
+	// started tells the target's process from earlier ones with the same id; 0 if it isn't known.
+	started int64
+	// slots is the target's own number of slots; 0 means the pool's.
+	slots int
 	// tableLeaving and drainSignalled each make the target leave.
 	tableLeaving   bool
 	drainSignalled bool
--- a/table/roster.go
+++ b/table/roster.go
@@ -23,6 +23,16 @@
 	Pool PoolName
 	// Since is the revision that created the registration. Of two with one address the later one holds.
 	Since Revision
+	// Sequence grows with each report of one process of the target; reports may arrive out of order.
+	Sequence int64
+}
+
+// supersedes says that g is newer than other: from a later process, or a later report of the same one.
+func (g *Registration) supersedes(other *Registration) bool {
+	if g.Started != other.Started {
+		return g.Started > other.Started
+	}
+	return g.Sequence > other.Sequence
 }
 
 // Roster joins a definition and the registrations of targets to tables. It is not safe for concurrent use.
@@ -35,6 +45,9 @@
 
 	definition *Definition
 	targets    map[TargetID]Registration
+	// withdrawn holds the last report of targets whose registration was removed, so that a report that was
+	// under way does not bring them back.
+	withdrawn map[TargetID]Registration
 	// lapsed holds until when targets without a registration are kept.
 	lapsed map[TargetID]time.Time
 }
@@ -45,15 +58,39 @@
 // Defined says whether there is a definition.
 func (r *Roster) Defined() bool { return r.definition != nil }
 
-// Register adds or replaces the registration of a target.
+// Register adds or replaces the registration of a target, unless it is older than what is known. A process that
+// has said that it leaves never comes back.
 func (r *Roster) Register(g Registration) {
 	if r.targets == nil {
 		r.targets = make(map[TargetID]Registration)
+		r.withdrawn = make(map[TargetID]Registration)
 	}
+	known, ok := r.targets[g.ID]
+	if !ok {
+		known, ok = r.withdrawn[g.ID]
+	}
+	if ok && !g.supersedes(&known) {
+		return
+	}
+	g.Leaving = g.Leaving || ok && known.Leaving && known.Started == g.Started
 	r.targets[g.ID] = g
+	delete(r.withdrawn, g.ID)
 	delete(r.lapsed, g.ID)
 }
 
+// mostWithdrawn bounds how many withdrawn targets are remembered.
+const mostWithdrawn = 10_000
+
+// remove forgets a target but for its last report.
+func (r *Roster) remove(id TargetID) {
+	if len(r.withdrawn) >= mostWithdrawn {
+		clear(r.withdrawn)
+	}
+	r.withdrawn[id] = r.targets[id]
+	delete(r.targets, id)
+	delete(r.lapsed, id)
+}
+
 // Withdraw removes a registration. A target that did not say that it was leaving is kept until heldUntil, if
 // that is later than now.
 func (r *Roster) Withdraw(id TargetID, now, heldUntil time.Time) {
@@ -62,8 +99,7 @@
 		return
 	}
 	if g.Leaving || !heldUntil.After(now) {
-		delete(r.targets, id)
-		delete(r.lapsed, id)
+		r.remove(id)
 		return
 	}
 	if r.lapsed == nil {
@@ -87,8 +123,7 @@
 func (r *Roster) Expire(now time.Time) {
 	for id, until := range r.lapsed {
 		if !until.After(now) {
-			delete(r.targets, id)
-			delete(r.lapsed, id)
+			r.remove(id)
 		}
 	}
 }
--- /dev/null
+++ b/table/roster_test.go
@@ -0,0 +1,121 @@
+package table
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// registered returns a registration as a target sends it.
+func registered(id TargetID, address string, started, sequence int64, leaving bool) Registration {
+	return Registration{
+		Target: Target{ID: id, Address: address, FailureDomain: "riga-a", Slots: 2, Started: started, Leaving: leaving},
+		Pool:   "pas-serviss", Sequence: sequence,
+	}
+}
+
+// rosterTargets returns the targets of the one pool by id.
+func rosterTargets(t *testing.T, r *Roster) map[TargetID]Target {
+	t.Helper()
+	is := is.New(t)
+	r.Define(Definition{
+		Routes: Routes{Routes: []Route{{Name: "orders", PathPrefix: "/o", Pool: "pas-serviss", TimeoutMs: 2000}}},
+		Pools: []Pool{{Name: "pas-serviss", MaxConnections: 390,
+			Policy: Policy{FalseEjectionEveryHours: 24, SpellMs: 6000}}},
+	})
+	values, err := r.Values()
+	is.NoErr(err)
+	pair, err := NewPair(1, values)
+	is.NoErr(err)
+	out := make(map[TargetID]Target)
+	for _, target := range pair.Pools.Pools[0].Targets {
+		out[target.ID] = target
+	}
+	return out
+}
+
+// Guards against a report that was under way bringing back a target that leaves or has left, which would then get
+// new work (seen: 7.7 s after a drain was acknowledged).
+func TestRosterIgnoresOldReports(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, tt := range []struct {
+		name   string
+		report func(*Roster)
+		listed bool
+		leaves bool
+	}{
+		{"first report", func(*Roster) {}, true, false},
+		{"drain", func(r *Roster) { r.Register(registered("a", "10.0.0.1:80", 5, 4, true)) }, true, true},
+		{"older report after a drain", func(r *Roster) {
+			r.Register(registered("a", "10.0.0.1:80", 5, 4, true))
+			r.Register(registered("a", "10.0.0.1:80", 5, 2, false))
+		}, true, true},
+		{"later report after a drain", func(r *Roster) {
+			r.Register(registered("a", "10.0.0.1:80", 5, 4, true))
+			r.Register(registered("a", "10.0.0.1:80", 5, 6, false))
+		}, true, true},
+		{"new process after a drain", func(r *Roster) {
+			r.Register(registered("a", "10.0.0.1:80", 5, 4, true))
+			r.Register(registered("a", "10.0.0.1:80", 9, 1, false))
+		}, true, false},
+		{"report of the former process", func(r *Roster) {
+			r.Register(registered("a", "10.0.0.1:80", 9, 1, true))
+			r.Register(registered("a", "10.0.0.1:80", 5, 8, false))
+		}, true, true},
+		{"old report after the removal", func(r *Roster) {
+			r.Withdraw("a", now, now)
+			r.Register(registered("a", "10.0.0.1:80", 5, 2, false))
+		}, false, false},
+		{"new report after the removal", func(r *Roster) {
+			r.Withdraw("a", now, now)
+			r.Register(registered("a", "10.0.0.1:80", 5, 4, false))
+		}, true, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			r := &Roster{FloorPercent: 70}
+			r.Register(registered("a", "10.0.0.1:80", 5, 3, false))
+			tt.report(r)
+			target, listed := rosterTargets(t, r)["a"]
+			is.Equal(listed, tt.listed)
+			is.Equal(target.Leaving, tt.leaves)
+		})
+	}
+}
+
+// Guards against dropping the targets whose registrations lapsed only because the store was away, and against
+// keeping one that does not come back.
+func TestRosterHoldsLapsedTargets(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	r := &Roster{FloorPercent: 70, Hold: 2 * time.Second}
+	r.Register(registered("alive", "10.0.0.1:80", 5, 3, false))
+	r.Register(registered("dead", "10.0.0.2:80", 5, 3, false))
+	r.Register(registered("leaving", "10.0.0.3:80", 5, 3, true))
+	until := now.Add(r.Hold)
+	r.Keep(map[TargetID]bool{}, now, until)
+	held := rosterTargets(t, r)
+	is.Equal(len(held), 2) // the two that did not say that they leave
+	r.Register(registered("alive", "10.0.0.1:80", 5, 4, false))
+	r.Expire(until)
+	_, alive := rosterTargets(t, r)["alive"]
+	_, dead := rosterTargets(t, r)["dead"]
+	is.True(alive)
+	is.True(!dead)
+}
+
+// Guards against two targets at one address, which would make the tables invalid for all pools.
+func TestRosterAddressReuse(t *testing.T) {
+	is := is.New(t)
+	r := &Roster{}
+	old := registered("old", "10.0.0.1:80", 5, 3, false)
+	old.Since = 10
+	reused := registered("new", "10.0.0.1:80", 9, 1, false)
+	reused.Since = 20
+	r.Register(reused)
+	r.Register(old)
+	targets := rosterTargets(t, r)
+	is.Equal(len(targets), 1)
+	is.Equal(targets["new"].Address, "10.0.0.1:80")
+}
