Logs never block; lapsed targets are held only after an outage that all readers saw

A reader that was cut off by itself, or only waited for a quiet store, took the store for away and kept removed targets for 2 s, which its newer revision spread to all. Standard output was written under requests. Change: the hold needs 3.5 s without an answer and no other working reader; log lines go through a ring, and drops are counted.

--- a/cmd/entry/main.go
+++ b/cmd/entry/main.go
@@ -8,10 +8,13 @@
 	"io"
 	"os"
 	"os/signal"
+	"sync/atomic"
 	"syscall"
+	"time"
 
 	"github.com/jessevdk/go-flags"
 	"github.com/rs/zerolog"
+	"github.com/rs/zerolog/diode"
 
 	"github.com/bilberrywood/bilberrywood/entry"
 	"github.com/bilberrywood/bilberrywood/platform"
@@ -66,7 +69,14 @@
 	}
 	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
 	lines := &entry.LogLines{}
-	log := zerolog.New(io.MultiWriter(os.Stdout, lines)).Level(level).With().Timestamp().Logger()
+	var dropped atomic.Int64
+	// A reader that does not empty the pipe must not hold up requests.
+	output := diode.NewWriter(os.Stdout, logBuffer, 0, func(missed int) { dropped.Add(int64(missed)) })
+	defer func() { _ = output.Close() }()
+	log := zerolog.New(io.MultiWriter(output, lines)).Level(level).With().Timestamp().Logger()
+	log.Info().Str("event", "started").Str("entry", string(s.ID)).Str("node", s.Node).
+		Str("failureDomain", string(s.FailureDomain)).Str("settings", path).Msg("entry starts")
+	go reportDropped(log, &dropped)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	e := &entry.Entry{Settings: s, Log: log, LogLines: lines}
@@ -83,6 +93,22 @@
 	return e.Run(ctx)
 }
 
+// logBuffer is how many log lines wait for the reader of the standard output; later ones replace the oldest. At 350
+// bytes a line this is about 1.4 MB.
+const logBuffer = 4096
+
+// reportEvery is how often dropped log lines are reported.
+const reportEvery = 5 * time.Second
+
+// reportDropped writes a line that says how many were dropped since the last one, until the process ends.
+func reportDropped(log zerolog.Logger, dropped *atomic.Int64) {
+	for range time.Tick(reportEvery) {
+		if n := dropped.Swap(0); n > 0 {
+			log.Warn().Str("event", "logLinesDropped").Int64("lines", n).Msg("log lines were dropped because their reader was slow")
+		}
+	}
+}
+
 // reload reads the settings file again. What is in force stays if the file is wrong.
 func reload(e *entry.Entry, path string) {
 	var s settings.Entry
--- a/configuration/follower.go
+++ b/configuration/follower.go
@@ -55,6 +55,9 @@
 	// awayAfter is how long no call may succeed before the store counts as away: more than a call that waits
 	// and the pause after it.
 	awayAfter = 2 * time.Second
+	// lapseAfter is how long the store must have been away for registrations to lapse because of that: targets
+	// renew them every 1.5 s and they hold for three times as long, less the time since the last renewal.
+	lapseAfter = 3500 * time.Millisecond
 )
 
 // Follower turns the changes of a Store into snapshots of the tables. Its exported fields are set before Run.
@@ -64,6 +67,9 @@
 	Roster table.Roster
 	// OnSnapshot is called with each snapshot that differs from the one before.
 	OnSnapshot func(table.Snapshot)
+	// OthersRead says whether another entry has read the store lately. If one has while this one could not,
+	// the store was not away, and registrations that are missing have been removed. Nil means no.
+	OthersRead func() bool
 	Log        zerolog.Logger
 	// Every and Wait have defaults that stand for 0.
 	Every, Wait time.Duration
@@ -75,6 +81,8 @@
 	revision table.Revision
 	digest   uint64
 	away     bool
+	// othersRead says that another entry read the store while it was away for this one.
+	othersRead bool
 	// heldUntil is until when targets are kept whose registrations lapsed while the store was away.
 	heldUntil time.Time
 }
@@ -159,18 +167,26 @@
 	if err != nil && !errors.Is(err, ErrHistoryGone) {
 		f.counts.failed()
 		s.lastError = err.Error()
-		if !f.away && time.Since(s.lastAnswer) > awayAfter {
+		away := time.Since(s.lastAnswer)
+		if away > lapseAfter && f.OthersRead != nil {
+			f.othersRead = f.othersRead || f.OthersRead()
+		}
+		if !f.away && away > awayAfter {
 			f.away = true
 			f.Log.Warn().Str("event", "storeLost").Time("lastAnswer", s.lastAnswer).Err(err).Msg("the store does not answer; the tables in force stay")
 		}
 		return
 	}
 	now := time.Now()
-	if f.away || (!s.lastAnswer.IsZero() && now.Sub(s.lastAnswer) > awayAfter) {
-		f.heldUntil = now.Add(f.Roster.Hold)
-		f.Log.Info().Str("event", "storeRegained").Dur("away", now.Sub(s.lastAnswer)).Msg("the store answers again")
+	if f.away {
+		away := now.Sub(s.lastAnswer)
+		if away > lapseAfter && !f.othersRead {
+			f.heldUntil = now.Add(f.Roster.Hold)
+		}
+		f.Log.Info().Str("event", "storeRegained").Dur("away", away).Bool("othersRead", f.othersRead).
+			Time("heldUntil", f.heldUntil).Msg("the store answers again")
 	}
-	f.away = false
+	f.away, f.othersRead = false, false
 	s.lastError, s.lastAnswer = "", now
 }
 
--- a/configuration/follower_test.go
+++ b/configuration/follower_test.go
@@ -70,13 +70,14 @@
 }
 
 // follow runs a script and returns the snapshots, as the names of their targets, and the log.
-func follow(t *testing.T, steps []step) (targets []string, lists int, log string) {
+func follow(t *testing.T, steps []step, othersRead bool) (targets []string, lists int, log string) {
 	t.Helper()
 	is := is.New(t)
 	var lines bytes.Buffer
 	store := &scriptedStore{steps: steps}
 	f := &Follower{
-		Store: store, Roster: table.Roster{Hold: 2 * time.Second}, Log: zerolog.New(&lines),
+		OthersRead: func() bool { return othersRead },
+		Store:      store, Roster: table.Roster{Hold: 2 * time.Second}, Log: zerolog.New(&lines),
 		OnSnapshot: func(s table.Snapshot) {
 			pair, err := table.NewPair(s.Revision, s.Values)
 			is.NoErr(err)
@@ -104,30 +105,36 @@
 		want  []string
 		lists int
 		log   string
+		// othersRead says that other entries read the store all the time.
+		othersRead bool
 	}{
 		{"changes in order", []step{
 			start, {changes: Changes{Revision: 6, Changes: []Change{change("2", 0)}}},
-		}, []string{"1 2", "1"}, 1, ""},
+		}, []string{"1 2", "1"}, 1, "", false},
 		{"nothing new", []step{
 			start, {changes: Changes{Revision: 6, Changes: []Change{change("2", 2)}}},
-		}, []string{"1 2"}, 1, ""},
+		}, []string{"1 2"}, 1, "", false},
 		{"history gone", []step{
 			start, {err: ErrHistoryGone}, {changes: Changes{Revision: 9, Changes: []Change{definition(1), change("2", 4)}}},
-		}, []string{"1 2", "2"}, 2, ""},
+		}, []string{"1 2", "2"}, 2, "", false},
 		{"lapsed while the store was away", []step{
-			start, {err: errDown, after: 3 * time.Second},
+			start, {err: errDown, after: 3 * time.Second}, {err: errDown, after: time.Second},
 			{changes: Changes{Revision: 9, Changes: []Change{change("1", 0), change("2", 0)}}},
 			{changes: Changes{Revision: 10, Changes: []Change{change("1", 5)}}},
 			{changes: Changes{Revision: 11}, after: 3 * time.Second},
-		}, []string{"1 2", "1"}, 1, "storeLost"},
+		}, []string{"1 2", "1"}, 1, "storeLost", false},
+		{"removed while only this entry was cut off", []step{
+			start, {err: errDown, after: 3 * time.Second}, {err: errDown, after: time.Second},
+			{changes: Changes{Revision: 9, Changes: []Change{change("2", 0)}}},
+		}, []string{"1 2", "1"}, 1, "storeLost", true},
 		{"a value that can't be read", []step{
 			start, {changes: Changes{Revision: 6, Changes: []Change{{Key: "op/x", Problem: errDown}, change("3", 1)}}},
-		}, []string{"1 2", "1 2 3"}, 1, "storeValueIgnored"},
+		}, []string{"1 2", "1 2 3"}, 1, "storeValueIgnored", false},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				targets, lists, log := follow(t, tt.steps)
+				targets, lists, log := follow(t, tt.steps, tt.othersRead)
 				is.Equal(targets, tt.want)
 				is.Equal(lists, tt.lists)
 				is.True(strings.Contains(log, tt.log))
--- a/entry/join.go
+++ b/entry/join.go
@@ -107,12 +107,11 @@
 	}
 }
 
-// readerFresh is how old the last answer of the platform may be for an entry to call itself a
-// working reader.
-const readerFresh = 10 * time.Second
-
 // platformWorking says that this entry has read the platform lately.
 func (e *Entry) platformWorking() bool {
 	s := e.source.Status()
-	return s.Active && time.Since(s.LastAnswer) < readerFresh
+	return s.Active && time.Since(s.LastAnswer) < settings.Millis(e.Settings.ReaderFreshMs)
 }
+
+// OtherReader says whether another entry has read the tables from where operators publish them lately.
+func (e *Entry) OtherReader() bool { return e.fleet.view().OtherReader }
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -24,6 +24,8 @@
 	Holders         []EntryID
 	// ReaderHeard says that this entry or a live peer read the platform lately.
 	ReaderHeard bool
+	// OtherReader says that a live peer read the platform lately.
+	OtherReader bool
 	// Poison is the union of the fingerprints that peers reported lately, sorted.
 	Poison []uint64
 
@@ -132,6 +134,7 @@
 	}
 	v.Poison = append(v.Poison, p.poison...)
 	v.ReaderHeard = v.ReaderHeard || p.reader
+	v.OtherReader = v.OtherReader || p.reader
 	if !p.live || p.AcceptedRevision < v.HighestRevision || p.AcceptedRevision <= m.accepted {
 		return
 	}
--- a/pool/belief.go
+++ b/pool/belief.go
@@ -127,20 +127,20 @@
 	c.noteSpell(now, t, before)
 }
 
-// noteSpell keeps when a target's spell began and when it may be tested, and reports changes. clear says that the
-// target was in no doubt before the last outcome.
-func (c *Cell) noteSpell(now Time, t *target, clear bool) {
+// noteSpell keeps when a target's spell began and when it may be tested, and reports changes. trusted says that
+// the target was in no doubt before the last outcome.
+func (c *Cell) noteSpell(now Time, t *target, trusted bool) {
 	b := &t.belief
 	bad := c.badness(now, t)
 	if bad < clearBelief {
-		if !clear {
+		if !trusted {
 			// The spell ended somewhere between the last fault and now.
 			c.observeSpell(time.Duration((b.faultAt+now)/2 - b.began))
 			c.event(Event{At: now, Kind: EventRestored, Target: t.id, Reason: ReasonRecovered, Evidence: bad, Threshold: clearBelief})
 		}
 		return
 	}
-	if clear {
+	if trusted {
 		b.began = now
 		c.event(Event{At: now, Kind: EventAvoided, Target: t.id, Reason: ReasonFailures, Evidence: bad, Threshold: clearBelief})
 	}
@@ -263,8 +263,9 @@
 // usable says that the target may run the request as far as its state and slots are concerned.
 func (c *Cell) usable(now Time, t *target, r *request) bool {
 	inService := t.state == TargetServing || t.state == TargetAvoided && t.reason == ReasonSlow
-	return inService && now >= t.shedUntil && t.freeSlots() > 0 &&
-		!(r.suspect && t.suspectsInFlight > 0) && !(r.attempt > 0 && t.id == r.lastTarget)
+	again := r.attempt > 0 && t.id == r.lastTarget
+	besideSuspect := r.suspect && t.suspectsInFlight > 0
+	return inService && now >= t.shedUntil && t.freeSlots() > 0 && !again && !besideSuspect
 }
 
 // mayTry says that the request may test whether a doubtful target has recovered. One test runs at a time, and a
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -54,7 +54,10 @@
 	AnswerValidMs    int64 `json:"answerValidMs,omitempty"`
 	StopLimitMs      int64 `json:"stopLimitMs,omitempty"`
 	ReadersPerDomain int   `json:"readersPerDomain,omitempty"`
-	MaxHeaderBytes   int   `json:"maxHeaderBytes,omitempty"`
+	// ReaderFreshMs is how old the platform's last answer may be for an entry to count as a working reader;
+	// 10,000.
+	ReaderFreshMs  int64 `json:"readerFreshMs,omitempty"`
+	MaxHeaderBytes int   `json:"maxHeaderBytes,omitempty"`
 	// ReplayBytes is the largest request body that is kept so that it can be sent again.
 	ReplayBytes int64 `json:"replayBytes,omitempty"`
 	// NoticeIDs is the most run ids remembered; AnswerBytes the memory for kept answers.
@@ -149,6 +152,7 @@
 		{&e.GoneMs, 5_000},
 		{&e.HandoverMs, 7_000},
 		{&e.JoinWaitMs, 3_000},
+		{&e.ReaderFreshMs, 10_000},
 		{&e.AnswerValidMs, 15_000},
 		{&e.StopLimitMs, 120_000},
 		{&e.ReplayBytes, 64 << 10},
