--- a/pool/belief.go
+++ b/pool/belief.go
@@ -24,9 +24,11 @@
 	clearBelief = 0.15
 	// tryAgainShare is the part of a spell's usual length between a failed test of a target and the next.
 	tryAgainShare = 0.4
-	// repeatableShare is the part of the usual times after which a request that can be repeated tests a
-	// target, since it loses only time.
-	repeatableShare = 0.5
+	// earlyShare is the part of the usual times after which a request that can be repeated tests a target,
+	// since it loses only time, and after which others do while slots are short.
+	earlyShare = 0.5
+	// pressureShare is the part of its time that a request has waited when slots are short.
+	pressureShare = 0.1
 	// noRepeatable is how long no repeatable request must have come before others test targets.
 	noRepeatable = time.Second
 	// lengthSmoothing is the weight of one spell in the usual length of a pool's spells.
@@ -46,7 +48,7 @@
 	// doubtful target, whatever the belief; desperateRepeatable is the same for one that can be repeated.
 	// slowWaitShare is the same for a target that is only slow: capacity goes before speed.
 	slowWaitShare       = 0.03
-	desperateShare      = 0.5
+	desperateShare      = 0.6
 	desperateRepeatable = 0.3
 )
 
@@ -274,9 +276,13 @@
 	if t.inFlight > 0 || r.attempt > 0 || r.suspect {
 		return false
 	}
-	if r.replaceable() {
-		wait := Time(repeatableShare * float64(t.belief.tryAt-t.belief.faultAt))
-		return now >= t.belief.faultAt+wait && c.retriesLeft(now) >= 1
+	early := t.belief.faultAt + Time(earlyShare*float64(t.belief.tryAt-t.belief.faultAt))
+	switch {
+	case r.replaceable():
+		return now >= early && c.retriesLeft(now) >= 1
+	case c.waited(now, r, pressureShare):
+		// Slots are short. A target that returns carries many requests; the test costs half of one.
+		return now >= early
 	}
 	return now >= t.belief.tryAt && now-c.trials.lastSafe >= Time(noRepeatable)
 }
