entry: a request's fingerprint has the host only where its route does; log lines say how long and how doubtful

Cause: TestPoisonRequest crashed 4 targets instead of 2 (make test): since routes have hosts, the fingerprint had the Host field, which differs when a caller sends the same request to another entry.

--- a/entry/bind.go
+++ b/entry/bind.go
@@ -6,6 +6,7 @@
 
 	"github.com/bilberrywood/bilberrywood/notice"
 	"github.com/bilberrywood/bilberrywood/peer"
+	"github.com/bilberrywood/bilberrywood/pool"
 )
 
 // boundHere says that this process is the one that may run the id.
@@ -128,7 +129,7 @@
 	if !ok {
 		return verdictRefusal(notice.VerdictAnswerLost)
 	}
-	e.logAttempt(x, "", "answerKept", notice.OutcomeRun)
+	e.logAttempt(x, pool.Decision{Reason: reasonAnswerKept}, notice.OutcomeRun)
 	header := peer.AnswerHeader{Status: a.Status, Header: a.Header, ContentLength: int64(len(a.Body))}
 	if err := x.out.WriteHeader(header); err != nil {
 		return unknown(reasonCallerGone, err.Error())
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -24,6 +24,8 @@
 	// attempt is the caller's own id of the request, for logs; empty if it gave none.
 	attempt string
 	route   *table.Route
+	// arrived is when the request, or its forwarded copy, came in.
+	arrived time.Time
 	// pool is where the request goes: the route's pool, or one of its split.
 	pool table.PoolName
 	// id is set for requests that may run at most once.
@@ -147,7 +149,12 @@
 // id from other requests.
 func (x *exchange) content() uint64 {
 	h := xxhash.New()
-	for _, part := range []string{string(x.Account), x.Method, x.Host, x.URI} {
+	// Callers of a route for all hosts may name whichever entry they connect to.
+	host := ""
+	if x.route != nil {
+		host = x.route.Host
+	}
+	for _, part := range []string{string(x.Account), x.Method, host, x.URI} {
 		// Writing to a hash does not fail.
 		_, _ = h.WriteString(part)
 		_, _ = h.Write([]byte{0})
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -84,6 +84,7 @@
 	defer e.requests.enter()()
 	x := &exchange{
 		ForwardHeader: h,
+		arrived:       time.Now(),
 		caller:        "entry",
 		out:           w,
 		body:          body,
--- a/entry/front.go
+++ b/entry/front.go
@@ -26,6 +26,7 @@
 			Method: r.Method, URI: r.URL.RequestURI(), Host: r.Host,
 			Header: r.Header, ContentLength: r.ContentLength,
 		},
+		arrived: time.Now(),
 		caller:  r.RemoteAddr,
 		attempt: r.Header.Get(e.dialect().RequestID),
 		out:     sink,
--- a/entry/observe.go
+++ b/entry/observe.go
@@ -2,8 +2,10 @@
 
 import (
 	"errors"
+	"math"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/rcrowley/go-metrics"
 
@@ -49,7 +51,7 @@
 }
 
 // logAttempt writes the line for the routing decision of one attempt.
-func (e *Entry) logAttempt(x *exchange, t table.TargetID, reason pool.Reason, outcome string) {
+func (e *Entry) logAttempt(x *exchange, d pool.Decision, outcome string) {
 	e.counters.requests.Inc(1)
 	if outcome == outcomeNames[pool.OutcomeSuccess] {
 		e.counters.run.Inc(1)
@@ -61,10 +63,12 @@
 		Str("account", string(x.Account)).
 		Str("route", string(x.Route)).
 		Str("pool", string(x.pool)).
-		Str("target", string(t)).
-		Str("reason", string(reason)).
+		Str("target", string(d.Target)).
+		Str("reason", string(d.Reason)).
+		Float64("doubt", math.Round(d.Doubt*1000)/1000).
 		Uint64("revision", uint64(e.revision())).
 		Int("attempt", x.attempts).
+		Int64("sinceArrivalMs", time.Since(x.arrived).Milliseconds()).
 		Str("outcome", outcome)
 	if x.id != nil {
 		line = line.Stringer("id", *x.id)
@@ -86,6 +90,7 @@
 		Str("via", string(to.Via)).
 		Uint64("revision", uint64(e.revision())).
 		Int("attempt", x.attempts).
+		Int64("sinceArrivalMs", time.Since(x.arrived).Milliseconds()).
 		Str("outcome", outcome).
 		Send()
 }
@@ -111,6 +116,7 @@
 		Str("detail", ref.detail).
 		Uint64("revision", uint64(e.revision())).
 		Int("attempt", x.attempts).
+		Int64("sinceArrivalMs", time.Since(x.arrived).Milliseconds()).
 		Str("outcome", ref.outcome).
 		Bool("cut", cut)
 	if x.id != nil {
--- a/entry/refusal.go
+++ b/entry/refusal.go
@@ -35,6 +35,7 @@
 	reasonIDRefused    pool.Reason = "idNotAdmitted"
 	reasonIDUnknown    pool.Reason = "idOlderThanMemory"
 	reasonIDConflict   pool.Reason = "idUsedWithOtherContent"
+	reasonAnswerKept   pool.Reason = "answerKept"
 	reasonAnswerLost   pool.Reason = "answerNotKept"
 	reasonBoundGone    pool.Reason = "boundEntryUnreachable"
 	reasonCutOff       pool.Reason = "outcomeLost"
--- a/pool/cell.go
+++ b/pool/cell.go
@@ -203,9 +203,11 @@
 	if trial {
 		c.beginTrial(now, t)
 	}
-	c.decisions = append(c.decisions, Decision{
-		Kind: DecisionRun, Request: r.ID, Target: t.id, Attempt: r.attempt, Reason: reason, Trial: trial,
-	})
+	d := Decision{Kind: DecisionRun, Request: r.ID, Target: t.id, Attempt: r.attempt, Reason: reason, Trial: trial}
+	if c.spells() {
+		d.Doubt = c.badness(now, t)
+	}
+	c.decisions = append(c.decisions, d)
 }
 
 // refuse ends a request that no target received.
--- a/pool/types.go
+++ b/pool/types.go
@@ -120,6 +120,9 @@
 	Reason  Reason
 	// RetryAfter is advice for the caller with a refusal; 0 means none.
 	RetryAfter time.Duration
+	// Doubt is the belief, 0 to 1, that the target was in a bad spell when it was chosen; 0 where targets are
+	// not judged by spells.
+	Doubt float64
 	// Trial marks an attempt that tests whether a target has recovered.
 	Trial bool
 }
