peer: the newest heartbeat goes out after a wait for a connection; late heartbeats end no forwarded request

(1) A link that waited for its connection sent outdated heartbeats. (2) Connections with peers whose heartbeats were late were closed with the requests on them. (3) The harness took entries for settled that saw each other but not yet as serving. Change: newest heartbeat first; no closing on silence, and the timeouts of connections as before; the harness waits for more than before.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -142,12 +142,9 @@
 	e.cells = &cellSet{e: e, cells: make(map[fleet.CellKey]*servedCell)}
 	e.client = &target.Client{Protocol: e.Targets}
 	e.source = e.newSource()
-	slow := settings.Millis(max(s.HeartbeatMs, s.SlowHeartbeatMs))
 	e.node = &peer.Node{
 		ID: s.ID, Address: s.PeerListen, Handler: e, Log: e.Log,
-		// Heartbeats keep the connections; packets for that alone are left out.
-		Timeouts: peer.Timeouts{Idle: 4 * slow, KeepAlive: slow + settings.Millis(s.HeartbeatMs)},
-		TLS:      peer.Files{CA: s.TLS.CA, Certificate: s.TLS.Certificate, Key: s.TLS.Key},
+		TLS: peer.Files{CA: s.TLS.CA, Certificate: s.TLS.Certificate, Key: s.TLS.Key},
 	}
 }
 
@@ -204,7 +201,7 @@
 	e.lastTick.Store(int64(e.sinceStart()))
 	v := e.fleet.view()
 	if force := e.config.current(); force != nil {
-		e.dropSilent(v)
+		e.noteLinks(v)
 		e.cells.adopt(force, v)
 		claims, poison := e.cells.tick(force, v)
 		e.fleet.mu.Lock()
--- a/entry/members.go
+++ b/entry/members.go
@@ -32,15 +32,14 @@
 	f.current.Store(f.membership.View(now))
 }
 
-// dropSilent ends the connections with peers that have fallen silent, so that requests that were passed to them
-// fail now and not when the connection times out.
-func (e *Entry) dropSilent(v *fleet.View) {
+// noteLinks logs which peers were lost and regained since the last tick. Requests that were passed to a lost one go
+// on: heartbeats may only be late, and the connection has a timeout of its own.
+func (e *Entry) noteLinks(v *fleet.View) {
 	for _, m := range v.Members {
 		was, known := e.links[m.ID]
 		e.links[m.ID] = m.Link
 		if known && was != fleet.LinkSilent && m.Link == fleet.LinkSilent {
 			e.Log.Info().Str("event", "peerLost").Str("peer", string(m.ID)).Msg("peer fell silent")
-			e.node.Drop(m.ID)
 		}
 		if m.Link != fleet.LinkSilent && (!known || was == fleet.LinkSilent) && m.ID != e.Settings.ID {
 			e.Log.Info().Str("event", "peerHeard").Str("peer", string(m.ID)).Msg("peer is heard")
--- a/peer/heartbeat.go
+++ b/peer/heartbeat.go
@@ -10,8 +10,8 @@
 	"github.com/bilberrywood/bilberrywood/fleet"
 )
 
-// SendHeartbeat sends a heartbeat in the background, where a missing connection is opened first, or drops it if
-// several are waiting already; it never blocks.
+// SendHeartbeat sends a heartbeat in the background, where a missing connection is opened first, in place of an
+// older one if several are waiting already; it never blocks.
 func (n *Node) SendHeartbeat(o fleet.Outgoing) {
 	b, err := encodeHeartbeat(o.Heartbeat)
 	if err != nil {
@@ -26,10 +26,18 @@
 	}
 	l := n.linkTo(o.ID)
 	l.address = o.Address
-	select {
-	case l.queue <- b:
-	default:
-		n.Counters.HeartbeatsDropped.Add(1)
+	for {
+		select {
+		case l.queue <- b:
+			return
+		default:
+		}
+		// The newest heartbeat counts; it may say that the entry serves or leaves.
+		select {
+		case <-l.queue:
+			n.Counters.HeartbeatsDropped.Add(1)
+		default:
+		}
 	}
 }
 
@@ -42,7 +50,10 @@
 		case <-n.ctx.Done():
 			return
 		case b := <-l.queue:
-			c := n.connectForHeartbeat(l)
+			c, waited := n.connectForHeartbeat(l)
+			if waited {
+				b = newest(l.queue, b)
+			}
 			if c == nil || c.SendDatagram(b) != nil {
 				n.Counters.HeartbeatsDropped.Add(1)
 				continue
@@ -52,32 +63,45 @@
 	}
 }
 
+// newest returns the last heartbeat that waits, or b if none does: one that has waited for a connection is outdated.
+func newest(queue <-chan []byte, b []byte) []byte {
+	for {
+		select {
+		case b = <-queue:
+		default:
+			return b
+		}
+	}
+}
+
 // connectForHeartbeat returns the connection with a peer. It opens one if there is none, after leaving the other
-// end its turn and not sooner than Redial after the last attempt; nil means that there is none.
-func (n *Node) connectForHeartbeat(l *link) *connection {
+// end its turn and not sooner than Redial after the last attempt; nil means that there is none. waited says that
+// there was none at first.
+func (n *Node) connectForHeartbeat(l *link) (c *connection, waited bool) {
 	n.mu.Lock()
-	c, pause := n.best(l), time.Until(l.nextDial)
+	c = n.best(l)
+	pause := time.Until(l.nextDial)
 	n.mu.Unlock()
 	if c != nil {
-		return c
+		return c, false
 	}
 	if n.ID > l.id {
 		pause = max(pause, n.Timeouts.Grace)
 	}
 	select {
 	case <-n.ctx.Done():
-		return nil
+		return nil, true
 	case <-time.After(pause):
 	}
 	n.mu.Lock()
 	if c = n.best(l); c != nil || n.closed {
 		n.mu.Unlock()
-		return c
+		return c, true
 	}
 	d := n.startDial(l)
 	n.mu.Unlock()
 	<-d.done
-	return d.connection
+	return d.connection, true
 }
 
 // receiveDatagrams takes the heartbeats that arrive on a connection.
--- /dev/null
+++ b/peer/heartbeat_test.go
@@ -0,0 +1,19 @@
+package peer
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// Guards against an outdated heartbeat going out in place of the newest after the wait for a connection: peers then
+// take an entry that serves for one that is starting until its next heartbeat.
+func TestNewestHeartbeatIsSent(t *testing.T) {
+	is := is.New(t)
+	queue := make(chan []byte, heartbeatQueue)
+	is.Equal(string(newest(queue, []byte("starting"))), "starting")
+	queue <- []byte("starting")
+	queue <- []byte("serving")
+	is.Equal(string(newest(queue, []byte("starting"))), "serving")
+	is.Equal(len(queue), 0)
+}
--- a/peer/node.go
+++ b/peer/node.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -189,19 +188,6 @@
 	return errorClass.Wrap(err)
 }
 
-// Drop closes the connections with a peer, which ends the requests on them. A later heartbeat opens a new one.
-func (n *Node) Drop(id fleet.EntryID) {
-	n.mu.Lock()
-	var connections []*connection
-	if l := n.links[id]; l != nil {
-		connections = slices.Clone(l.connections)
-	}
-	n.mu.Unlock()
-	for _, c := range connections {
-		_ = c.CloseWithError(codeSuperseded, "peer is silent")
-	}
-}
-
 // accept takes the connections that peers open.
 func (n *Node) accept() {
 	for {
--- a/process/harness_test.go
+++ b/process/harness_test.go
@@ -94,7 +94,7 @@
 		}
 		w.await("all entries see each other", func() bool {
 			for _, r := range w.list {
-				if w.live(r.ID) != len(w.list) || w.owner(r.ID, lookups) == "" {
+				if w.serving(r.ID) != len(w.list) || w.owner(r.ID, lookups) == "" {
 					return false
 				}
 			}
@@ -337,13 +337,23 @@
 
 // live returns how many members an entry counts as live.
 func (w *world) live(id fleet.EntryID) int {
+	return w.members(id, func(m fleet.Member) bool { return m.Live })
+}
+
+// serving returns how many members an entry counts as live and serving; callers are named only such ones.
+func (w *world) serving(id fleet.EntryID) int {
+	return w.members(id, func(m fleet.Member) bool { return m.Live && m.State == fleet.StateServing })
+}
+
+// members counts the members that fit in the view of an entry.
+func (w *world) members(id fleet.EntryID, fits func(fleet.Member) bool) int {
 	var members []fleet.Member
 	if w.get(id, "/v1/members", &members) != nil {
 		return 0
 	}
 	n := 0
 	for _, m := range members {
-		if m.Live {
+		if fits(m) {
 			n++
 		}
 	}
