--- a/fleet/network_test.go
+++ b/fleet/network_test.go
@@ -183,9 +183,10 @@
 			n.violated = fmt.Sprintf("%s is sole for %v before its first tick after a pause", e.ID, c)
 		}
 		e.standing[c] = s
-		if s == NotOwner || !v.MayEject(c) {
+		if e.ejected[c] == nil || s == NotOwner || !v.MayEject(c) {
 			e.ejected[c] = map[int]bool{}
-		} else {
+		}
+		if s != NotOwner && v.MayEject(c) {
 			n.eject(e.ejected[c], s)
 		}
 		if s != NotOwner {
