--- a/entry/cellset.go
+++ b/entry/cellset.go
@@ -90,7 +90,7 @@
 		answered: make(map[table.TargetID]time.Time),
 		lastUse:  time.Now(),
 		cell: &pool.Cell{
-			Key: key, Policy: p.Policy, Slots: p.Slots,
+			Key: key, Policy: cellPolicy(p), Slots: p.Slots,
 			Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		},
 	}
@@ -161,13 +161,20 @@
 		}
 		c.targets, c.revision = rows, force.pair.Revision
 		if p != nil {
-			pc.SetPolicy(now, p.Policy, p.Slots)
+			pc.SetPolicy(now, cellPolicy(p), p.Slots)
 		}
 		pc.Update(now, cell.Targets, cell.Floor)
 	})
 	c.prober.SetTargets(probeTargets(p, cell.Targets))
 }
 
+// cellPolicy returns the policy of each cell of a pool: the pool's retries beyond the percentage are divided.
+func cellPolicy(p *table.Pool) table.Policy {
+	policy := p.Policy
+	policy.RetryBurst /= table.CellCount(p)
+	return policy
+}
+
 // probeTargets returns what the prober polls; nothing if the pool is gone. Load endpoints are not polled:
 // they lag, and the owner of a cell knows the requests in flight exactly.
 func probeTargets(p *table.Pool, targets []table.Target) []target.ProbeTarget {
--- a/entry/config.go
+++ b/entry/config.go
@@ -24,13 +24,16 @@
 	cells []fleet.CellKey
 	// fromPeer says that another entry had the pair first.
 	fromPeer bool
-	// oneOwner says that the group's targets are few enough for one entry to own them all.
-	oneOwner bool
-	since    time.Time
+	// shards are the failure domains of the cells with each index, if these have the same owner in all pools; the
+	// only one is empty if the targets are few enough for one entry to own them all.
+	shards []table.FailureDomain
+	// sizes has the number of targets in each cell of the pools of this entry's group.
+	sizes map[table.PoolName][]int
+	since time.Time
 }
 
 func newInForce(pair *table.Pair, self fleet.EntryID, since time.Time) *inForce {
-	f := &inForce{pair: pair, router: table.NewRouter(pair), since: since}
+	f := &inForce{pair: pair, router: table.NewRouter(pair), since: since, sizes: make(map[table.PoolName][]int)}
 	groups := pair.Pools.FleetGroups
 	group := table.EntryGroup(self, groups)
 	for i := range pair.Pools.Pools {
@@ -41,11 +44,17 @@
 	targets := 0
 	for _, p := range f.own {
 		targets += len(p.Targets)
+		f.sizes[p.Name] = cellSizes(p)
 		for index := range table.CellCount(p) {
 			f.cells = append(f.cells, fleet.CellKey{Pool: p.Name, Index: index})
 		}
 	}
-	f.oneOwner = targets <= maxOneOwner
+	switch {
+	case targets <= maxOneOwner:
+		f.shards = []table.FailureDomain{""}
+	case len(f.own) > 0:
+		f.shards = f.own[0].CellDomains
+	}
 	f.routes = make(map[table.RouteName]*table.Route, len(pair.Routes.Routes))
 	for i := range pair.Routes.Routes {
 		f.routes[pair.Routes.Routes[i].Name] = &pair.Routes.Routes[i]
@@ -53,6 +62,15 @@
 	return f
 }
 
+// cellSizes returns the number of targets in each cell of a pool.
+func cellSizes(p *table.Pool) []int {
+	sizes := make([]int, table.CellCount(p))
+	for _, c := range table.Cells(p) {
+		sizes[c.Index] = len(c.Targets)
+	}
+	return sizes
+}
+
 // maxOneOwner is how many targets of several pools one entry owns. Up to a cell's size their requests are no
 // more than those of one cell, and callers reach every pool of a host without a hop.
 const maxOneOwner = table.DefaultCellSize
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -155,7 +155,7 @@
 	s := &e.Settings
 	m := &fleet.Membership{
 		ID: s.ID, Incarnation: incarnation, FailureDomain: s.FailureDomain,
-		PeerAddress: s.PeerAddress, CallerAddress: s.CallerAddress,
+		PeerAddress: s.PeerAddress, CallerAddress: s.CallerAddress, Capacity: s.VM.Class(),
 		Times: fleet.Times{
 			Heartbeat: settings.Millis(s.HeartbeatMs), Slow: settings.Millis(s.SlowHeartbeatMs), Suspect: settings.Millis(s.SuspectMs),
 			Gone: settings.Millis(s.GoneMs), Handover: settings.Millis(s.HandoverMs), Tick: tickEvery,
@@ -177,7 +177,7 @@
 	e.fleet.update(e.sinceStart(), func(m *fleet.Membership) {
 		m.SetAccepted(e.sinceStart(), f.pair.Revision, f.pair.Digest, f.fromPeer)
 		m.Groups = f.pair.Pools.FleetGroups
-		m.OneOwner = f.oneOwner
+		m.Shards = f.shards
 	})
 }
 
@@ -209,7 +209,7 @@
 		e.fleet.membership.SetPoison(poison)
 		e.fleet.mu.Unlock()
 	}
-	e.source.SetActive(v.IsReader(e.Settings.ReadersPerDomain) || !v.ReaderHeard)
+	e.source.SetActive(e.mayRead(v))
 	var out []fleet.Outgoing
 	e.fleet.update(e.sinceStart(), func(m *fleet.Membership) {
 		m.SetReader(e.platformWorking())
--- a/entry/join.go
+++ b/entry/join.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/bilberrywood/bilberrywood/configuration"
@@ -113,5 +114,24 @@
 	return s.Active && time.Since(s.LastAnswer) < settings.Millis(e.Settings.ReaderFreshMs)
 }
 
+// seedsLead is how long after its start an entry that is no seed leaves reading to the others. When all start
+// together the seeds read the tables within a few calls, and peers get them with their first heartbeats.
+const seedsLead = 800 * time.Millisecond
+
+// mayRead says whether this entry reads the tables from where operators publish them: as one of the readers, or
+// because it knows of none.
+func (e *Entry) mayRead(v *fleet.View) bool {
+	if e.config.current() == nil && e.sinceStart() < seedsLead && e.seedsOthers() {
+		return false
+	}
+	return v.IsReader(e.Settings.ReadersPerDomain) || !v.ReaderHeard
+}
+
+// seedsOthers says that the settings name seeds, and that this entry is none of them.
+func (e *Entry) seedsOthers() bool {
+	named := slices.ContainsFunc(e.Settings.Seeds, func(s settings.Seed) bool { return s.ID == e.Settings.ID })
+	return len(e.Settings.Seeds) > 0 && !named
+}
+
 // OtherReader says whether another entry has read the tables from where operators publish them lately.
 func (e *Entry) OtherReader() bool { return e.fleet.view().OtherReader }
--- a/entry/locate.go
+++ b/entry/locate.go
@@ -18,13 +18,18 @@
 	ValidFor time.Duration
 }
 
-// Locate returns where callers of a host connect: to the owners of the pools that its requests go to. ok is
-// false while this entry knows no serving entry.
+// Locate returns where callers of a host in a failure domain connect: to the owners of the pools that its requests go
+// to, of the cells in that failure domain if there are any. ok is false while this entry knows no serving entry.
 func (e *Entry) Locate(host, failureDomain string) (l Location, ok bool) {
 	l.ValidFor = settings.Millis(e.Settings.AnswerValidMs)
 	view := e.fleet.view()
-	for _, key := range e.hostCells(host) {
-		owner, found := view.Owner(key)
+	cells := e.hostCells(host)
+	near := cells.in(table.FailureDomain(failureDomain))
+	if len(near) == 0 {
+		near = cells
+	}
+	for _, c := range near {
+		owner, found := view.Owner(c.key)
 		if found && !slices.Contains(l.Addresses, owner.CallerAddress) {
 			l.Addresses = append(l.Addresses, owner.CallerAddress)
 		}
@@ -32,19 +37,53 @@
 	return l, len(l.Addresses) > 0
 }
 
-// hostCells returns a cell of each pool that requests for a host may go to; of an unknown host, or while no
-// tables are in force, a cell that every entry ranks alike.
-func (e *Entry) hostCells(host string) []fleet.CellKey {
-	var keys []fleet.CellKey
+// locatedCell is a cell with its failure domain, which is empty if it has none.
+type locatedCell struct {
+	key    fleet.CellKey
+	domain table.FailureDomain
+}
+
+type locatedCells []locatedCell
+
+// in returns the cells of a failure domain.
+func (l locatedCells) in(d table.FailureDomain) locatedCells {
+	var cells locatedCells
+	for _, c := range l {
+		if c.domain == d {
+			cells = append(cells, c)
+		}
+	}
+	return cells
+}
+
+// hostCells returns the cells with targets of each pool that requests for a host may go to; of an unknown host, or
+// while no tables are in force, a cell that every entry ranks alike.
+func (e *Entry) hostCells(host string) locatedCells {
+	var cells locatedCells
 	if force := e.config.current(); force != nil {
 		for _, name := range force.router.HostPools(host) {
-			keys = append(keys, e.pickCell(force, name))
+			cells = append(cells, e.poolCells(force, name)...)
 		}
 	}
-	if len(keys) == 0 {
-		keys = []fleet.CellKey{{Pool: table.PoolName(host)}}
+	if len(cells) == 0 {
+		cells = locatedCells{{key: fleet.CellKey{Pool: table.PoolName(host)}}}
+	}
+	return cells
+}
+
+// poolCells returns the cells of a pool with their failure domains, or one cell where these don't matter.
+func (e *Entry) poolCells(force *inForce, name table.PoolName) locatedCells {
+	p := force.router.Pool(name)
+	if p == nil || len(p.CellDomains) == 0 {
+		return locatedCells{{key: e.pickCell(force, name)}}
+	}
+	var cells locatedCells
+	for i, n := range force.sizes[name] {
+		if n > 0 {
+			cells = append(cells, locatedCell{fleet.CellKey{Pool: name, Index: i}, p.CellDomains[i]})
+		}
 	}
-	return keys
+	return cells
 }
 
 // Ready says that the entry serves callers: tables are in force and it is not leaving.
--- a/entry/members.go
+++ b/entry/members.go
@@ -38,6 +38,10 @@
 	for _, m := range v.Members {
 		was, known := e.links[m.ID]
 		e.links[m.ID] = m.Link
+		if !m.Prominent && !v.SelfProminent() {
+			// In a star most links between other entries are silent, and nothing depends on them.
+			continue
+		}
 		if known && was != fleet.LinkSilent && m.Link == fleet.LinkSilent {
 			e.Log.Info().Str("event", "peerLost").Str("peer", string(m.ID)).Msg("peer fell silent")
 		}
@@ -56,16 +60,59 @@
 // owner returns the entry that owns a cell in this entry's view.
 func (e *Entry) owner(key fleet.CellKey) (fleet.Member, bool) { return e.fleet.view().Owner(key) }
 
-// pickCell chooses the cell of a pool that runs a request: at random in proportion to the number
-// of targets, so that the load on targets is even.
+// pickCell chooses the cell of a pool that runs a request. Where cells belong to failure domains it is one that this
+// entry owns, which spares a hop, else one of this entry's failure domain; of several cells, or of all where they
+// have no failure domain, one at random in proportion to the number of targets, so that the load on targets is even.
 func (e *Entry) pickCell(force *inForce, name table.PoolName) fleet.CellKey {
+	key := fleet.CellKey{Pool: name}
 	p := force.router.Pool(name)
-	if p == nil || len(p.Targets) == 0 {
-		return fleet.CellKey{Pool: name}
+	if p == nil || table.CellCount(p) < 2 {
+		return key
+	}
+	sizes, own := force.sizes[name]
+	if !own {
+		if len(p.Targets) > 0 {
+			key.Index = table.CellOf(p, p.Targets[e.intN(len(p.Targets))])
+		}
+		return key
+	}
+	if len(p.CellDomains) == 0 {
+		key.Index = max(0, e.pickIndex(sizes, func(int) bool { return true }))
+		return key
 	}
-	if table.CellCount(p) == 1 {
-		return fleet.CellKey{Pool: name}
+	v := e.fleet.view()
+	for _, allowed := range []func(int) bool{
+		func(i int) bool { return v.Owns(fleet.CellKey{Pool: name, Index: i}) },
+		func(i int) bool { return p.CellDomains[i] == e.Settings.FailureDomain },
+		func(int) bool { return true },
+	} {
+		if key.Index = e.pickIndex(sizes, allowed); key.Index >= 0 {
+			return key
+		}
+	}
+	key.Index = 0
+	return key
+}
+
+// pickIndex chooses a cell that is allowed, at random in proportion to its size; -1 if none has targets.
+func (e *Entry) pickIndex(sizes []int, allowed func(int) bool) int {
+	sum := 0
+	for i, n := range sizes {
+		if n > 0 && allowed(i) {
+			sum += n
+		}
+	}
+	if sum == 0 {
+		return -1
+	}
+	at := e.intN(sum)
+	for i, n := range sizes {
+		if n == 0 || !allowed(i) {
+			continue
+		}
+		if at -= n; at < 0 {
+			return i
+		}
 	}
-	t := p.Targets[e.intN(len(p.Targets))]
-	return fleet.CellKey{Pool: name, Index: table.CellOf(p, t.ID)}
+	return -1
 }
--- a/fleet/membership.go
+++ b/fleet/membership.go
@@ -81,8 +81,12 @@
 	// Groups is the number of groups of the fleet; 0 means 1. Entries of other groups get no
 	// heartbeats and own no cells of this group.
 	Groups int
-	// OneOwner gives all cells the same owner, so that one entry holds the evidence of all targets.
-	OneOwner bool
+	// Capacity is the class of this entry's VM: each class has twice the capacity of the one below. Entries of the
+	// highest class own the cells.
+	Capacity Capacity
+	// Shards, if it is set, gives the cells with one index the same owner in all pools, and each index a failure
+	// domain whose entries come first. With one shard one entry holds the evidence of all targets.
+	Shards []table.FailureDomain
 	// Random spreads heartbeats over time. It must be set.
 	Random *rand.Rand
 
@@ -218,6 +222,10 @@
 // settleTime is how long after its start an entry calls silent peers often.
 const settleTime = 5 * time.Second
 
+// toldProminentFor is how long an entry calls a silent peer that others introduced as prominent. Introductions are
+// repeated while these hear it.
+const toldProminentFor = 2 * time.Second
+
 // star says that only prominent entries have links with all others, so that the cost of a group grows with its
 // size and not with the square of it.
 func (m *Membership) star() bool { return m.Times.Slow > m.Times.Heartbeat }
@@ -225,7 +233,7 @@
 // anchored says that a prominent peer and this entry hear each other.
 func (m *Membership) anchored() bool {
 	for _, p := range m.peers {
-		if p.prominent && p.link == LinkTwoWay {
+		if p.Prominent && p.link == LinkTwoWay {
 			return true
 		}
 	}
@@ -240,15 +248,18 @@
 		return m.Times.Heartbeat
 	case p.link == LinkSilent && settled && m.prominent:
 		return m.Times.Slow
+	case p.link == LinkSilent && now-p.toldProminentAt <= toldProminentFor:
+		// Others hear it, so that it may own cells; it need not know of this entry.
+		return m.Times.Heartbeat
 	case p.link == LinkSilent && settled && anchored:
 		// A prominent peer that is cut off calls again itself, and one that is no longer prominent need not
 		// be called.
 		return 0
-	case m.prominent, p.prominent && p.link != LinkTwoWay, !anchored:
+	case m.prominent, p.Prominent && p.link != LinkTwoWay, !anchored:
 		return m.Times.Heartbeat
 	case m.state == StateLeaving && p.link != LinkSilent:
 		return m.Times.Heartbeat
-	case p.prominent:
+	case p.Prominent:
 		return m.Times.Slow
 	}
 	return 0
--- a/fleet/peer.go
+++ b/fleet/peer.go
@@ -5,6 +5,11 @@
 	"time"
 )
 
+// rankable returns what the peer is ranked by.
+func (p *peer) rankable() rankable {
+	return rankable{hash: p.hash, capacity: p.Capacity, domain: p.FailureDomain}
+}
+
 // never lies before every time that is passed in; it is small enough that differences don't overflow.
 const never = -100 * 365 * 24 * time.Hour
 
@@ -43,10 +48,10 @@
 	poison []uint64
 	reader bool
 	left   bool
-	// prominent is what the peer says of itself.
-	prominent bool
 	// sentAt is when a heartbeat was last sent to the peer.
 	sentAt time.Duration
+	// toldProminentAt is when a peer last introduced this one as prominent.
+	toldProminentAt time.Duration
 	// told is the period that this heartbeat promised.
 	told time.Duration
 	// promised is the longest time until the peer's next heartbeat, as it said itself.
@@ -69,18 +74,19 @@
 
 func newPeer(now time.Duration, id EntryID) *peer {
 	return &peer{
-		Member:        Member{ID: id},
-		name:          nameKeyOf(id),
-		hash:          hashOf(string(id)),
-		addedAt:       now,
-		unlistedAt:    now,
-		firstHeard:    now,
-		heardAt:       never,
-		sentAt:        never,
-		reportAt:      never,
-		reportedAt:    never,
-		servingUntil:  never,
-		eligibleUntil: never,
+		Member:          Member{ID: id},
+		name:            nameKeyOf(id),
+		hash:            hashOf(string(id)),
+		addedAt:         now,
+		unlistedAt:      now,
+		firstHeard:      now,
+		heardAt:         never,
+		sentAt:          never,
+		toldProminentAt: never,
+		reportAt:        never,
+		reportedAt:      never,
+		servingUntil:    never,
+		eligibleUntil:   never,
 	}
 }
 
--- a/fleet/receive.go
+++ b/fleet/receive.go
@@ -21,13 +21,14 @@
 	p.AcceptedRevision, p.Digest = h.AcceptedRevision, h.Digest
 	p.Epoch = h.Epoch
 	p.reader = h.Reader
-	p.prominent = h.Prominent
+	p.Prominent = h.Prominent
 	p.poison = h.Poison
 	p.digest = h.Links
 	p.promised = time.Duration(h.NextMs) * time.Millisecond
 	p.takeClaims(now, h)
 	if h.Full {
 		p.FailureDomain, p.PeerAddress, p.CallerAddress = h.FailureDomain, h.PeerAddress, h.CallerAddress
+		p.Capacity = min(h.Capacity, MaxCapacity)
 		m.introduce(now, h.Introduced)
 	}
 	m.takeLinks(now, p, h)
@@ -130,8 +131,15 @@
 // introduce adds entries that a peer tells of, so that they get heartbeats.
 func (m *Membership) introduce(now time.Duration, list []Introduction) {
 	for _, i := range list {
-		if p := m.row(now, i.ID); p != nil && p.PeerAddress == "" {
+		p := m.row(now, i.ID)
+		if p == nil {
+			continue
+		}
+		if p.PeerAddress == "" {
 			p.PeerAddress = i.PeerAddress
 		}
+		if i.Prominent {
+			p.toldProminentAt = now
+		}
 	}
 }
--- a/fleet/rendezvous.go
+++ b/fleet/rendezvous.go
@@ -27,6 +27,42 @@
 	return xxhash.Sum64(b[:])
 }
 
+// rankKey is what the owners of a cell are ranked by.
+type rankKey struct {
+	hash hash64
+	// domain is the failure domain whose entries come first; empty if none does.
+	domain table.FailureDomain
+}
+
+// rankable is what an entry's rank follows from.
+type rankable struct {
+	hash     hash64
+	capacity Capacity
+	domain   table.FailureDomain
+}
+
+// Places of the parts of a rank: the capacity counts most, then the failure domain, then the rendezvous weight.
+const (
+	capacityShift = 60
+	domainBit     = 1 << 59
+	weightShift   = 5
+)
+
+// rank orders entries for a cell; the entry with the highest rank owns it. Entries with equal capacity in one
+// failure domain are ordered by rendezvous hashing.
+func (k rankKey) rank(r rankable) uint64 {
+	rank := uint64(r.capacity)<<capacityShift | weight(r.hash, k.hash)>>weightShift
+	if k.domain != "" && k.domain == r.domain {
+		rank |= domainBit
+	}
+	return rank
+}
+
+// shardKey ranks the owners of the cells of a shard.
+func shardKey(index int, domain table.FailureDomain) rankKey {
+	return rankKey{hash: CellKey{Index: index}.hash(), domain: domain}
+}
+
 // GroupOfEntry returns the group of an entry, from 0 to groups-1. It depends on the name only.
 func GroupOfEntry(id EntryID, groups int) int {
 	return table.EntryGroup(id, groups)
--- a/fleet/send.go
+++ b/fleet/send.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/bilberrywood/bilberrywood/table"
 )
 
 const (
@@ -25,7 +27,7 @@
 	keys := make(KeySet, 0, len(m.peers)+1)
 	keys = append(keys, m.key)
 	for _, p := range m.peers {
-		if m.linkOf(now, p) == LinkTwoWay && (p.prominent || !m.star()) {
+		if m.linkOf(now, p) == LinkTwoWay && (p.Prominent || !m.star()) {
 			keys = append(keys, p.name.with(p.Incarnation))
 		}
 	}
@@ -67,9 +69,12 @@
 	full := brief
 	full.Full = true
 	full.FailureDomain, full.PeerAddress, full.CallerAddress = m.FailureDomain, m.PeerAddress, m.CallerAddress
+	full.Capacity = m.Capacity
 	full.Heard = slices.Clone(set.keys)
 	many := m.nextIntroductions(now, m.introductions(), nil)
-	one := m.nextIntroductions(now, 1, m.candidates(now))
+	candidates := m.candidates(now)
+	few := m.nextIntroductions(now, m.introductions(), candidates)
+	one := m.nextIntroductions(now, 1, candidates)
 	anchored := m.anchored()
 	out := make([]Outgoing, 0, len(m.peers))
 	for _, p := range m.peers {
@@ -87,8 +92,11 @@
 		p.sentAt, p.told = now, period
 		h := full
 		h.Introduced = many
-		if m.star() && p.link == LinkTwoWay && !p.prominent {
-			h.Introduced = one
+		if m.star() && !slices.Contains(candidates, p) {
+			h.Introduced = few
+			if now-p.firstHeard >= settleTime {
+				h.Introduced = one
+			}
 		}
 		if p.link == LinkTwoWay && p.digest == set.digest {
 			h = brief
@@ -187,7 +195,7 @@
 }
 
 // maxIntroductions is the most peers that one heartbeat introduces, and introducedCandidates how many of those that
-// may own cells next are introduced to entries that don't beat to all others.
+// may own the cells of a shard next are introduced to entries that don't beat to all others.
 const (
 	maxIntroductions     = 6
 	introducedCandidates = 8
@@ -214,23 +222,35 @@
 	var out []Introduction
 	for i := range min(n, len(peers)) {
 		p := peers[(int(m.sequence)*n+i)%len(peers)]
-		out = append(out, Introduction{ID: p.ID, PeerAddress: p.PeerAddress})
+		out = append(out, Introduction{ID: p.ID, PeerAddress: p.PeerAddress, Prominent: p.Prominent})
 	}
 	return out
 }
 
-// candidates are the peers that rank highest for the cells when all have the same owner; nil otherwise.
+// candidates are the peers of a star that rank highest for the cells. While the shards are not known, those of a
+// single one stand for them. It is nil in a mesh, and where cells have owners of their own.
 func (m *Membership) candidates(now time.Duration) []*peer {
-	if !m.OneOwner || !m.star() {
+	if !m.star() {
 		return nil
 	}
-	key := CellKey{}.hash()
-	var heard []*peer
+	shards := m.Shards
+	if len(shards) == 0 {
+		shards = []table.FailureDomain{""}
+	}
+	var heard, candidates []*peer
 	for _, p := range m.peers {
 		if m.linkOf(now, p) == LinkTwoWay {
 			heard = append(heard, p)
 		}
 	}
-	slices.SortFunc(heard, func(a, b *peer) int { return cmp.Compare(weight(b.hash, key), weight(a.hash, key)) })
-	return heard[:min(introducedCandidates, len(heard))]
+	for i, domain := range shards {
+		key := shardKey(i, domain)
+		slices.SortFunc(heard, func(a, b *peer) int { return cmp.Compare(key.rank(b.rankable()), key.rank(a.rankable())) })
+		for _, p := range heard[:min(introducedCandidates, len(heard))] {
+			if !slices.Contains(candidates, p) {
+				candidates = append(candidates, p)
+			}
+		}
+	}
+	return candidates
 }
--- a/fleet/standing.go
+++ b/fleet/standing.go
@@ -124,13 +124,13 @@
 
 // heavierWithin reports whether a peer that ranks above this entry for the cell could own it less
 // than wait ago.
-func (v *View) heavierWithin(cell hash64, wait time.Duration, until func(*viewRow) time.Duration) bool {
-	own := weight(v.rows[v.self].hash, cell)
+func (v *View) heavierWithin(cell rankKey, wait time.Duration, until func(*viewRow) time.Duration) bool {
+	own := v.rank(v.self, cell)
 	for i := range v.rows {
 		if i == v.self || v.At-until(&v.rows[i]) > wait {
 			continue
 		}
-		if weight(v.rows[i].hash, cell) > own {
+		if v.rank(i, cell) > own {
 			return true
 		}
 	}
--- a/fleet/star_test.go
+++ b/fleet/star_test.go
@@ -23,11 +23,13 @@
 	members map[EntryID]*Membership
 	order   []EntryID
 	sent    int
+	// pairs are the members that ever sent to each other, each of which takes a handshake.
+	pairs   map[[2]EntryID]bool
 	stopped map[EntryID]bool
 }
 
 func newStar(size int) *star {
-	s := &star{now: time.Minute, members: make(map[EntryID]*Membership), stopped: make(map[EntryID]bool)}
+	s := &star{now: time.Minute, members: make(map[EntryID]*Membership), stopped: make(map[EntryID]bool), pairs: make(map[[2]EntryID]bool)}
 	var seeds []Seed
 	for i := range size {
 		id := EntryID(fmt.Sprintf("10.0.0.%d:8544", i))
@@ -37,7 +39,7 @@
 		s.order = append(s.order, id)
 		s.members[id] = &Membership{
 			ID: id, Incarnation: Incarnation(i + 1), PeerAddress: string(id), CallerAddress: string(id),
-			FailureDomain: table.FailureDomain(fmt.Sprint("d", i%3)), Times: starTimes, OneOwner: true,
+			FailureDomain: table.FailureDomain(fmt.Sprint("d", i%3)), Times: starTimes, Shards: []table.FailureDomain{""},
 			Random: rand.New(rand.NewPCG(uint64(i), 7)),
 		}
 	}
@@ -58,7 +60,11 @@
 			}
 			m := s.members[id]
 			m.SetProminent(s.now, m.View(s.now).Prominent([]CellKey{{}}))
-			out = append(out, m.Tick(s.now)...)
+			beats := m.Tick(s.now)
+			for _, o := range beats {
+				s.pairs[[2]EntryID{min(id, o.ID), max(id, o.ID)}] = true
+			}
+			out = append(out, beats...)
 		}
 		s.sent += len(out)
 		for _, o := range out {
@@ -70,13 +76,15 @@
 }
 
 // owners counts the running members that take each entry for the owner.
-func (s *star) owners() map[EntryID]int {
+func (s *star) owners() map[EntryID]int { return s.ownersOf(CellKey{Pool: "pas-serviss"}) }
+
+func (s *star) ownersOf(cell CellKey) map[EntryID]int {
 	owners := make(map[EntryID]int)
 	for id, m := range s.members {
 		if s.stopped[id] {
 			continue
 		}
-		if owner, ok := m.View(s.now).Owner(CellKey{Pool: "pas-serviss"}); ok {
+		if owner, ok := m.View(s.now).Owner(cell); ok {
 			owners[owner.ID]++
 		}
 	}
@@ -125,3 +133,57 @@
 		})
 	}
 }
+
+// newSharded is a star of which two members in each of three failure domains have large VMs, with a shard for each
+// domain.
+func newSharded(size int) *star {
+	s := newStar(size)
+	for i, id := range s.order {
+		m := s.members[id]
+		m.Shards = []table.FailureDomain{"d0", "d1", "d2"}
+		if i >= size/2 && i < size/2+6 {
+			m.Capacity = 3
+		}
+	}
+	return s
+}
+
+// Guards against cells on VMs that are too small for them, or in another failure domain than their targets, and
+// against a start in which everybody greets everybody: each pair takes a handshake.
+func TestShardsHaveLargeOwnersNearby(t *testing.T) {
+	is := is.New(t)
+	const size = 126
+	s := newSharded(size)
+	s.run(10 * time.Second)
+	for index, domain := range []table.FailureDomain{"d0", "d1", "d2"} {
+		owners := s.ownersOf(CellKey{Pool: "pas-serviss", Index: index})
+		is.Equal(len(owners), 1)
+		for id := range owners {
+			is.Equal(s.members[id].Capacity, Capacity(3))
+			is.Equal(s.members[id].FailureDomain, domain)
+		}
+		is.Equal(owners, s.ownersOf(CellKey{Pool: "kat-serviss", Index: index}))
+	}
+	t.Logf("%.1f peers an entry", 2*float64(len(s.pairs))/size)
+	// Everybody knows three seeds, six large members, and up to eight candidates of each of three shards.
+	is.True(len(s.pairs) < size*(3+6+8*3))
+}
+
+// Guards against shards without an owner after all large VMs are lost at once.
+func TestShardsOutliveLargeVMs(t *testing.T) {
+	is := is.New(t)
+	s := newSharded(126)
+	s.run(15 * time.Second)
+	for _, id := range s.order {
+		s.stopped[id] = s.members[id].Capacity > 0
+	}
+	s.run(10 * time.Second)
+	for index := range 3 {
+		owners := s.ownersOf(CellKey{Pool: "pas-serviss", Index: index})
+		t.Log(owners)
+		is.Equal(len(owners), 1)
+		for id := range owners {
+			is.True(!s.stopped[id])
+		}
+	}
+}
--- a/fleet/types.go
+++ b/fleet/types.go
@@ -16,6 +16,8 @@
 	LinkState uint8
 	// Standing says how sure an owner may be that no other entry serves its cell.
 	Standing uint8
+	// Capacity is the class of a VM, 0 to MaxCapacity: each class has twice the capacity of the one below.
+	Capacity uint8
 )
 
 // States of an entry.
@@ -45,6 +47,9 @@
 	Sole
 )
 
+// MaxCapacity is the highest class of a VM.
+const MaxCapacity Capacity = 15
+
 // CellKey names a cell: a part of a pool that one entry owns.
 type CellKey struct {
 	Pool  table.PoolName `json:"pool"`
@@ -61,6 +66,9 @@
 	CallerAddress string    `json:"callerAddress"`
 	State         State     `json:"state"`
 	Link          LinkState `json:"link"`
+	Capacity      Capacity  `json:"capacity"`
+	// Prominent says that the entry owns a cell or is next to do so.
+	Prominent bool `json:"prominent"`
 	// Live says that the entry can be reached directly or through Via.
 	Live bool `json:"live"`
 	// Via is the peer that relays when the direct link is not two-way; empty means direct.
@@ -93,9 +101,11 @@
 	FailureDomain table.FailureDomain `cbor:"5,keyasint,omitempty"`
 	PeerAddress   string              `cbor:"6,keyasint,omitempty"`
 	CallerAddress string              `cbor:"7,keyasint,omitempty"`
+	// Capacity is the class of the sender's VM; it is set in the full form.
+	Capacity Capacity `cbor:"26,keyasint,omitempty"`
 	// Links is the digest of the sender and all peers that it has a two-way link with.
 	Links uint64 `cbor:"8,keyasint"`
-	// Full says that You, Heard, FailureDomain and the addresses are set.
+	// Full says that You, Heard, FailureDomain, Capacity and the addresses are set.
 	Full bool `cbor:"9,keyasint,omitempty"`
 	// You is the receiver's incarnation if the sender heard it lately, else zero.
 	You Incarnation `cbor:"10,keyasint,omitempty"`
@@ -134,6 +144,8 @@
 type Introduction struct {
 	ID          EntryID `cbor:"1,keyasint"`
 	PeerAddress string  `cbor:"2,keyasint"`
+	// Prominent says that the sender hears from the entry that it owns a cell or is next to do so.
+	Prominent bool `cbor:"3,keyasint,omitempty"`
 }
 
 // ListRow is one line of the platform's fleet list. The list lags, so it is only a hint about whom
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -29,17 +29,15 @@
 	// Poison is the union of the fingerprints that peers reported lately, sorted.
 	Poison []uint64
 
-	oneOwner bool
+	shards   []table.FailureDomain
 	star     bool
-	// prominent is what this entry last said of itself.
-	prominent bool
-	times     Times
-	rows      []viewRow // one for each of Members
-	self      int
-	mayOwn    bool // this entry may own cells at all
-	maySole   bool // all conditions of sole hold that don't depend on the cell
-	mayEject  bool
-	faults    faults
+	times    Times
+	rows     []viewRow // one for each of Members
+	self     int
+	mayOwn   bool // this entry may own cells at all
+	maySole  bool // all conditions of sole hold that don't depend on the cell
+	mayEject bool
+	faults   faults
 }
 
 // viewRow is what the view keeps of a member besides the public part.
@@ -66,9 +64,8 @@
 		Members:         make([]Member, 0, len(m.peers)+1),
 		rows:            make([]viewRow, 0, len(m.peers)+1),
 		times:           m.Times,
-		oneOwner:        m.OneOwner,
+		shards:          m.Shards,
 		star:            m.star(),
-		prominent:       m.prominent,
 		faults:          m.faults,
 		mayOwn:          m.state == StateServing && !m.listLeave,
 	}
@@ -108,6 +105,8 @@
 		State:            m.state,
 		Link:             LinkTwoWay,
 		Live:             true,
+		Capacity:         m.Capacity,
+		Prominent:        m.prominent,
 		AcceptedRevision: m.accepted,
 		Epoch:            m.epoch,
 		Digest:           m.digest,
@@ -162,12 +161,24 @@
 	return v.Members[i], true
 }
 
-// rankKey is what the owners of a cell are ranked by.
-func (v *View) rankKey(c CellKey) hash64 {
-	if v.oneOwner {
-		return CellKey{}.hash()
+// SelfProminent says that this entry owns a cell or is next to do so, as it last said itself.
+func (v *View) SelfProminent() bool { return v.Members[v.self].Prominent }
+
+// rankKey returns what the owners of a cell are ranked by.
+func (v *View) rankKey(c CellKey) rankKey {
+	switch {
+	case len(v.shards) == 0:
+		return rankKey{hash: c.hash()}
+	case c.Index < len(v.shards):
+		return shardKey(c.Index, v.shards[c.Index])
 	}
-	return c.hash()
+	// The cell is of tables that this entry does not have yet.
+	return shardKey(c.Index, "")
+}
+
+// rank returns the rank of a member for a cell.
+func (v *View) rank(i int, cell rankKey) uint64 {
+	return cell.rank(rankable{hash: v.rows[i].hash, capacity: v.Members[i].Capacity, domain: v.Members[i].FailureDomain})
 }
 
 // Owner returns the owner of a cell, and false if no entry can own it.
@@ -179,14 +190,17 @@
 	return v.Members[i], true
 }
 
-func (v *View) owner(cell hash64) int {
-	best, bestWeight := -1, uint64(0)
+// Owns says that this entry owns the cell.
+func (v *View) Owns(c CellKey) bool { return v.owner(v.rankKey(c)) == v.self }
+
+func (v *View) owner(cell rankKey) int {
+	best, bestRank := -1, uint64(0)
 	for i := range v.rows {
 		if !v.rows[i].eligible {
 			continue
 		}
-		if w := weight(v.rows[i].hash, cell); best < 0 || w > bestWeight {
-			best, bestWeight = i, w
+		if r := v.rank(i, cell); best < 0 || r > bestRank {
+			best, bestRank = i, r
 		}
 	}
 	return best
@@ -198,47 +212,51 @@
 
 // Prominent says that this entry owns one of the cells or is next to do so.
 func (v *View) Prominent(cells []CellKey) bool {
-	for _, c := range cells {
-		cell := v.rankKey(c)
-		own := weight(v.rows[v.self].hash, cell)
-		above := 0
-		for i := range v.rows {
-			if i != v.self && v.rows[i].eligible && weight(v.rows[i].hash, cell) > own {
-				above++
-			}
-		}
-		if above < prominentRank {
+	if len(v.shards) == 0 {
+		return slices.ContainsFunc(cells, func(c CellKey) bool { return v.amongFirst(v.rankKey(c)) })
+	}
+	for i, domain := range v.shards {
+		if v.amongFirst(shardKey(i, domain)) {
 			return true
 		}
-		if v.oneOwner {
-			return false
-		}
 	}
 	return false
 }
 
+// amongFirst says that fewer than prominentRank members that may own the cell rank above this entry.
+func (v *View) amongFirst(cell rankKey) bool {
+	own := v.rank(v.self, cell)
+	above := 0
+	for i := range v.rows {
+		if i != v.self && v.rows[i].eligible && v.rank(i, cell) > own {
+			above++
+		}
+	}
+	return above < prominentRank
+}
+
 // Rank returns all members that can own the cell, the owner first.
 func (v *View) Rank(c CellKey) []Member {
 	cell := v.rankKey(c)
 	return v.ranked(cell, func(i int) bool { return v.rows[i].eligible })
 }
 
-func (v *View) ranked(key hash64, take func(i int) bool) []Member {
+func (v *View) ranked(key rankKey, take func(i int) bool) []Member {
 	type entry struct {
-		at     int
-		weight uint64
+		at   int
+		rank uint64
 	}
 	order := make([]entry, 0, len(v.rows))
 	for i := range v.rows {
 		if take(i) {
-			order = append(order, entry{i, weight(v.rows[i].hash, key)})
+			order = append(order, entry{i, v.rank(i, key)})
 		}
 	}
 	slices.SortFunc(order, func(a, b entry) int {
 		switch {
-		case a.weight > b.weight:
+		case a.rank > b.rank:
 			return -1
-		case a.weight < b.weight:
+		case a.rank < b.rank:
 			return 1
 		}
 		return a.at - b.at
@@ -261,7 +279,7 @@
 
 // Readers returns the n live members of a failure domain that read the platform.
 func (v *View) Readers(d table.FailureDomain, n int) []Member {
-	r := v.ranked(hashOf("readers\x00"+string(d)), func(i int) bool {
+	r := v.ranked(rankKey{hash: hashOf("readers\x00" + string(d))}, func(i int) bool {
 		m := v.Members[i]
 		return m.FailureDomain == d && m.Live && m.State != StateLeaving
 	})
@@ -269,10 +287,13 @@
 }
 
 // IsReader says whether this entry is one of the n readers of its failure domain. In a star, where entries don't
-// hear all others of their domain, the prominent ones read.
+// hear all others of their domain, those read that own the cells of the first shard or are next to do so.
 func (v *View) IsReader(n int) bool {
-	if v.star {
-		return v.prominent
+	switch {
+	case v.star && len(v.shards) > 0:
+		return v.amongFirst(shardKey(0, v.shards[0]))
+	case v.star:
+		return v.SelfProminent()
 	}
 	self := v.Members[v.self]
 	return slices.ContainsFunc(v.Readers(self.FailureDomain, n), func(m Member) bool { return m.ID == v.Self })
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -32,6 +32,8 @@
 	ReadyAddress     string `json:"readyAddress,omitempty"`
 	// Node is the name of the VM for logs; empty means the id.
 	Node string `json:"node,omitempty"`
+	// VM is the size of the VM; entries on large VMs own the cells.
+	VM VM `json:"vm,omitzero"`
 	// PoolDefaults apply to pools whose operators publish no policy.
 	PoolDefaults PoolDefaults `json:"poolDefaults,omitzero"`
 	// SourceGoneMs is how long a target that is missing after the platform was away is kept: the time in
@@ -46,14 +48,17 @@
 	HeartbeatMs int64 `json:"heartbeatMs,omitempty"`
 	// SlowHeartbeatMs is the time between heartbeats of entries that own no cell and are not next to; 0
 	// means HeartbeatMs.
-	SlowHeartbeatMs  int64 `json:"slowHeartbeatMs,omitempty"`
-	SuspectMs        int64 `json:"suspectMs,omitempty"`
-	GoneMs           int64 `json:"goneMs,omitempty"`
-	HandoverMs       int64 `json:"handoverMs,omitempty"`
-	JoinWaitMs       int64 `json:"joinWaitMs,omitempty"`
-	AnswerValidMs    int64 `json:"answerValidMs,omitempty"`
-	StopLimitMs      int64 `json:"stopLimitMs,omitempty"`
-	ReadersPerDomain int   `json:"readersPerDomain,omitempty"`
+	SlowHeartbeatMs int64 `json:"slowHeartbeatMs,omitempty"`
+	SuspectMs       int64 `json:"suspectMs,omitempty"`
+	GoneMs          int64 `json:"goneMs,omitempty"`
+	HandoverMs      int64 `json:"handoverMs,omitempty"`
+	JoinWaitMs      int64 `json:"joinWaitMs,omitempty"`
+	AnswerValidMs   int64 `json:"answerValidMs,omitempty"`
+	StopLimitMs     int64 `json:"stopLimitMs,omitempty"`
+	// KillAfterSeconds is when a process that was told to stop is killed; if it is set, StopLimitMs becomes half a
+	// second less.
+	KillAfterSeconds float64 `json:"killAfterSeconds,omitempty"`
+	ReadersPerDomain int     `json:"readersPerDomain,omitempty"`
 	// ReaderFreshMs is how old the platform's last answer may be for an entry to count as a working reader;
 	// 10,000.
 	ReaderFreshMs  int64 `json:"readerFreshMs,omitempty"`
@@ -87,6 +92,8 @@
 	FloorPercent int `json:"floorPercent,omitempty"`
 	// RetryPercent is the most retries as a percentage of requests; 10.
 	RetryPercent float64 `json:"retryPercent,omitempty"`
+	// RetryLimit, if it is set, replaces RetryPercent and RetryBurst.
+	RetryLimit RetryLimit `json:"retryLimit,omitzero"`
 	// FalseEjectionEveryHours is the mean time between false ejections of a pool; 24.
 	FalseEjectionEveryHours float64 `json:"falseEjectionEveryHours,omitempty"`
 	// RetryBurst is how many retries beyond RetryPercent may come in any 10 s; 0 means a burst of five.
@@ -100,7 +107,25 @@
 	MaxBodyBytes int64 `json:"maxBodyBytes,omitempty"`
 }
 
+// RetryLimit is what the operators of the targets allow all entries together: in any 10 s at most Ratio times the
+// requests for a pool and Slack besides.
+type RetryLimit struct {
+	Ratio float64 `json:"ratio,omitempty"`
+	Slack int     `json:"slack,omitempty"`
+}
+
+// Parts of a retry limit that are used. The rest is for what the owner of a cell can't count: attempts of another
+// entry while a cell changes hands, and requests that reach a pool beside this fleet's window.
+const (
+	usedRetryRatio = 0.9
+	usedRetrySlack = 0.73
+)
+
 func (p *PoolDefaults) setDefaults() {
+	if p.RetryLimit != (RetryLimit{}) {
+		p.RetryPercent = p.RetryLimit.Ratio * usedRetryRatio * 100
+		p.RetryBurst = int(float64(p.RetryLimit.Slack) * usedRetrySlack)
+	}
 	orDefault(&p.FloorPercent, 70)
 	orDefault(&p.RetryPercent, 10)
 	orDefault(&p.FalseEjectionEveryHours, 24)
@@ -123,6 +148,9 @@
 	if p.RetryPercent < 0 || p.RetryPercent > 100 {
 		g.Add(errs.New("poolDefaults.retryPercent: %v is not between 0 and 100", p.RetryPercent))
 	}
+	if p.RetryLimit.Ratio < 0 || p.RetryLimit.Ratio > 1 || p.RetryLimit.Slack < 0 {
+		g.Add(errs.New("poolDefaults.retryLimit: need a ratio between 0 and 1 and a slack of at least 0"))
+	}
 	if p.FalseEjectionEveryHours < 1 {
 		g.Add(errs.New("poolDefaults.falseEjectionEveryHours: %v is below 1", p.FalseEjectionEveryHours))
 	}
@@ -138,11 +166,16 @@
 // Limits of settings, in milliseconds.
 const (
 	minHeartbeatMs = 50
-	maxDurationMs  = 24 * 60 * 60 * 1000
+	// killMarginMs is left between the end of a stop and the kill, for the last lines of the log.
+	killMarginMs  = 500
+	maxDurationMs = 24 * 60 * 60 * 1000
 )
 
 // SetDefaults fills in every optional setting that is zero.
 func (e *Entry) SetDefaults() {
+	if e.KillAfterSeconds > 0 {
+		e.StopLimitMs = max(minHeartbeatMs, int64(e.KillAfterSeconds*1000)-killMarginMs)
+	}
 	defaults := []struct {
 		field *int64
 		value int64
@@ -232,6 +265,7 @@
 	}
 	g.Add(e.TLS.check())
 	g.Add(e.PoolDefaults.check())
+	g.Add(e.VM.check())
 	if !slices.Contains(logLevels, e.LogLevel) {
 		g.Add(errs.New("logLevel: %q is not one of %v", e.LogLevel, logLevels))
 	}
--- a/table/cells.go
+++ b/table/cells.go
@@ -1,5 +1,10 @@
 package table
 
+import (
+	"maps"
+	"slices"
+)
+
 // Cell is a part of a pool that one entry owns.
 type Cell struct {
 	Pool  PoolName
@@ -12,8 +17,12 @@
 	QueueLimit int
 }
 
-// CellCount returns the number of cells of a pool: ceil(targets / cell size), at least 1.
+// CellCount returns the number of cells of a pool: one for each of its cell domains, or else
+// ceil(targets / cell size), at least 1.
 func CellCount(p *Pool) int {
+	if n := len(p.CellDomains); n > 0 {
+		return n
+	}
 	size := p.CellSize
 	if size <= 0 {
 		size = DefaultCellSize
@@ -22,9 +31,13 @@
 }
 
 // CellOf returns the index of the cell that holds a target of the pool. Rendezvous hashing moves only
-// 1 in n targets when the number of cells becomes n.
-func CellOf(p *Pool, id TargetID) int {
-	return rendezvous(hashNames(string(p.Name), string(id)), CellCount(p))
+// 1 in n targets when the number of cells becomes n. A target of a failure domain without a cell may be in any cell.
+func CellOf(p *Pool, t Target) int {
+	key := hashNames(string(p.Name), string(t.ID))
+	if !slices.Contains(p.CellDomains, t.FailureDomain) {
+		return rendezvous(key, CellCount(p))
+	}
+	return rendezvousAmong(key, len(p.CellDomains), func(i int) bool { return p.CellDomains[i] == t.FailureDomain })
 }
 
 // Cells partitions a pool's targets into its cells. Cells hold the pool's cell size on average.
@@ -34,7 +47,7 @@
 		cells[i] = Cell{Pool: p.Name, Index: i}
 	}
 	for _, t := range p.Targets {
-		c := &cells[CellOf(p, t.ID)]
+		c := &cells[CellOf(p, t)]
 		c.Targets = append(c.Targets, t)
 	}
 	for i := range cells {
@@ -45,6 +58,33 @@
 	return cells
 }
 
+// domainCellSize is how many targets of all pools the cells of one index hold at most on average: with 4 slots
+// and 0.35 s a request about 600 requests a second at the usual load, which take 0.3 of a core (docs/CAPACITY.md).
+const domainCellSize = 128
+
+// CellDomains divides the targets of several pools into cells by failure domain, for pools whose targets are too many
+// for one entry; nil if one entry owns them all.
+func CellDomains(pools map[PoolName][]Target) []FailureDomain {
+	counts := make(map[FailureDomain]int)
+	all := 0
+	for _, targets := range pools {
+		all += len(targets)
+		for _, t := range targets {
+			counts[t.FailureDomain]++
+		}
+	}
+	if all <= DefaultCellSize {
+		return nil
+	}
+	var domains []FailureDomain
+	for _, d := range slices.Sorted(maps.Keys(counts)) {
+		for range (counts[d] + domainCellSize - 1) / domainCellSize {
+			domains = append(domains, d)
+		}
+	}
+	return domains
+}
+
 // share returns total*part/whole, rounded up.
 func share(total, part, whole int) int {
 	if whole == 0 {
--- a/table/check.go
+++ b/table/check.go
@@ -15,6 +15,7 @@
 	maxSlots          = 1_000
 	maxConnections    = 100_000
 	maxCellSize       = 10_000
+	maxCellDomains    = 1_000
 	maxQueueLimit     = 1_000_000
 	maxFalseEjection  = 1_000_000
 	minSlowFactor     = 1.5
--- a/table/check_pools.go
+++ b/table/check_pools.go
@@ -33,6 +33,7 @@
 			p.MaxConnections, p.Slots)
 	}
 	checkRange(c, at, "cellSize", p.CellSize, 0, maxCellSize)
+	checkRange(c, at, "cellDomains", len(p.CellDomains), 0, maxCellDomains)
 	c.checkEndpoint(at, "probePath", p.ProbePath)
 	c.checkEndpoint(at, "loadPath", p.LoadPath)
 	c.checkPolicy(at, &p.Policy)
--- a/table/group.go
+++ b/table/group.go
@@ -18,8 +18,16 @@
 
 // rendezvous returns the bucket, 0 to n-1, with the highest weight for the key.
 func rendezvous(key uint64, n int) int {
+	return rendezvousAmong(key, n, func(int) bool { return true })
+}
+
+// rendezvousAmong returns the bucket with the highest weight for the key of those that are allowed; 0 if none is.
+func rendezvousAmong(key uint64, n int, allowed func(bucket int) bool) int {
 	best, bestWeight := 0, uint64(0)
 	for i := range n {
+		if !allowed(i) {
+			continue
+		}
 		// The multiplier is the golden ratio in 64 bits; it separates neighbouring buckets.
 		weight := mix(key ^ mix(uint64(i+1)*0x9e3779b97f4a7c15))
 		if weight > bestWeight {
--- a/table/roster.go
+++ b/table/roster.go
@@ -133,7 +133,9 @@
 func (r *Roster) Values() (map[string][]byte, error) {
 	pools := Pools{FleetGroups: 1, Pools: make([]Pool, len(r.definition.Pools))}
 	byPool := r.byPool()
+	domains := CellDomains(byPool)
 	for i, p := range r.definition.Pools {
+		p.CellDomains = domains
 		p.Targets = byPool[p.Name]
 		if p.Targets == nil {
 			p.Targets = []Target{}
--- a/table/rules_test.go
+++ b/table/rules_test.go
@@ -127,7 +127,7 @@
 				floor += c.Floor
 				for _, target := range c.Targets {
 					is.True(!seen[target.ID])
-					is.Equal(CellOf(p, target.ID), c.Index)
+					is.Equal(CellOf(p, target), c.Index)
 					seen[target.ID] = true
 				}
 			}
@@ -144,7 +144,7 @@
 	before, after := newPool(640, 64, 0), newPool(641, 64, 0)
 	moved := 0
 	for _, target := range before.Targets {
-		if CellOf(before, target.ID) != CellOf(after, target.ID) {
+		if CellOf(before, target) != CellOf(after, target) {
 			moved++
 		}
 	}
--- a/table/schema.go
+++ b/table/schema.go
@@ -109,6 +109,7 @@
 		number("slots", true, func(p *Pool) *int { return &p.Slots }),
 		number("maxConnections", true, func(p *Pool) *int { return &p.MaxConnections }),
 		number("cellSize", false, func(p *Pool) *int { return &p.CellSize }),
+		list("cellDomains", func(p *Pool) *[]FailureDomain { return &p.CellDomains }),
 		text("probePath", false, func(p *Pool) *string { return &p.ProbePath }),
 		text("loadPath", false, func(p *Pool) *string { return &p.LoadPath }),
 		{
--- a/table/types.go
+++ b/table/types.go
@@ -118,6 +118,10 @@
 	// CellSize is how many targets of the pool one entry owns on average; 0 means 64. Rendezvous
 	// hashing makes the cells of a pool with several cells differ in size.
 	CellSize int `json:"cellSize,omitempty"`
+	// CellDomains, if it is set, divides the pool into one cell for each of its entries, with the targets of that
+	// failure domain. It is the same in all pools; cells with one index have the same owner, so that a caller
+	// finds every pool of a host at one entry of its own failure domain.
+	CellDomains []FailureDomain `json:"cellDomains,omitempty"`
 	// ProbePath and LoadPath are the target's health and load endpoints; empty means none.
 	ProbePath string `json:"probePath,omitempty"`
 	LoadPath  string `json:"loadPath,omitempty"`
