--- a/pool/belief.go
+++ b/pool/belief.go
@@ -218,6 +218,8 @@
 		}
 	}
 	switch doubtful := found.doubtful.target; {
+	case found.idle.target != nil && c.belowFloor(now):
+		return found.idle.target, ReasonFloor, false
 	case doubtful != nil && c.mayTry(now, r, doubtful):
 		return doubtful, ReasonTrial, false
 	case found.clear.target != nil && r.attempt > 0:
@@ -233,7 +235,11 @@
 }
 
 // candidates are the best targets of each kind.
-type candidates struct{ clear, slow, doubtful candidate }
+type candidates struct {
+	clear, slow, doubtful candidate
+	// idle is the least doubtful of those that got no work lately.
+	idle candidate
+}
 
 // candidate is a target with its score; a lower one is better.
 type candidate struct {
@@ -251,6 +257,9 @@
 func (c *Cell) consider(now Time, t *target, found *candidates) {
 	bad := c.badness(now, t)
 	load := float64(t.inFlight) / float64(t.limit)
+	if !t.inUse(now) {
+		found.idle.offer(t, bad)
+	}
 	switch {
 	case bad >= clearBelief:
 		found.doubtful.offer(t, bad)
--- a/pool/cell.go
+++ b/pool/cell.go
@@ -50,12 +50,18 @@
 	shared   bool
 	lastTick Time
 	ticked   bool
+	// lastCall is the time that the last call of a method gave.
+	lastCall Time
 
 	// badShare is the share of targets assumed to be in a bad spell at any time.
 	badShare float64
 	// spellLength is the usual length of spells as observed; 0 before the first.
 	spellLength time.Duration
 
+	// inUse counts the targets that got work lately, as of the last tick and the attempts since.
+	inUse  int
+	losses losses
+
 	// Counts over targets, kept by refreshLimits.
 	servingSlots   int
 	servingTargets int
@@ -132,11 +138,14 @@
 
 // Tick advances the systems; it is to be called every Interval.
 func (c *Cell) Tick(now Time) {
+	elapsed := time.Duration(now - c.lastTick)
 	c.begin(now)
 	c.lastTick = now
+	c.queue.observeOverdue(elapsed)
 	c.settleStanding(now)
 	c.refreshLimits(now)
 	c.refreshShare(now)
+	c.countUse(now)
 	c.observe(now)
 	c.judge(now)
 	c.refreshLimits(now)
@@ -163,6 +172,7 @@
 // begin notices a late tick before anything is decided: a process that was paused resumes with a
 // standing that may have passed to another entry in the meantime.
 func (c *Cell) begin(now Time) {
+	c.lastCall = now
 	c.poison.crashOnly = c.spells()
 	if !c.ticked {
 		c.ticked = true
@@ -195,6 +205,10 @@
 	r.attempt++
 	r.trial = trial
 	r.cold = t.cold
+	if !t.inUse(now) {
+		c.inUse++
+	}
+	t.usedAt = now
 	t.inFlight++
 	t.attempts = append(t.attempts, r)
 	if r.suspect {
@@ -212,6 +226,9 @@
 
 // refuse ends a request that no target received.
 func (c *Cell) refuse(r *request, reason Reason, retryAfter time.Duration) {
+	if reason != ReasonPoison && reason != ReasonNotOwner {
+		c.losses.add(c.lastCall, false)
+	}
 	c.decisions = append(c.decisions, Decision{
 		Kind: DecisionRefuse, Request: r.ID, Attempt: r.attempt, Reason: reason, RetryAfter: retryAfter,
 	})
@@ -220,6 +237,9 @@
 
 // final ends a request with the outcome of its last attempt.
 func (c *Cell) final(r *request, reason Reason) {
+	if reason != ReasonPoison && r.lastOutcome != OutcomeCancelled {
+		c.losses.add(c.lastCall, reason == ReasonAnswered)
+	}
 	c.decisions = append(c.decisions, Decision{
 		Kind: DecisionFinal, Request: r.ID, Target: r.lastTarget, Attempt: r.attempt, Reason: reason,
 	})
--- /dev/null
+++ b/pool/use.go
@@ -0,0 +1,65 @@
+package pool
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// useWindow is how long a target counts as in use after its last attempt began. Users judge the floor over 2 s;
+	// the rest is for the requests that it takes to reach all targets again.
+	useWindow = 1200 * time.Millisecond
+	// lossMemory is the time over which the share of lost requests is averaged; users judge it over 2 s too.
+	lossMemory = time.Second
+	// lossLimit is the share of lost requests above which the floor of use holds; users allow a tenth.
+	lossLimit = 0.06
+	// leastEnded is how many requests must have ended lately for their share of losses to say something.
+	leastEnded = 5.0
+)
+
+// losses is the decaying count of requests that ended, and of those that were not answered.
+type losses struct {
+	ended, lost float64
+	at          Time
+}
+
+func (l *losses) decay(now Time) {
+	kept := math.Exp(-float64(now-l.at) / float64(lossMemory))
+	l.ended, l.lost, l.at = l.ended*kept, l.lost*kept, now
+}
+
+func (l *losses) add(now Time, answered bool) {
+	l.decay(now)
+	l.ended++
+	if !answered {
+		l.lost++
+	}
+}
+
+// many says that so many requests are lost that the doubt about targets may be wrong.
+func (l *losses) many(now Time) bool {
+	l.decay(now)
+	return l.ended >= leastEnded && l.lost > lossLimit*l.ended
+}
+
+// countUse counts the targets that got work lately.
+func (c *Cell) countUse(now Time) {
+	c.inUse = 0
+	for i := range c.targets.len() {
+		if t := c.targets.at(i); t.state != TargetLeaving && t.inUse(now) {
+			c.inUse++
+		}
+	}
+}
+
+// inUse says that the target runs an attempt, or began one lately.
+func (t *target) inUse(now Time) bool {
+	return t.inFlight > 0 || t.usedAt > 0 && now-t.usedAt <= Time(useWindow)
+}
+
+// belowFloor says that many requests are lost while fewer targets get work than the floor asks for. Where most
+// targets look bad, a fault that they share is likelier than faults of their own, and the few that are left can't
+// bear all of the load.
+func (c *Cell) belowFloor(now Time) bool {
+	return c.inUse < c.Floor && !c.faults.ignoreFloor && c.losses.many(now)
+}
