--- a/entry/cells.go
+++ b/entry/cells.go
@@ -178,6 +178,13 @@
 	return c.targets[id]
 }
 
+// full says that a further request would have to wait for a target in no doubt.
+func (c *cellRunner) full() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.cell.Spare(c.now()) <= 0
+}
+
 // signal passes on what a target's own endpoints say.
 func (c *cellRunner) signal(t table.TargetID, s pool.Signal) {
 	c.do(func(now pool.Time, cell *pool.Cell) { cell.Signal(now, t, s) })
--- a/entry/cellset.go
+++ b/entry/cellset.go
@@ -216,7 +216,11 @@
 				poison = append(poison, uint64(f))
 			}
 			if c.standing != fleet.NotOwner {
-				claims = append(claims, fleet.CellClaim{Cell: c.key, Ejected: cell.Ejected()})
+				claim := fleet.CellClaim{Cell: c.key, Ejected: cell.Ejected()}
+				if len(force.shards) > 1 {
+					claim.Spare = max(0, cell.Spare(now))
+				}
+				claims = append(claims, claim)
 			}
 		})
 		s.drop(c)
--- a/entry/place.go
+++ b/entry/place.go
@@ -21,7 +21,7 @@
 // route runs the request at a cell of its pool: here if this entry owns the cell, or else at the
 // owner. It returns a refusal that has not been sent, or nil.
 func (e *Entry) route(ctx context.Context, x *exchange, force *inForce) *refusal {
-	key := e.pickCell(force, x.pool)
+	key := e.relieve(force, e.pickCell(force, x.pool))
 	owner, ok := e.owner(key)
 	if !ok || owner.ID == e.Settings.ID {
 		return e.place(ctx, x, key)
--- /dev/null
+++ b/entry/shards_test.go
@@ -0,0 +1,108 @@
+package entry
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"github.com/bilberrywood/bilberrywood/fleet"
+	"github.com/bilberrywood/bilberrywood/pool"
+	"github.com/bilberrywood/bilberrywood/settings"
+	"github.com/bilberrywood/bilberrywood/table"
+)
+
+const shardHost = "isartal.example"
+
+// sharded is an entry in donau-ost with a peer in vils-tal; both pools have a cell in each of the two.
+func sharded(t *testing.T) *Entry {
+	t.Helper()
+	is := is.New(t)
+	e := &Entry{Log: zerolog.Nop(), Settings: settings.Entry{
+		ID: "127.0.0.1:2", FailureDomain: "donau-ost", CallerAddress: "127.0.0.1:1", PeerAddress: "127.0.0.1:2",
+		OperatorAddress: "127.0.0.1:3", TLS: settings.TLS{Unauthenticated: true}, SlowHeartbeatMs: 4000,
+	}}
+	is.NoErr(e.Settings.Check())
+	e.prepare()
+	routes := table.Routes{}
+	pools := table.Pools{FleetGroups: 1}
+	for i, name := range []table.PoolName{"bescheid-info", "mengen-buch"} {
+		p := table.Pool{
+			Name: name, Slots: 1, MaxConnections: 1, Policy: table.Policy{FalseEjectionEveryHours: 24, SpellMs: 6000},
+			CellDomains: []table.FailureDomain{"donau-ost", "vils-tal"},
+		}
+		for j := range 70 {
+			p.Targets = append(p.Targets, table.Target{
+				ID: table.TargetID(fmt.Sprintf("%s-%02d", name, j)), FailureDomain: p.CellDomains[j%2],
+				Address: fmt.Sprintf("127.0.%d.%d:80", i+1, j+1),
+			})
+		}
+		pools.Pools = append(pools.Pools, p)
+		routes.Routes = append(routes.Routes, table.Route{
+			Name: table.RouteName(name), Host: shardHost, PathPrefix: "/" + string(name), Pool: name, TimeoutMs: 1000,
+		})
+	}
+	e.config.offer("test", table.Snapshot{Revision: 1, Values: map[string][]byte{
+		table.RoutesValue: mustJSON(routes), table.PoolsValue: mustJSON(pools),
+	}})
+	is.True(e.config.current() != nil)
+	e.setState(fleet.StateServing)
+	t.Cleanup(func() {
+		e.cells.close()
+		_ = e.client.Close()
+	})
+	return e
+}
+
+// beat makes the peer say which spare capacity its cell of a pool has.
+func (e *Entry) beat(sequence uint64, name table.PoolName, spare int) {
+	e.fleet.receive(e.sinceStart(), fleet.Heartbeat{
+		From: "127.0.0.1:12", Incarnation: 1, Sequence: sequence, State: fleet.StateServing, Full: true, Prominent: true,
+		FailureDomain: "vils-tal", PeerAddress: "127.0.0.1:12", CallerAddress: "127.0.0.1:11",
+		You:    e.register.Incarnation,
+		Claims: []fleet.CellClaim{{Cell: fleet.CellKey{Pool: name, Index: 1}, Spare: spare}},
+	})
+	e.fleet.update(e.sinceStart(), func(*fleet.Membership) {})
+}
+
+// Guards against callers that are sent to another failure domain, and requests that make a hop, while an entry and
+// targets are near.
+func TestCallersStayInTheirFailureDomain(t *testing.T) {
+	is := is.New(t)
+	e := sharded(t)
+	e.beat(1, "mengen-buch", 0)
+	for domain, address := range map[string]string{"donau-ost": "127.0.0.1:1", "vils-tal": "127.0.0.1:11"} {
+		l, ok := e.Locate(shardHost, domain)
+		is.True(ok)
+		is.Equal(l.Addresses, []string{address})
+	}
+	l, ok := e.Locate(shardHost, "rott-aue")
+	is.True(ok)
+	is.Equal(len(l.Addresses), 2)
+	for range 20 {
+		is.Equal(e.pickCell(e.config.current(), "mengen-buch"), fleet.CellKey{Pool: "mengen-buch", Index: 0})
+	}
+}
+
+// Guards against requests that wait in one failure domain while targets of another have nothing to do (seen: 777
+// requests refused in one zone and none in the next), and against a hop to a cell that is as full.
+func TestFullCellIsRelieved(t *testing.T) {
+	is := is.New(t)
+	e := sharded(t)
+	own := fleet.CellKey{Pool: "mengen-buch", Index: 0}
+	other := fleet.CellKey{Pool: "mengen-buch", Index: 1}
+	e.beat(1, "mengen-buch", 20)
+	force := e.config.current()
+	is.Equal(e.relieve(force, own), own) // slots are free
+	cell, ok := e.cells.get(own)
+	is.True(ok)
+	for range 35 {
+		_, _, ok := cell.submit(pool.Request{Deadline: e.now() + pool.Time(time.Minute)})
+		is.True(ok)
+	}
+	is.Equal(e.relieve(force, own), other)
+	e.beat(2, "mengen-buch", leastSpare-1)
+	is.Equal(e.relieve(force, own), own)
+}
--- a/fleet/standing.go
+++ b/fleet/standing.go
@@ -157,6 +157,23 @@
 	return ids
 }
 
+// spareFresh is how old a claim's word on spare capacity may be: owners beat twice in that time.
+const spareFresh = time.Second
+
+// Spare returns how many more requests the owner of a cell lately said that its targets could run.
+func (v *View) Spare(c CellKey) int {
+	i := v.owner(v.rankKey(c))
+	if i < 0 {
+		return 0
+	}
+	for _, claim := range v.rows[i].claims {
+		if claim.Cell == c && !claim.released && v.At-claim.at <= spareFresh {
+			return claim.Spare
+		}
+	}
+	return 0
+}
+
 // LastEjected returns the targets of the cell that its latest other owner reported as ejected, so
 // that a new owner starts with them, and whether any claim is known.
 func (v *View) LastEjected(c CellKey) ([]table.TargetID, bool) {
--- a/fleet/types.go
+++ b/fleet/types.go
@@ -85,6 +85,8 @@
 	Cell CellKey `cbor:"1,keyasint"`
 	// Ejected lists the ejected targets, so that the next owner starts with them.
 	Ejected []table.TargetID `cbor:"2,keyasint,omitempty"`
+	// Spare is how many more requests the cell's targets could run, where cells help each other out; at least 0.
+	Spare int `cbor:"3,keyasint,omitempty"`
 }
 
 // Heartbeat is the message that entries of a group send each other.
--- a/pool/overdue_test.go
+++ b/pool/overdue_test.go
@@ -91,7 +91,7 @@
 	const (
 		hold     = 200 * time.Millisecond
 		slots    = 4
-		backlog  = 30
+		backlog  = queueLimitFactor * slots
 		deadline = 2 * time.Second
 		// A fifth of four slots gives room for four requests a second.
 		mayWait = 4 * 2
