--- a/pool/cell.go
+++ b/pool/cell.go
@@ -204,6 +204,7 @@
 	r.started = now
 	r.attempt++
 	r.trial = trial
+	r.forFloor = reason == ReasonFloor
 	r.cold = t.cold
 	if !t.inUse(now) {
 		c.inUse++
@@ -237,7 +238,7 @@
 
 // final ends a request with the outcome of its last attempt.
 func (c *Cell) final(r *request, reason Reason) {
-	if reason != ReasonPoison && r.lastOutcome != OutcomeCancelled {
+	if reason != ReasonPoison && r.lastOutcome != OutcomeCancelled && !r.forFloor {
 		c.losses.add(c.lastCall, reason == ReasonAnswered)
 	}
 	c.decisions = append(c.decisions, Decision{
--- a/pool/request.go
+++ b/pool/request.go
@@ -29,8 +29,10 @@
 	target  *target
 	started Time
 	// attempt is the number of attempts started.
-	attempt   int
-	trial     bool
+	attempt int
+	trial   bool
+	// forFloor says that the last attempt went to a target that only the floor keeps in use.
+	forFloor  bool
 	cancelled bool
 	// suspect attempts count towards target.suspectsInFlight.
 	suspect bool
--- a/pool/use.go
+++ b/pool/use.go
@@ -8,16 +8,17 @@
 const (
 	// useWindow is how long a target counts as in use after its last attempt began. Users judge the floor over 2 s;
 	// the rest is for the requests that it takes to reach all targets again.
-	useWindow = 1200 * time.Millisecond
+	useWindow = 1600 * time.Millisecond
 	// lossMemory is the time over which the share of lost requests is averaged; users judge it over 2 s too.
 	lossMemory = time.Second
 	// lossLimit is the share of lost requests above which the floor of use holds; users allow a tenth.
-	lossLimit = 0.06
+	lossLimit = 0.085
 	// leastEnded is how many requests must have ended lately for their share of losses to say something.
 	leastEnded = 5.0
 )
 
-// losses is the decaying count of requests that ended, and of those that were not answered.
+// losses is the decaying count of requests that ended, and of those that were not answered. Requests that were sent to
+// doubtful targets for the sake of the floor are left out, since their losses would keep it in force.
 type losses struct {
 	ended, lost float64
 	at          Time
@@ -61,5 +62,7 @@
 // targets look bad, a fault that they share is likelier than faults of their own, and the few that are left can't
 // bear all of the load.
 func (c *Cell) belowFloor(now Time) bool {
-	return c.inUse < c.Floor && !c.faults.ignoreFloor && c.losses.many(now)
+	// Users count sound targets only, of which fewer than of all may be in use; half of the rest makes up for that.
+	floor := c.Floor + (c.listedTargets-c.Floor)/2
+	return c.inUse < floor && !c.faults.ignoreFloor && c.losses.many(now)
 }
