--- a/entry/join.go
+++ b/entry/join.go
@@ -114,14 +114,15 @@
 	return s.Active && time.Since(s.LastAnswer) < settings.Millis(e.Settings.ReaderFreshMs)
 }
 
-// seedsLead is how long after its start an entry that is no seed leaves reading to the others. When all start
-// together the seeds read the tables within a few calls, and peers get them with their first heartbeats.
+// seedsLead is how long after the first start of the fleet an entry that is no seed leaves reading to the others. The
+// seeds read the tables within a few calls, and peers get them with their first heartbeats. After later starts
+// callers wait, and every entry reads at once.
 const seedsLead = 800 * time.Millisecond
 
 // mayRead says whether this entry reads the tables from where operators publish them: as one of the readers, or
 // because it knows of none.
 func (e *Entry) mayRead(v *fleet.View) bool {
-	if e.config.current() == nil && e.sinceStart() < seedsLead && e.seedsOthers() {
+	if e.Settings.FirstStart && e.config.current() == nil && e.sinceStart() < seedsLead && e.seedsOthers() {
 		return false
 	}
 	return v.IsReader(e.Settings.ReadersPerDomain) || !v.ReaderHeard
--- a/entry/place.go
+++ b/entry/place.go
@@ -51,7 +51,6 @@
 		Route: x.Route, Account: x.Account, Idempotent: x.idempotent, Replayable: x.kept != nil,
 		Deadline: e.now() + pool.Time(time.Until(x.deadline)), Fingerprint: x.fingerprint(),
 		Upload:      x.kept == nil || x.route.Upload,
-		Objective:   e.objective(x),
 		MaxAttempts: x.route.MaxAttempts, Priority: x.route.Priority,
 	})
 	if !ok {
@@ -75,14 +74,6 @@
 	}
 }
 
-// objective is the latest time at which an answer of the request is worth most; 0 if its route has no objective.
-func (e *Entry) objective(x *exchange) pool.Time {
-	if x.route.ObjectiveMs == 0 {
-		return 0
-	}
-	return e.now() - pool.Time(time.Since(x.arrived)) + pool.Time(x.route.ObjectiveMs.Duration())
-}
-
 // placement is one request at a cell.
 type placement struct {
 	e    *Entry
--- a/pool/cell.go
+++ b/pool/cell.go
@@ -138,10 +138,8 @@
 
 // Tick advances the systems; it is to be called every Interval.
 func (c *Cell) Tick(now Time) {
-	elapsed := time.Duration(now - c.lastTick)
 	c.begin(now)
 	c.lastTick = now
-	c.queue.observeOverdue(elapsed)
 	c.settleStanding(now)
 	c.refreshLimits(now)
 	c.refreshShare(now)
--- a/pool/queue.go
+++ b/pool/queue.go
@@ -12,34 +12,11 @@
 const (
 	classNonIdempotent queueClass = iota
 	classIdempotent
-	// classOverdueOrders and classOverdueLookups hold requests whose answer would come after their objective. They
-	// go when no other request waits, so that a backlog makes those late that are late already, and not all that
-	// come after them.
-	classOverdueOrders
-	classOverdueLookups
 	// classSuspect holds suspected poison requests, which wait for a target without one.
 	classSuspect
 	classes
 )
 
-// overdueOf is the class that a queued request falls back to when it can't meet its objective any more.
-var overdueOf = map[queueClass]queueClass{
-	classNonIdempotent: classOverdueOrders,
-	classIdempotent:    classOverdueLookups,
-}
-
-const (
-	// overdueHolds is the part of a request's time to its objective that is left for its answer, in mean service
-	// times: nine in ten answers come within twice the mean.
-	overdueHolds = 2
-	// overdueMemory is the time over which the rate is averaged at which overdue requests get slots. It spans a few
-	// service times, in which the load of one second differs from that of the next.
-	overdueMemory = time.Second
-	// expectedLull is the part of all slots that overdue requests are expected to get at least, since load and
-	// capacity go up and down within their time to the deadline.
-	expectedLull = 0.2
-)
-
 // idempotentTurn is how often an idempotent request goes before non-idempotent ones, so that a
 // backlog of orders does not starve lookups: once in this many picks from the queue.
 const idempotentTurn = 8
@@ -56,10 +33,6 @@
 	turn  int
 	// hold is the mean time that an attempt holds its slot; 0 means not known yet.
 	hold time.Duration
-	// overduePicks counts the overdue requests that got a slot since the last tick, and overdueRate is how many do in
-	// a second.
-	overduePicks int
-	overdueRate  float64
 }
 
 func (q *queue) size() int {
@@ -81,17 +54,10 @@
 		return classNonIdempotent
 	case lookups:
 		return classIdempotent
-	case q.lanes[classOverdueOrders].size > 0:
-		return classOverdueOrders
-	case q.lanes[classOverdueLookups].size > 0:
-		return classOverdueLookups
 	}
 	return classes
 }
 
-// inTime is the number of requests that wait and can meet their objective.
-func (q *queue) inTime() int { return q.lanes[classNonIdempotent].size + q.lanes[classIdempotent].size }
-
 func (q *queue) observeHold(service time.Duration) {
 	if q.hold == 0 {
 		q.hold = service
@@ -112,7 +78,7 @@
 	if c.servingSlots == 0 {
 		return 0
 	}
-	ahead := c.queue.inTime()
+	ahead := c.queue.size()
 	if class == classNonIdempotent {
 		ahead = c.queue.lanes[classNonIdempotent].size
 	}
@@ -191,20 +157,12 @@
 			break
 		}
 		r := c.queue.lanes[class].first().value
-		if c.missesObjective(now, r) {
-			c.queue.lanes[class].take()
-			c.fallBack(now, r)
-			continue
-		}
 		t, reason, trial := c.pick(now, r)
 		if t == nil {
 			break
 		}
 		c.queue.turn++
 		c.queue.lanes[class].take()
-		if r.overdue() {
-			c.queue.overduePicks++
-		}
 		if c.tooLate(now, r) {
 			c.settleUnrun(r, ReasonDeadline, 0)
 			continue
@@ -213,49 +171,6 @@
 	}
 }
 
-// missesObjective says that a request has waited so long that most answers would come after its objective.
-func (c *Cell) missesObjective(now Time, r *request) bool {
-	if r.Objective == 0 || r.overdue() || now == r.submitted {
-		return false
-	}
-	return now+Time(overdueHolds*c.queue.hold) > r.Objective
-}
-
-// fallBack lets a request that misses its objective wait behind those that can meet it. It is refused at once if those
-// ahead of it will hardly have got slots by its deadline: it can come back sooner than that.
-func (c *Cell) fallBack(now Time, r *request) {
-	class := overdueOf[r.class]
-	ahead := c.queue.lanes[classOverdueOrders].size + 1
-	if class == classOverdueLookups {
-		ahead += c.queue.lanes[classOverdueLookups].size
-	}
-	left := time.Duration(r.Deadline-now) - c.queue.hold
-	if r.Deadline > 0 && !r.ran && float64(ahead) > c.expectedOverdueRate()*left.Seconds() {
-		c.refuse(r, ReasonOverdue, max(c.queue.hold, c.waitEstimate(r.class)))
-		return
-	}
-	r.class = class
-	c.push(r, false)
-}
-
-// expectedOverdueRate is how many overdue requests are expected to get slots in a second.
-func (c *Cell) expectedOverdueRate() float64 {
-	if c.queue.hold == 0 {
-		return c.queue.overdueRate
-	}
-	return max(c.queue.overdueRate, expectedLull*float64(c.servingSlots)/c.queue.hold.Seconds())
-}
-
-// observeOverdue averages how many overdue requests get slots.
-func (q *queue) observeOverdue(elapsed time.Duration) {
-	if elapsed <= 0 {
-		return
-	}
-	share := min(1, float64(elapsed)/float64(overdueMemory))
-	q.overdueRate += (float64(q.overduePicks)/elapsed.Seconds() - q.overdueRate) * share
-	q.overduePicks = 0
-}
-
 // pumpSuspects starts suspected poison requests at targets that run none. Each is looked at once; those
 // that can't run yet do not hold up the others.
 func (c *Cell) pumpSuspects(now Time) {
--- a/pool/request.go
+++ b/pool/request.go
@@ -48,10 +48,5 @@
 	lastOutcome OutcomeKind
 }
 
-// overdue says that the request waits behind those that can meet their objective.
-func (r *request) overdue() bool {
-	return r.class == classOverdueOrders || r.class == classOverdueLookups
-}
-
 // replaceable says that a second attempt does no harm after an attempt that may have run.
 func (r *request) replaceable() bool { return r.Idempotent && r.Replayable }
--- a/pool/types.go
+++ b/pool/types.go
@@ -58,10 +58,7 @@
 	// Replayable says that the body can be sent again (none, or small enough to be kept).
 	Replayable bool
 	// Deadline is the latest useful time of an answer.
-	Deadline Time
-	// Objective is the latest time at which an answer is worth most; 0 means that it is worth the same until
-	// Deadline.
-	Objective   Time
+	Deadline    Time
 	Fingerprint Fingerprint
 	// Upload marks a request whose service time depends on its body; it is judged apart.
 	Upload bool
@@ -171,7 +168,6 @@
 	ReasonDisplaced      Reason = "displacedByNonIdempotent"
 	ReasonDeadline       Reason = "deadlineBeforeSlot"
 	ReasonNoTarget       Reason = "noTarget"
-	ReasonOverdue        Reason = "objectiveMissed"
 	ReasonPoison         Reason = "poison"
 	ReasonDuplicate      Reason = "duplicateRequestID"
 	ReasonFailures       Reason = "failures"
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -34,6 +34,8 @@
 	Node string `json:"node,omitempty"`
 	// VM is the size of the VM; entries on large VMs own the cells.
 	VM VM `json:"vm,omitzero"`
+	// FirstStart says that the whole fleet starts for the first time, and callers come only some seconds later.
+	FirstStart bool `json:"firstStart,omitempty"`
 	// PoolDefaults apply to pools whose operators publish no policy.
 	PoolDefaults PoolDefaults `json:"poolDefaults,omitzero"`
 	// SourceGoneMs is how long a target that is missing after the platform was away is kept: the time in
