--- a/entry/bind.go
+++ b/entry/bind.go
@@ -129,7 +129,7 @@
 	if !ok {
 		return verdictRefusal(notice.VerdictAnswerLost)
 	}
-	e.logAttempt(x, pool.Decision{Reason: reasonAnswerKept}, notice.OutcomeRun)
+	e.logAttempt(x, pool.Decision{Reason: reasonAnswerKept}, notice.OutcomeRun, 0)
 	header := peer.AnswerHeader{Status: a.Status, Header: a.Header, ContentLength: int64(len(a.Body))}
 	if err := x.out.WriteHeader(header); err != nil {
 		return unknown(reasonCallerGone, err.Error())
--- a/entry/observe.go
+++ b/entry/observe.go
@@ -50,10 +50,10 @@
 	return 0
 }
 
-// logAttempt writes the line for the routing decision of one attempt.
-func (e *Entry) logAttempt(x *exchange, d pool.Decision, o pool.Outcome) {
+// logAttempt writes the line for the routing decision of one attempt that held its target for the time of service.
+func (e *Entry) logAttempt(x *exchange, d pool.Decision, outcome string, service time.Duration) {
 	e.counters.requests.Inc(1)
-	if o.Kind == pool.OutcomeSuccess {
+	if outcome == outcomeNames[pool.OutcomeSuccess] {
 		e.counters.run.Inc(1)
 	}
 	line := e.Log.Info().
@@ -69,8 +69,8 @@
 		Uint64("revision", uint64(e.revision())).
 		Int("attempt", x.attempts).
 		Int64("sinceArrivalMs", time.Since(x.arrived).Milliseconds()).
-		Int64("serviceMs", o.Service.Milliseconds()).
-		Str("outcome", outcomeNames[o.Kind])
+		Int64("serviceMs", service.Milliseconds()).
+		Str("outcome", outcome)
 	if x.id != nil {
 		line = line.Stringer("id", *x.id)
 	}
--- a/entry/place.go
+++ b/entry/place.go
@@ -189,7 +189,7 @@
 // report tells the cell how the attempt ended and logs it.
 func (p *placement) report(d pool.Decision, o pool.Outcome) {
 	o.Draining = o.Draining && !p.e.faults.ignoreDrain
-	p.e.logAttempt(p.x, d, o)
+	p.e.logAttempt(p.x, d, outcomeNames[o.Kind], o.Service)
 	p.cell.finish(p.id, d.Target, o)
 }
 
