--- a/pool/gamble_test.go
+++ b/pool/gamble_test.go
@@ -14,10 +14,12 @@
 // they went to such targets after 0.27 s): the last attempt waits for a target in no doubt.
 func TestLastAttemptWaitsForAGoodTarget(t *testing.T) {
 	is := is.New(t)
-	c, now := spellCell(2, 60_000)
+	const good = table.TargetID("t00")
+	c, now := spellCell(3, 60_000)
 	c.Tick(now)
-	bad := c.targets.get("t01")
-	bad.belief = belief{bad: mostBelief, at: now, faultAt: now, began: now, tryAt: now + Time(time.Hour)}
+	for _, id := range []table.TargetID{"t01", "t02"} {
+		c.targets.get(id).belief = belief{bad: mostBelief, at: now, faultAt: now, began: now, tryAt: now + Time(time.Hour)}
+	}
 	for id := RequestID(1); id <= 4; id++ {
 		c.Submit(now, Request{ID: id, Deadline: now + Time(time.Minute)})
 	}
@@ -39,10 +41,11 @@
 				continue
 			}
 			targets = append(targets, d.Target)
-			if d.Target == bad.id {
+			if d.Target != good {
 				c.Finish(now, last, Outcome{Kind: OutcomeConnectionLost, Written: true, Service: time.Millisecond})
 			}
 		}
 	}
-	is.Equal(targets, []table.TargetID{"t01", "t00"})
+	is.Equal(len(targets), 2)
+	is.Equal(targets[1], good)
 }
