fleet: a star whose cells have owners of their own introduces all peers

Read as a newcomer: candidates of a single shard stood for all cells where none share an owner, so that entries could name different owners for good. TestStarWithAnOwnerPerCell fails without the change.

--- a/fleet/send.go
+++ b/fleet/send.go
@@ -227,10 +227,10 @@
 	return out
 }
 
-// candidates are the peers of a star that rank highest for the cells. While the shards are not known, those of a
-// single one stand for them. It is nil in a mesh, and where cells have owners of their own.
+// candidates are the peers of a star that rank highest for the cells. Until tables are in force, those of a single shard
+// stand for them. It is nil, which stands for all peers, in a mesh and where cells have owners of their own.
 func (m *Membership) candidates(now time.Duration) []*peer {
-	if !m.star() {
+	if !m.star() || len(m.Shards) == 0 && m.accepted > 0 {
 		return nil
 	}
 	shards := m.Shards
--- a/fleet/star_test.go
+++ b/fleet/star_test.go
@@ -22,6 +22,7 @@
 	now     time.Duration
 	members map[EntryID]*Membership
 	order   []EntryID
+	cells   []CellKey
 	sent    int
 	// pairs are the members that ever sent to each other, each of which takes a handshake.
 	pairs   map[[2]EntryID]bool
@@ -29,7 +30,7 @@
 }
 
 func newStar(size int) *star {
-	s := &star{now: time.Minute, members: make(map[EntryID]*Membership), stopped: make(map[EntryID]bool), pairs: make(map[[2]EntryID]bool)}
+	s := &star{now: time.Minute, cells: []CellKey{{}}, members: make(map[EntryID]*Membership), stopped: make(map[EntryID]bool), pairs: make(map[[2]EntryID]bool)}
 	var seeds []Seed
 	for i := range size {
 		id := EntryID(fmt.Sprintf("10.0.0.%d:8544", i))
@@ -59,7 +60,7 @@
 				continue
 			}
 			m := s.members[id]
-			m.SetProminent(s.now, m.View(s.now).Prominent([]CellKey{{}}))
+			m.SetProminent(s.now, m.View(s.now).Prominent(s.cells))
 			beats := m.Tick(s.now)
 			for _, o := range beats {
 				s.pairs[[2]EntryID{min(id, o.ID), max(id, o.ID)}] = true
@@ -187,3 +188,21 @@
 		}
 	}
 }
+
+// Guards against a star that introduces the candidates of one cell only where each cell has an owner of its own.
+func TestStarWithAnOwnerPerCell(t *testing.T) {
+	is := is.New(t)
+	s := newStar(44)
+	s.cells = nil
+	for index := range 4 {
+		s.cells = append(s.cells, CellKey{Pool: "pas-serviss", Index: index}, CellKey{Pool: "kat-serviss", Index: index})
+	}
+	for _, m := range s.members {
+		m.Shards = nil
+		m.SetAccepted(s.now, 1, 1, false)
+	}
+	s.run(15 * time.Second)
+	for _, c := range s.cells {
+		is.Equal(len(s.ownersOf(c)), 1)
+	}
+}
