pool: waiting requests go in the order of their deadlines

Ruled out: entries without the routes (no noRoute), lost owners. Within a class and account the one with the earlier deadline goes first; equal ones keep their order.

--- /dev/null
+++ b/pool/deadline_test.go
@@ -0,0 +1,68 @@
+package pool
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Guards against requests with little time that are refused while others with more time wait for slots that would do
+// for all: at a backlog of 1.2 s of requests with 2.5 s each, a few with 0.9 s can be answered without a loss to the others
+// (seen: 0 of 32 requests on added routes served in the seconds in which 1,464 of 1,660 others were).
+func TestShortDeadlinesAreServed(t *testing.T) {
+	is := is.New(t)
+	const (
+		service = 200 * time.Millisecond
+		rate    = 100 // a second: what five targets with four slots answer
+	)
+	c, now := spellCell(5, 6000)
+	c.queue.hold = service
+	c.Policy.QueueLimit = 1000
+	type run struct {
+		id RequestID
+		at Time
+	}
+	var running []run
+	deadlines := make(map[RequestID]Time)
+	short := make(map[RequestID]bool)
+	answered, shortAnswered, shortSent := 0, 0, 0
+	var next RequestID
+	submit := func(limit time.Duration) {
+		next++
+		short[next] = limit < time.Second
+		deadlines[next] = now + Time(limit)
+		c.Submit(now, Request{ID: next, Idempotent: true, Replayable: true, Deadline: now + Time(limit)})
+	}
+	for range 6 * rate / 5 {
+		submit(2500 * time.Millisecond)
+	}
+	for tick := range 500 {
+		now += Time(10 * time.Millisecond)
+		for len(running) > 0 && running[0].at <= now {
+			if now <= deadlines[running[0].id] {
+				answered++
+				if short[running[0].id] {
+					shortAnswered++
+				}
+			}
+			c.Finish(now, running[0].id, Outcome{Kind: OutcomeSuccess, Written: true, Service: service})
+			running = running[1:]
+		}
+		c.Tick(now)
+		if tick%20 == 10 {
+			shortSent++
+			submit(900 * time.Millisecond)
+		} else {
+			submit(2500 * time.Millisecond)
+		}
+		for _, d := range c.Decisions() {
+			if d.Kind == DecisionRun {
+				running = append(running, run{d.Request, now + Time(service)})
+			}
+		}
+	}
+	t.Logf("answered %d of %d, short %d of %d", answered, next, shortAnswered, shortSent)
+	is.True(answered >= 480)
+	is.True(shortAnswered*4 >= shortSent*3)
+}
--- a/pool/fairqueue.go
+++ b/pool/fairqueue.go
@@ -53,17 +53,25 @@
 	return l
 }
 
-// push appends the node to the lane of the key.
-func (q *fairQueue[K, V]) push(key K, n *queueNode[K, V]) {
+// push puts the node into the lane of the key, before the nodes at its end that it precedes.
+func (q *fairQueue[K, V]) push(key K, n *queueNode[K, V], precedes func(a, b V) bool) {
 	l := q.laneOf(key)
-	n.lane, n.next, n.previous = l, nil, l.tail
-	if l.tail == nil {
-		l.head = n
-	} else {
-		l.tail.next = n
+	before := l.tail
+	for before != nil && precedes(n.value, before.value) {
+		before = before.previous
 	}
-	l.tail = n
 	q.size++
+	n.lane, n.previous = l, before
+	if before == nil {
+		n.next, l.head = l.head, n
+	} else {
+		n.next, before.next = before.next, n
+	}
+	if n.next == nil {
+		l.tail = n
+	} else {
+		n.next.previous = n
+	}
 }
 
 // pushFront puts the node before the others in the lane of the key.
--- a/pool/queue.go
+++ b/pool/queue.go
@@ -75,13 +75,18 @@
 
 // waitEstimate is the expected time until a request that joins the queue gets a slot.
 func (c *Cell) waitEstimate(class queueClass) time.Duration {
-	if c.servingSlots == 0 {
-		return 0
-	}
 	ahead := c.queue.size()
 	if class == classNonIdempotent {
 		ahead = c.queue.lanes[classNonIdempotent].size
 	}
+	return c.waitBehind(ahead)
+}
+
+// waitBehind is the expected time until a request gets a slot that has the given number of others ahead of it.
+func (c *Cell) waitBehind(ahead int) time.Duration {
+	if c.servingSlots == 0 {
+		return 0
+	}
 	return time.Duration(float64(ahead+1) * float64(c.queue.hold) / float64(c.servingSlots))
 }
 
@@ -95,7 +100,7 @@
 		r.class = classSuspect
 	}
 	wait := c.waitEstimate(r.class)
-	if r.Deadline > 0 && now+Time(wait) > r.Deadline {
+	if r.Deadline > 0 && now+Time(wait) > r.Deadline && now+Time(c.waitBeforeOthers(r)) > r.Deadline {
 		c.refuse(r, ReasonDeadline, wait)
 		return
 	}
@@ -113,7 +118,29 @@
 		c.queue.lanes[r.class].pushFront(r.Account, &r.node)
 		return
 	}
-	c.queue.lanes[r.class].push(r.Account, &r.node)
+	c.queue.lanes[r.class].push(r.Account, &r.node, sooner)
+}
+
+// sooner orders the requests of a class and account by their deadlines, so that one with little time is not refused
+// while others can wait. Requests with the same time keep the order of their arrival.
+func sooner(a, b *request) bool {
+	return a.Deadline > 0 && (b.Deadline == 0 || a.Deadline < b.Deadline)
+}
+
+// waitBeforeOthers is the expected time until a new request gets a slot before those that it precedes.
+func (c *Cell) waitBeforeOthers(r *request) time.Duration {
+	ahead := 0
+	for class := range c.queue.lanes {
+		if r.class == classNonIdempotent && queueClass(class) != classNonIdempotent {
+			continue
+		}
+		c.queue.lanes[class].each(func(other *request) {
+			if other.class != r.class || !sooner(r, other) {
+				ahead++
+			}
+		})
+	}
+	return c.waitBehind(ahead)
 }
 
 // displace makes room for a non-idempotent request by refusing the newest idempotent one.
