Read once more: one weighted choice of cells, an index of hosts, limits shared by the cells of a pool

Cause and change: each cell of a divided pool had the queue limit of the whole pool (TestCellsShareTheLimitsOfTheirPool fails without the change); each question to the directory looked at all routes, of which the target size has 55,000, and now looks into an index that is built when it is first asked for; the choice of a cell stood twice with a filter; the priority of a request reached the pool and was used by nothing, and the tables say now that placement uses neither it nor the objective.

--- a/entry/cellset.go
+++ b/entry/cellset.go
@@ -90,7 +90,7 @@
 		answered: make(map[table.TargetID]time.Time),
 		lastUse:  time.Now(),
 		cell: &pool.Cell{
-			Key: key, Policy: cellPolicy(p), Slots: p.Slots,
+			Key: key, Policy: p.Policy, Slots: p.Slots,
 			Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		},
 	}
@@ -161,16 +161,18 @@
 		}
 		c.targets, c.revision = rows, force.pair.Revision
 		if p != nil {
-			pc.SetPolicy(now, cellPolicy(p), p.Slots)
+			pc.SetPolicy(now, cellPolicy(p, &cell), p.Slots)
 		}
 		pc.Update(now, cell.Targets, cell.Floor)
 	})
 	c.prober.SetTargets(probeTargets(p, cell.Targets))
 }
 
-// cellPolicy returns the policy of each cell of a pool: the pool's retries beyond the percentage are divided.
-func cellPolicy(p *table.Pool) table.Policy {
+// cellPolicy returns the policy of a cell of a pool, whose queue and retries beyond the percentage are divided between
+// its cells.
+func cellPolicy(p *table.Pool, cell *table.Cell) table.Policy {
 	policy := p.Policy
+	policy.QueueLimit = cell.QueueLimit
 	policy.RetryBurst /= table.CellCount(p)
 	return policy
 }
--- a/entry/members.go
+++ b/entry/members.go
@@ -77,42 +77,48 @@
 		return key
 	}
 	if len(p.CellDomains) == 0 {
-		key.Index = max(0, e.pickIndex(sizes, func(int) bool { return true }))
+		key.Index, _ = e.pickWeighted(sizes)
 		return key
 	}
 	v := e.fleet.view()
-	for _, allowed := range []func(int) bool{
+	for _, prefer := range []func(int) bool{
 		func(i int) bool { return v.Owns(fleet.CellKey{Pool: name, Index: i}) },
 		func(i int) bool { return p.CellDomains[i] == e.Settings.FailureDomain },
-		func(int) bool { return true },
 	} {
-		if key.Index = e.pickIndex(sizes, allowed); key.Index >= 0 {
+		if index, ok := e.pickWeighted(only(sizes, prefer)); ok {
+			key.Index = index
 			return key
 		}
 	}
-	key.Index = 0
+	key.Index, _ = e.pickWeighted(sizes)
 	return key
 }
 
-// pickIndex chooses a cell that is allowed, at random in proportion to its size; -1 if none has targets.
-func (e *Entry) pickIndex(sizes []int, allowed func(int) bool) int {
-	sum := 0
-	for i, n := range sizes {
-		if n > 0 && allowed(i) {
-			sum += n
+// only returns the weights with those of other indexes set to 0.
+func only(weights []int, keep func(index int) bool) []int {
+	kept := make([]int, len(weights))
+	for i, w := range weights {
+		if keep(i) {
+			kept[i] = w
 		}
 	}
+	return kept
+}
+
+// pickWeighted chooses an index at random in proportion to its weight; ok is false if all weights are 0.
+func (e *Entry) pickWeighted(weights []int) (index int, ok bool) {
+	sum := 0
+	for _, w := range weights {
+		sum += w
+	}
 	if sum == 0 {
-		return -1
+		return 0, false
 	}
 	at := e.intN(sum)
-	for i, n := range sizes {
-		if n == 0 || !allowed(i) {
-			continue
-		}
-		if at -= n; at < 0 {
-			return i
+	for i, w := range weights {
+		if at -= w; at < 0 {
+			return i, true
 		}
 	}
-	return -1
+	return 0, false
 }
--- a/entry/place.go
+++ b/entry/place.go
@@ -51,7 +51,7 @@
 		Route: x.Route, Account: x.Account, Idempotent: x.idempotent, Replayable: x.kept != nil,
 		Deadline: e.now() + pool.Time(time.Until(x.deadline)), Fingerprint: x.fingerprint(),
 		Upload:      x.kept == nil || x.route.Upload,
-		MaxAttempts: x.route.MaxAttempts, Priority: x.route.Priority,
+		MaxAttempts: x.route.MaxAttempts,
 	})
 	if !ok {
 		return notRun(http.StatusServiceUnavailable, reasonCellReplaced, "the cell has been closed")
--- a/entry/relieve.go
+++ b/entry/relieve.go
@@ -4,7 +4,7 @@
 	"github.com/bilberrywood/bilberrywood/fleet"
 )
 
-// leastSpare is the least spare capacity of another cell, in requests, for which a request makes the way to it: the
+// leastSpare is the least spare capacity of another cell, in requests, for which a request is passed on to it: the
 // figure is up to a heartbeat old, and several entries may use it at the same time.
 const leastSpare = 4
 
@@ -29,7 +29,7 @@
 			spare[i] = n
 		}
 	}
-	if i := e.pickIndex(spare, func(int) bool { return true }); i >= 0 {
+	if i, ok := e.pickWeighted(spare); ok {
 		return fleet.CellKey{Pool: key.Pool, Index: i}
 	}
 	return key
--- a/entry/shards_test.go
+++ b/entry/shards_test.go
@@ -30,7 +30,7 @@
 	pools := table.Pools{FleetGroups: 1}
 	for i, name := range []table.PoolName{"bescheid-info", "mengen-buch"} {
 		p := table.Pool{
-			Name: name, Slots: 1, MaxConnections: 1, Policy: table.Policy{FalseEjectionEveryHours: 24, SpellMs: 6000},
+			Name: name, Slots: 1, MaxConnections: 1, Policy: table.Policy{FalseEjectionEveryHours: 24, SpellMs: 6000, RetryBurst: 45},
 			CellDomains: []table.FailureDomain{"donau-ost", "vils-tal"},
 		}
 		for j := range 70 {
@@ -106,3 +106,19 @@
 	e.beat(2, "mengen-buch", leastSpare-1)
 	is.Equal(e.relieve(force, own), own)
 }
+
+// Guards against cells that each take the whole queue or all retries of their pool.
+func TestCellsShareTheLimitsOfTheirPool(t *testing.T) {
+	is := is.New(t)
+	e := sharded(t)
+	p := e.config.current().router.Pool("mengen-buch")
+	queue, burst := 0, 0
+	for index := range table.CellCount(p) {
+		cell, ok := e.cells.get(fleet.CellKey{Pool: p.Name, Index: index})
+		is.True(ok)
+		queue += cell.cell.Policy.QueueLimit
+		burst += cell.cell.Policy.RetryBurst
+	}
+	is.Equal(queue, p.Policy.QueueLimit)
+	is.True(burst <= p.Policy.RetryBurst)
+}
--- a/pool/types.go
+++ b/pool/types.go
@@ -64,8 +64,6 @@
 	Upload bool
 	// MaxAttempts is the most targets that the request may be sent to; 0 means the cell's own limit.
 	MaxAttempts int
-	// Priority orders waiting requests; 0 goes first.
-	Priority int
 }
 
 // Outcome is the report of one attempt.
--- a/table/router.go
+++ b/table/router.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"slices"
 	"strings"
+	"sync"
 )
 
 // Router finds the route of a request. Its cost depends on the number of path segments that the
@@ -23,6 +24,9 @@
 	// depth is the number of segments of the deepest prefix; longer paths are cut to it, so a
 	// path of many segments costs no more lookups.
 	depth int
+	// hostPools has the pools of the routes of each host; it is built when it is first asked for.
+	hostPools map[string][]PoolName
+	hostsOnce sync.Once
 }
 
 // grant allows an account on a route; both are indexes of rows.
@@ -166,22 +170,36 @@
 	return strings.ToLower(host)
 }
 
-// HostPools returns the pools that requests for a host may go to, in the order of the routes.
+// HostPools returns the pools that requests for a host may go to: those of the host's own routes, and then those of
+// routes for all hosts, each in the order of the routes.
 func (r *Router) HostPools(host string) []PoolName {
-	host = normalHost(host)
-	var names []PoolName
+	r.hostsOnce.Do(r.indexHosts)
+	own := r.hostPools[normalHost(host)]
+	names := slices.Clone(own)
+	for _, name := range r.hostPools[""] {
+		if !slices.Contains(own, name) {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+func (r *Router) indexHosts() {
+	type hostPool struct {
+		host string
+		pool PoolName
+	}
+	seen := make(map[hostPool]bool)
+	r.hostPools = make(map[string][]PoolName)
 	for i := range r.pair.Routes.Routes {
 		route := &r.pair.Routes.Routes[i]
-		if route.Host != "" && route.Host != host {
-			continue
-		}
 		for _, s := range route.Pools() {
-			if !slices.Contains(names, s.Pool) {
-				names = append(names, s.Pool)
+			if key := (hostPool{route.Host, s.Pool}); !seen[key] {
+				seen[key] = true
+				r.hostPools[route.Host] = append(r.hostPools[route.Host], s.Pool)
 			}
 		}
 	}
-	return names
 }
 
 // admit checks the account against the routes table. An account that the caller names is verified on
--- a/table/types.go
+++ b/table/types.go
@@ -60,9 +60,10 @@
 	Upload bool `json:"upload,omitempty"`
 	// MaxAttempts is the most targets that one request may be sent to; 0 means no limit of the route.
 	MaxAttempts int `json:"maxAttempts,omitempty"`
-	// Priority orders waiting requests of a pool; 0 goes first.
+	// Priority is the operators' rank of the route, 0 the highest. Placement does not use it: waiting requests are
+	// ordered by whether they may be repeated, and by deadline.
 	Priority int `json:"priority,omitempty"`
-	// ObjectiveMs is the time within which an answer is worth most; 0 means no objective.
+	// ObjectiveMs is the time within which an answer is worth most; 0 means no objective. Placement does not use it.
 	ObjectiveMs Millis `json:"objectiveMs,omitempty"`
 	// Accounts lists the accounts that may use the route; empty allows every caller.
 	Accounts []Account `json:"accounts,omitempty"`
