--- a/entry/entry.go
+++ b/entry/entry.go
@@ -61,6 +61,7 @@
 	state      atomic.Uint32
 	lastTick   atomic.Int64
 	faults     faults
+	paths      paths
 	// links are the states of the links at the last tick; only the tick uses them.
 	links map[fleet.EntryID]fleet.LinkState
 }
@@ -204,6 +205,7 @@
 		e.noteLinks(v)
 		e.cells.adopt(force, v)
 		claims, poison := e.cells.tick(force, v)
+		e.watchPaths()
 		e.fleet.mu.Lock()
 		e.fleet.membership.SetClaims(claims)
 		e.fleet.membership.SetPoison(poison)
--- /dev/null
+++ b/entry/paths_test.go
@@ -0,0 +1,61 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/bilberrywood/bilberrywood/fleet"
+	"github.com/bilberrywood/bilberrywood/pool"
+)
+
+// Guards against an owner that keeps its cells although it can't reach many of their targets, which others reach (seen:
+// eight of 18 targets cut off from the owner's VM, requests lost for the whole cut, and targets that got nothing), and
+// against giving them up because targets hang, have crashed, or are out of reach for others too.
+func TestOwnerOutOfReachStepsAside(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		connect error
+		others  int
+		aside   bool
+	}{
+		{"targets accept no connections in time", os.ErrDeadlineExceeded, 0, true},
+		{"targets accept connections", nil, 0, false},
+		{"targets refuse connections", errors.New("refused"), 0, false},
+		{"others are out of reach too", os.ErrDeadlineExceeded, mostAside, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			e := sharded(t)
+			e.paths.connect = func(context.Context, string) error { return c.connect }
+			e.tick()
+			cell, ok := e.cells.get(fleet.CellKey{Pool: "mengen-buch", Index: 0})
+			is.True(ok)
+			for range 35 {
+				_, _, ok := cell.submit(pool.Request{Deadline: e.now() + pool.Time(time.Minute)})
+				is.True(ok)
+			}
+			e.start = e.start.Add(-time.Second) // a second passes without an answer
+			for i := range c.others {
+				e.fleet.receive(e.sinceStart(), fleet.Heartbeat{
+					From: []fleet.EntryID{"127.0.0.1:12", "127.0.0.1:22"}[i], Incarnation: 1, Sequence: 1,
+					State: fleet.StateServing, Full: true, You: e.register.Incarnation, Unfit: true,
+				})
+			}
+			e.fleet.update(e.sinceStart(), func(*fleet.Membership) {})
+			e.tick()
+			e.background.Wait()
+			is.Equal(e.paths.asideUntil.Load() > 0, c.aside)
+			self, _ := e.fleet.view().Member(e.Settings.ID)
+			is.Equal(self.Unfit, c.aside)
+			e.start = e.start.Add(-asideFor)
+			e.tick()
+			self, _ = e.fleet.view().Member(e.Settings.ID)
+			is.True(!self.Unfit)
+		})
+	}
+}
--- a/fleet/membership.go
+++ b/fleet/membership.go
@@ -108,6 +108,10 @@
 	poison    []uint64
 	// prominent entries own cells or are next to do so, and beat fast.
 	prominent bool
+	// unfit is what SetFit last said, reversed. Until announceUntil an entry that has handed its cells over still beats
+	// to all, so that they know.
+	unfit         bool
+	announceUntil time.Duration
 
 	lastTick   time.Duration
 	tickLate   time.Duration
@@ -213,6 +217,7 @@
 
 // SetProminent says whether this entry owns a cell or is next to do so.
 func (m *Membership) SetProminent(now time.Duration, prominent bool) {
+	prominent = prominent || now < m.announceUntil
 	if prominent && !m.prominent {
 		m.beatAll(now)
 	}
@@ -222,6 +227,16 @@
 // settleTime is how long after its start an entry calls silent peers often.
 const settleTime = 5 * time.Second
 
+// SetFit says whether this entry reaches its targets. One that does not hands its cells over at once.
+func (m *Membership) SetFit(now time.Duration, fit bool) {
+	m.start(now)
+	if m.unfit == fit {
+		m.announceUntil = now + m.Times.Suspect
+		m.beatAll(now)
+	}
+	m.unfit = !fit
+}
+
 // toldProminentFor is how long an entry calls a silent peer that others introduced as prominent. Introductions are
 // repeated while these hear it.
 const toldProminentFor = 2 * time.Second
--- a/fleet/peer.go
+++ b/fleet/peer.go
@@ -7,7 +7,7 @@
 
 // rankable returns what the peer is ranked by.
 func (p *peer) rankable() rankable {
-	return rankable{hash: p.hash, capacity: p.Capacity, domain: p.FailureDomain}
+	return rankable{hash: p.hash, unfit: p.Unfit, capacity: p.Capacity, domain: p.FailureDomain}
 }
 
 // never lies before every time that is passed in; it is small enough that differences don't overflow.
--- a/fleet/receive.go
+++ b/fleet/receive.go
@@ -21,7 +21,7 @@
 	p.AcceptedRevision, p.Digest = h.AcceptedRevision, h.Digest
 	p.Epoch = h.Epoch
 	p.reader = h.Reader
-	p.Prominent = h.Prominent
+	p.Prominent, p.Unfit = h.Prominent, h.Unfit
 	p.poison = h.Poison
 	p.digest = h.Links
 	p.promised = time.Duration(h.NextMs) * time.Millisecond
--- a/fleet/rendezvous.go
+++ b/fleet/rendezvous.go
@@ -37,15 +37,18 @@
 // rankable is what an entry's rank follows from.
 type rankable struct {
 	hash     hash64
+	unfit    bool
 	capacity Capacity
 	domain   table.FailureDomain
 }
 
-// Places of the parts of a rank: the capacity counts most, then the failure domain, then the rendezvous weight.
+// Places of the parts of a rank: fitness counts most, then the capacity, then the failure domain, then the rendezvous
+// weight.
 const (
-	capacityShift = 60
-	domainBit     = 1 << 59
-	weightShift   = 5
+	fitBit        = 1 << 63
+	capacityShift = 59
+	domainBit     = 1 << 58
+	weightShift   = 6
 )
 
 // rank orders entries for a cell; the entry with the highest rank owns it. Entries with equal capacity in one
@@ -55,6 +58,9 @@
 	if k.domain != "" && k.domain == r.domain {
 		rank |= domainBit
 	}
+	if !r.unfit {
+		rank |= fitBit
+	}
 	return rank
 }
 
--- a/fleet/send.go
+++ b/fleet/send.go
@@ -59,6 +59,7 @@
 		Digest:           m.digest,
 		Reader:           m.reader,
 		Prominent:        m.prominent,
+		Unfit:            m.unfit,
 		TickLateMs:       m.tickLate.Milliseconds(),
 		Poison:           m.nextPoison(),
 	}
--- a/fleet/star_test.go
+++ b/fleet/star_test.go
@@ -206,3 +206,25 @@
 		is.Equal(len(s.ownersOf(c)), 1)
 	}
 }
+
+// Guards against callers that are named an owner which can't reach its targets, and against a group without an owner when
+// that is true of all.
+func TestUnfitOwnerHandsOver(t *testing.T) {
+	is := is.New(t)
+	s := newStar(44)
+	s.run(15 * time.Second)
+	first := s.members[s.order[0]].View(s.now).Rank(CellKey{})[0].ID
+	s.members[first].SetFit(s.now, false)
+	s.run(2 * starTimes.Heartbeat)
+	owners := s.owners()
+	is.Equal(len(owners), 1)
+	is.Equal(owners[first], 0)
+	s.members[first].SetFit(s.now, true)
+	s.run(starTimes.Suspect + 2*starTimes.Heartbeat)
+	is.Equal(s.owners(), map[EntryID]int{first: len(s.order)})
+	for _, m := range s.members {
+		m.SetFit(s.now, false)
+	}
+	s.run(starTimes.Slow + 2*starTimes.Heartbeat)
+	is.Equal(len(s.owners()), 1)
+}
--- a/fleet/types.go
+++ b/fleet/types.go
@@ -69,6 +69,8 @@
 	Capacity      Capacity  `json:"capacity"`
 	// Prominent says that the entry owns a cell or is next to do so.
 	Prominent bool `json:"prominent"`
+	// Unfit says that the entry can't reach many of its targets, and owns cells only where no other can.
+	Unfit bool `json:"unfit"`
 	// Live says that the entry can be reached directly or through Via.
 	Live bool `json:"live"`
 	// Via is the peer that relays when the direct link is not two-way; empty means direct.
@@ -130,6 +132,8 @@
 	TickLateMs int64 `cbor:"18,keyasint,omitempty"`
 	// Prominent says that the sender owns a cell or is next to do so.
 	Prominent bool `cbor:"25,keyasint,omitempty"`
+	// Unfit says that the sender can't reach many of its targets.
+	Unfit bool `cbor:"27,keyasint,omitempty"`
 	// NextMs is the longest time until the sender's next heartbeat to the receiver, in milliseconds; 0 means
 	// the time that both have in their settings.
 	NextMs int64 `cbor:"24,keyasint,omitempty"`
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -107,6 +107,7 @@
 		Live:             true,
 		Capacity:         m.Capacity,
 		Prominent:        m.prominent,
+		Unfit:            m.unfit,
 		AcceptedRevision: m.accepted,
 		Epoch:            m.epoch,
 		Digest:           m.digest,
@@ -178,7 +179,8 @@
 
 // rank returns the rank of a member for a cell.
 func (v *View) rank(i int, cell rankKey) uint64 {
-	return cell.rank(rankable{hash: v.rows[i].hash, capacity: v.Members[i].Capacity, domain: v.Members[i].FailureDomain})
+	m := &v.Members[i]
+	return cell.rank(rankable{hash: v.rows[i].hash, unfit: m.Unfit, capacity: m.Capacity, domain: m.FailureDomain})
 }
 
 // Owner returns the owner of a cell, and false if no entry can own it.
