--- a/entry/config.go
+++ b/entry/config.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"context"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -9,7 +8,6 @@
 	"github.com/rs/zerolog"
 
 	"github.com/bilberrywood/bilberrywood/fleet"
-	"github.com/bilberrywood/bilberrywood/peer"
 	"github.com/bilberrywood/bilberrywood/table"
 )
 
@@ -132,64 +130,3 @@
 	}
 	return texts
 }
-
-// fetchTimeout bounds the fetch of a pair from a peer.
-const fetchTimeout = 2 * time.Second
-
-// fetchFrom takes the accepted pair of a peer and offers it.
-func (e *Entry) fetchFrom(ctx context.Context, m fleet.Member) error {
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
-	defer cancel()
-	var than table.Revision
-	if f := e.config.current(); f != nil {
-		than = f.pair.Revision
-	}
-	msg, err := e.node.FetchPair(ctx, m, than)
-	if err != nil {
-		return Error.Wrap(err)
-	}
-	e.offerPeer(m.ID, msg)
-	return nil
-}
-
-func (e *Entry) offerPeer(from fleet.EntryID, msg peer.PairMessage) {
-	if msg.Revision == 0 {
-		return
-	}
-	e.config.offer(peerSource+string(from), table.Snapshot{Revision: msg.Revision, Values: msg.Values})
-}
-
-// catchUp fetches a higher accepted pair from one of the peers that report it, if there are any.
-func (e *Entry) catchUp(ctx context.Context) {
-	v := e.fleet.view()
-	if len(v.Holders) == 0 {
-		return
-	}
-	id := e.holder(v)
-	m, ok := v.Member(id)
-	if !ok {
-		return
-	}
-	if err := e.fetchFrom(ctx, m); err != nil && ctx.Err() == nil {
-		e.Log.Warn().Str("event", "pairFetchFailed").Str("peer", string(id)).Err(err).Msg("could not fetch tables from a peer")
-	}
-}
-
-// holder chooses a peer that has a newer pair, in the own failure domain if there is one: links between
-// failure domains are dear.
-func (e *Entry) holder(v *fleet.View) fleet.EntryID {
-	var near []fleet.EntryID
-	for _, id := range v.Holders {
-		if m, ok := v.Member(id); ok && m.FailureDomain == e.Settings.FailureDomain {
-			near = append(near, id)
-		}
-	}
-	if len(near) == 0 {
-		near = v.Holders
-	}
-	return near[e.intN(len(near))]
-}
-
-// catchUpEvery is how often an entry looks whether a peer has a newer pair. Heartbeats announce a
-// new pair at once, so this and one heartbeat bound the spread inside a group.
-const catchUpEvery = 100 * time.Millisecond
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -62,6 +62,7 @@
 	lastTick   atomic.Int64
 	faults     faults
 	paths      paths
+	fetches    fetches
 	// links are the states of the links at the last tick; only the tick uses them.
 	links map[fleet.EntryID]fleet.LinkState
 }
--- a/entry/paths.go
+++ b/entry/paths.go
@@ -137,7 +137,7 @@
 	if c.standing == fleet.NotOwner {
 		return nil, 0
 	}
-	for _, id := range c.cell.Stuck(c.now()) {
+	for _, id := range c.cell.Silent(c.now()) {
 		targets = append(targets, c.targets[id])
 	}
 	return targets, c.cell.Listed()
--- a/pool/cell.go
+++ b/pool/cell.go
@@ -210,6 +210,7 @@
 		c.inUse++
 	}
 	t.usedAt = now
+	t.noteAsked(now, r)
 	t.inFlight++
 	t.attempts = append(t.attempts, r)
 	if r.suspect {
--- a/pool/finish.go
+++ b/pool/finish.go
@@ -13,9 +13,7 @@
 	}
 	t := r.target
 	c.release(t, r)
-	if o.answered() {
-		t.answeredAt = now
-	}
+	t.noteOutcome(&o)
 	// The evidence of the attempt in flight is replaced by that of its end.
 	c.observeLate(now, t)
 	if o.Draining {
--- a/pool/stuck_test.go
+++ b/pool/silent_test.go
@@ -9,19 +9,23 @@
 
 // Guards against an owner that does not notice that it reaches its targets no more, and against taking busy targets, or
 // those that run uploads, for such ones.
-func TestStuckTargets(t *testing.T) {
+func TestSilentTargets(t *testing.T) {
 	const hold = 200 * time.Millisecond
 	for _, c := range []struct {
 		name     string
 		age      time.Duration
 		upload   bool
 		answered bool
-		stuck    int
+		outcome  OutcomeKind
+		silent   int
 	}{
-		{"no answer for long", time.Second, false, false, 6},
-		{"no answer yet", hold, false, false, 0},
-		{"uploads", time.Second, true, false, 0},
-		{"an answer since", time.Second, false, true, 0},
+		{"no answer for long", time.Second, false, false, 0, 6},
+		{"no answer yet", hold, false, false, 0, 0},
+		{"uploads", time.Second, true, false, 0, 0},
+		{"an answer", time.Second, false, true, OutcomeSuccess, 0},
+		{"a reset", time.Second, false, true, OutcomeConnectionLost, 0},
+		{"only timeouts", time.Second, false, true, OutcomeTimeout, 6},
+		{"timeouts of long ago", time.Minute, false, true, OutcomeTimeout, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
@@ -34,15 +38,11 @@
 			is.Equal(len(decisions), 12)
 			now += Time(hold)
 			if c.answered {
-				seen := make(map[string]bool)
 				for _, d := range decisions {
-					if id := string(d.Target); !seen[id] {
-						seen[id] = true
-						cell.Finish(now, d.Request, Outcome{Kind: OutcomeSuccess, Written: true, Service: hold})
-					}
+					cell.Finish(now, d.Request, Outcome{Kind: c.outcome, Written: true, Service: hold})
 				}
 			}
-			is.Equal(len(cell.Stuck(now-Time(hold)+Time(c.age))), c.stuck)
+			is.Equal(len(cell.Silent(now-Time(hold)+Time(c.age))), c.silent)
 		})
 	}
 }
--- a/pool/target.go
+++ b/pool/target.go
@@ -45,8 +45,10 @@
 	// onlyLate says that the target is avoided because requests are late that may still be answered.
 	onlyLate bool
 
-	// usedAt is when the last attempt began, and answeredAt when the target last gave an answer; 0 before the first.
-	usedAt, answeredAt Time
+	// usedAt is when the last attempt began; 0 before the first.
+	usedAt Time
+	// unansweredFrom is when the first attempt after the last answer began; 0 if there is none.
+	unansweredFrom Time
 	// inFlight is at most limit whenever an attempt is added.
 	inFlight int
 	// limit is how many attempts the target may run now: its slots after standing and ramp.
--- a/pool/types.go
+++ b/pool/types.go
@@ -107,15 +107,6 @@
 	return !o.Written || o.Kind == OutcomeShed || o.Kind == OutcomeOtherTarget
 }
 
-// answered says that the target gave an answer, whole or in part.
-func (o *Outcome) answered() bool {
-	switch o.Kind {
-	case OutcomeSuccess, OutcomeFailed, OutcomeTruncated, OutcomeShed, OutcomeOtherTarget:
-		return true
-	}
-	return false
-}
-
 // Decision is one instruction to the daemon. Every submitted request that is not cancelled gets
 // any number of DecisionRun and then exactly one DecisionRefuse or DecisionFinal.
 type Decision struct {
