Log what tells the hypotheses of the incident apart

The lines of attempts did not say how long a retry had waited since it was decided nor what the budget allowed, no line told when an entry became the owner of a cell or shared it, and none that the floor of targets in use applied or why it could not be met. routingDecision lines of retries have retriesLeft and retryWaitMs, ownershipChanged is new, and placementDecision has the kind belowFloor, at most one line a second for each cell.

--- a/entry/cells.go
+++ b/entry/cells.go
@@ -39,6 +39,8 @@
 	// ownership is the last one set; lastUsed is when the cell last got a request.
 	ownership fleet.Ownership
 	lastUsed  time.Time
+	// shared says that another entry is likely to serve the cell too.
+	shared bool
 	closed    bool
 }
 
@@ -83,6 +85,16 @@
 		Msg("target placement changed")
 }
 
+func (c *cellRunner) logOwnership(ownership fleet.Ownership, shared bool) {
+	c.log.Info().
+		Str("event", "ownershipChanged").
+		Str("pool", string(c.key.Pool)).
+		Int("cell", c.key.Index).
+		Str("ownership", ownershipNames[ownership]).
+		Bool("shared", shared).
+		Msg("ownership of a cell changed")
+}
+
 // submit queues a request and returns its ID and the channel of its decisions, or false if the cell is closed.
 func (c *cellRunner) submit(r pool.Request) (pool.RequestID, <-chan pool.Decision, bool) {
 	c.mu.Lock()
--- a/entry/cellset.go
+++ b/entry/cellset.go
@@ -131,15 +131,19 @@
 	for i, f := range v.Poison {
 		poison[i] = pool.Fingerprint(f)
 	}
+	shared := v.LikelyShared(c.key)
 	c.withCell(func(now pool.Time, cell *pool.Cell) {
 		// Without ownership, an entry that places requests is limited like an owner whose cell another entry
 		// may serve too.
-		cell.SetShared(now, v.LikelyShared(c.key))
+		cell.SetShared(now, shared)
 		cell.SetOwnership(now, max(ownership, fleet.ContestedOwner), v.RecentlyPaused && !c.alwaysSole)
 		if c.ownership == fleet.NotOwner && ownership != fleet.NotOwner && known {
 			cell.ImportEjected(now, lastEjected)
 		}
-		c.ownership = ownership
+		if ownership != c.ownership || shared != c.shared {
+			c.logOwnership(ownership, shared)
+		}
+		c.ownership, c.shared = ownership, shared
 		cell.ImportPoison(now, poison)
 	})
 }
--- a/entry/observe.go
+++ b/entry/observe.go
@@ -71,6 +71,9 @@
 		Int64("sinceArrivalMs", time.Since(x.arrivedAt).Milliseconds()).
 		Int64("serviceMs", serviceTime.Milliseconds()).
 		Str("outcome", outcome)
+	if d.Attempt > 1 {
+		line = line.Float64("retriesLeft", math.Round(d.RetriesLeft*10)/10).Int64("retryWaitMs", d.RetryWait.Milliseconds())
+	}
 	if x.id != nil {
 		line = line.Stringer("id", *x.id)
 	}
--- a/pool/cell.go
+++ b/pool/cell.go
@@ -65,6 +65,8 @@
 	// since.
 	targetsInUse   int
 	recentFailures failureCounter
+	// belowFloorReportedAt is when EventBelowFloor was last emitted.
+	belowFloorReportedAt Time
 
 	// Counts over the targets, updated by refreshLimits, and listedTargets by countListed. servingSlots counts the
 	// slots that ordinary requests may use, without those of targets that shed or are suspect.
@@ -149,6 +151,7 @@
 	c.refreshLimits(now)
 	c.updatePrior(now)
 	c.countInUse(now)
+	c.reportBelowFloor(now)
 	c.updateEvidence(now)
 	c.evaluateTargets(now)
 	c.refreshLimits(now)
@@ -226,6 +229,10 @@
 	if c.tracksEpisodes() {
 		d.FailureProbability = c.failureProbability(now, t)
 	}
+	if r.attempt > 1 {
+		d.RetriesLeft = c.retriesLeft(now)
+		d.RetryWait = time.Duration(now - r.retryDecidedAt)
+	}
 	c.decisions = append(c.decisions, d)
 }
 
--- a/pool/inuse.go
+++ b/pool/inuse.go
@@ -17,6 +17,8 @@
 	maxFailureFraction = 0.085
 	// minEnded is how many requests must have ended recently for the fraction of failed ones to be significant.
 	minEnded = 5.0
+	// belowFloorReportInterval is the minimum time between two reports that the floor applies.
+	belowFloorReportInterval = time.Second
 )
 
 // failureCounter holds decaying counts of the requests that ended and of those that failed or were refused.
@@ -66,8 +68,30 @@
 // targets look unhealthy, a common cause is likelier than a fault of each, and the few trusted targets can't
 // carry the whole load.
 func (c *Cell) belowFloor(now Time) bool {
+	return c.targetsInUse < c.inUseFloor() && !c.injectedFaults.ignoreFloor && c.recentFailures.tooMany(now)
+}
+
+// inUseFloor returns how many targets are to be in use while many requests fail.
+func (c *Cell) inUseFloor() int {
 	// The floor is assessed on healthy targets only, and fewer of them may be in use than of all targets.
 	// Adding half of the targets above the floor compensates for that.
-	floor := c.Floor + (c.listedTargets-c.Floor)/2
-	return c.targetsInUse < floor && !c.injectedFaults.ignoreFloor && c.recentFailures.tooMany(now)
+	return c.Floor + (c.listedTargets-c.Floor)/2
+}
+
+// reportBelowFloor emits an event while the floor applies, at most one in belowFloorReportInterval.
+func (c *Cell) reportBelowFloor(now Time) {
+	if !c.tracksEpisodes() || !c.belowFloor(now) || now-c.belowFloorReportedAt < Time(belowFloorReportInterval) {
+		return
+	}
+	c.belowFloorReportedAt = now
+	usable := 0
+	for i := range c.targets.len() {
+		if t := c.targets.at(i); !t.inUse(now) && c.eligible(now, t, &request{}) {
+			usable++
+		}
+	}
+	c.emit(Event{
+		At: now, Kind: EventBelowFloor, Reason: ReasonFloor,
+		Evidence: float64(c.targetsInUse), Threshold: float64(c.inUseFloor()), Samples: usable,
+	})
 }
--- a/pool/request.go
+++ b/pool/request.go
@@ -44,6 +44,8 @@
 	lastTarget table.TargetID
 	// notBefore is the time of the next attempt while delayed.
 	notBefore Time
+	// retryDecidedAt is when the latest retry was decided.
+	retryDecidedAt Time
 	// mayHaveRun says that an attempt may have run the request, so that it must not be refused as not run.
 	mayHaveRun  bool
 	lastOutcome OutcomeKind
--- a/pool/retry.go
+++ b/pool/retry.go
@@ -104,6 +104,7 @@
 // immediate, because it adds no load.
 func (c *Cell) scheduleRetry(now Time, r *request, o *Outcome) {
 	c.spendRetry(now)
+	r.retryDecidedAt = now
 	if o.Kind == OutcomeConnectFailed && r.attempt == 1 {
 		c.push(r, true)
 		return
--- a/pool/types.go
+++ b/pool/types.go
@@ -123,6 +123,10 @@
 	FailureProbability float64
 	// Trial marks an attempt that tests whether a target has recovered.
 	Trial bool
+	// RetriesLeft is how many more retries the budget of the cell allows. It is set for retries.
+	RetriesLeft float64
+	// RetryWait is the time from the decision to retry to the start of the attempt. It is set for retries.
+	RetryWait time.Duration
 }
 
 // EventKind classifies the changes of a target's state.
@@ -149,6 +153,10 @@
 	EventCommonCause    EventKind = "commonCause"
 	EventObserverPaused EventKind = "selfDoubt"
 	EventShed           EventKind = "shed"
+	// EventBelowFloor means that many requests fail while fewer targets are in use than the floor asks for.
+	// Evidence is the number of targets in use, Threshold the floor, and Samples the number of idle targets that
+	// could run a request now.
+	EventBelowFloor EventKind = "belowFloor"
 )
 
 // Reasons of decisions and events.
