pool: retries count when they start, not when they are decided

Seen by callers: retries beyond the operators' limit, so that targets are loaded by repeats while they fail. Cause: a retry was entered in the window when it was decided, but it may wait for a trusted target for most of its deadline. Retries decided in one span then arrive in the next, beside those decided there. Change: a decided retry is reserved and enters the window when its attempt starts; a request that ends before that gives its reservation back.

--- a/pool/cell.go
+++ b/pool/cell.go
@@ -140,7 +140,13 @@
 	case phaseDelayed:
 		c.removeDelayed(r)
 	}
-	c.requests.remove(id)
+	c.removeRequest(r)
+}
+
+// removeRequest forgets a request that needs no further decision.
+func (c *Cell) removeRequest(r *request) {
+	c.releaseRetry(r)
+	c.requests.remove(r.ID)
 }
 
 // Tick runs the periodic work. It is to be called every TickInterval.
@@ -209,6 +215,7 @@
 	r.target = t
 	r.started = now
 	r.attempt++
+	c.spendRetry(now, r)
 	r.trial = trial
 	r.forFloor = reason == ReasonFloor
 	r.cold = t.cold
@@ -244,7 +251,7 @@
 	c.decisions = append(c.decisions, Decision{
 		Kind: DecisionRefuse, Request: r.ID, Attempt: r.attempt, Reason: reason, RetryAfter: retryAfter,
 	})
-	c.requests.remove(r.ID)
+	c.removeRequest(r)
 }
 
 // endWithOutcome ends a request with the outcome of its last attempt.
@@ -255,7 +262,7 @@
 	c.decisions = append(c.decisions, Decision{
 		Kind: DecisionFinal, Request: r.ID, Target: r.lastTarget, Attempt: r.attempt, Reason: reason,
 	})
-	c.requests.remove(r.ID)
+	c.removeRequest(r)
 }
 
 // endWaiting ends a request that waits for an attempt: with the outcome of its last attempt if one may have run
--- a/pool/finish.go
+++ b/pool/finish.go
@@ -43,7 +43,7 @@
 func (c *Cell) conclude(now Time, r *request, o *Outcome) {
 	switch {
 	case r.canceled:
-		c.requests.remove(r.ID)
+		c.removeRequest(r)
 		return
 	case o.Kind == OutcomeSuccess, o.Kind == OutcomeCanceled:
 		c.endWithOutcome(r, ReasonAnswered)
--- a/pool/retry.go
+++ b/pool/retry.go
@@ -27,6 +27,9 @@
 	tokens      float64
 	initialized bool
 	window      retryWindowCount
+	// reserved counts the retries that were decided and have not started yet. They wait for a target for up to the
+	// rest of their deadline, and count in the span in which they start.
+	reserved int
 	// exclusiveSince is the time since which no other entry is likely to use the budget, if the cell is not shared.
 	exclusiveSince Time
 }
@@ -35,10 +38,11 @@
 // may use the rest.
 const sharedBudgetFraction = 0.5
 
-// retriesLeft returns how many retries the budget allows now.
+// retriesLeft returns how many more retries may be decided now.
 func (c *Cell) retriesLeft(now Time) float64 {
+	reserved := float64(c.budget.reserved)
 	if c.Policy.RetryBurst == 0 {
-		return c.budget.tokens
+		return c.budget.tokens - reserved
 	}
 	percent := c.retryPercent()
 	slack := float64(c.Policy.RetryBurst)
@@ -49,11 +53,28 @@
 	}
 	// An owner that has just taken over can't know what the previous one has used.
 	slack *= min(1, float64(now-c.budget.exclusiveSince)/float64(retryWindow))
-	return c.budget.window.remaining(now, percent, int(slack))
+	return c.budget.window.remaining(now, percent, int(slack)) - reserved
 }
 
-// spendRetry takes one retry from the budget.
-func (c *Cell) spendRetry(now Time) {
+// reserveRetry sets a retry of the request aside until it starts or the request ends.
+func (c *Cell) reserveRetry(r *request) {
+	r.retryReserved = true
+	c.budget.reserved++
+}
+
+func (c *Cell) releaseRetry(r *request) {
+	if r.retryReserved {
+		r.retryReserved = false
+		c.budget.reserved--
+	}
+}
+
+// spendRetry takes the retry that is reserved for the request from the budget.
+func (c *Cell) spendRetry(now Time, r *request) {
+	if !r.retryReserved {
+		return
+	}
+	c.releaseRetry(r)
 	c.budget.tokens--
 	c.budget.window.addRetry(now)
 }
@@ -103,7 +124,7 @@
 // scheduleRetry schedules the next attempt of a request. If the first attempt could not connect, the retry is
 // immediate, because it adds no load.
 func (c *Cell) scheduleRetry(now Time, r *request, o *Outcome) {
-	c.spendRetry(now)
+	c.reserveRetry(r)
 	r.retryDecidedAt = now
 	if o.Kind == OutcomeConnectFailed && r.attempt == 1 {
 		c.push(r, true)
