pool: the limit on retries holds when the owner of a cell is replaced

Cause: the limit was a window over what the entry itself had seen. Before it is lost, an owner may have spent all that its window allowed in a moment; the next one knows nothing of it and adds its own percentage and a slack that grows over 10 s. Class: a limit over time kept in state that dies with its holder. Ruled out: handing the history over in heartbeats, since all entries may stop at once.

Change: a token bucket. Two fifths of the slack are its capacity, the rest flows in evenly, each request adds the percentage, and the bucket of a new owner, or of one that hears of another, is empty. What any series of owners sends in 10 s is then at most capacity + inflow. The slack that may be used is 0.9 of the operators' instead of 0.73, because the part for changes of owner isn't needed any more.

TestRetryWindow drives the budget instead of the window and has no allowance for bucket widths.

--- a/entry/cells.go
+++ b/entry/cells.go
@@ -41,7 +41,7 @@
 	lastUsed  time.Time
 	// shared says that another entry is likely to serve the cell too.
 	shared bool
-	closed    bool
+	closed bool
 }
 
 // withCell calls f with the cell locked and delivers the decisions that follow.
--- a/pool/cell.go
+++ b/pool/cell.go
@@ -105,7 +105,7 @@
 	}
 	row.Request = r
 	row.submitted = now
-	c.creditRetryBudget(now)
+	c.refillRetries(now, 1)
 	c.trials.requests++
 	switch {
 	case c.ownership == fleet.NotOwner:
@@ -188,7 +188,6 @@
 	c.poison.requireCrash = c.tracksEpisodes()
 	if !c.initialized {
 		c.initialized = true
-		c.budget.exclusiveSince = now
 		c.stats.lastTick = now
 		c.stats.configure(c.Policy.SlowFactor)
 		c.lastTick = now
--- a/pool/failureestimate_test.go
+++ b/pool/failureestimate_test.go
@@ -138,17 +138,21 @@
 // against a budget that does not recover after it was spent.
 func TestRetryWindow(t *testing.T) {
 	is := is.New(t)
-	const percent, slack = 18.0, 45
+	const slack = 45
+	percent := 18.0
 	random := rand.New(rand.NewPCG(3, 4))
-	var w retryWindowCount
+	c, _ := newEpisodeCell(1, 6000)
+	c.Policy.RetryPercent, c.Policy.RetryBurst = &percent, slack
 	var requests, retries []Time
 	for now := Time(0); now < Time(time.Minute); now += Time(10 * time.Millisecond) {
 		if random.IntN(2) == 0 {
-			w.addRequest(now)
+			c.refillRetries(now, 1)
 			requests = append(requests, now)
 		}
-		if now/Time(7*time.Second)%2 == 0 && w.remaining(now, percent, slack) >= 1 {
-			w.addRetry(now)
+		if now/Time(7*time.Second)%2 == 0 && c.retriesLeft(now) >= 1 {
+			r := &request{}
+			c.reserveRetry(r)
+			c.spendRetry(now, r)
 			retries = append(retries, now)
 		}
 	}
@@ -164,9 +168,7 @@
 	for _, end := range retries {
 		n := within(retries, end)
 		maxRetries = max(maxRetries, n)
-		// The buckets of the window add at most one bucket's requests.
-		part := float64(within(requests, end)) * (1 + 1.0/windowBuckets)
-		is.True(float64(n) <= percent/100*part+slack+1)
+		is.True(float64(n) <= percent/100*float64(within(requests, end))+slack)
 	}
 	is.True(maxRetries > slack)
 	is.True(len(retries) > 3*slack)
--- a/pool/ownership.go
+++ b/pool/ownership.go
@@ -221,8 +221,12 @@
 	if shared == c.shared {
 		return
 	}
+	c.refillRetries(now, 0)
 	c.shared = shared
-	c.budget.exclusiveSince = now
+	if c.Policy.RetryBurst > 0 {
+		// The next owner of the burst starts with an empty bucket too.
+		c.budget.tokens = 0
+	}
 	c.refreshLimits(now)
 	c.dispatch(now)
 }
--- a/pool/retry.go
+++ b/pool/retry.go
@@ -19,41 +19,75 @@
 	creditFraction = 0.95
 	// defaultRetryPercent applies if the pools table gives none.
 	defaultRetryPercent = 10
+	// retryWindow is the span of time for which the retry burst of a policy is stated.
+	retryWindow = 10 * time.Second
+	// capacityFraction is the part of the retry burst that can be spent at once.
+	capacityFraction = 0.4
+	// sharedBudgetFraction is the part of the percentage that a cell uses while another entry may use the rest.
+	sharedBudgetFraction = 0.5
 )
 
-// retryBudget holds a token bucket, to which each request adds a fraction of a retry, and a window over recent
-// requests and retries, which applies instead in pools that set a retry burst.
+// retryBudget is a token bucket; a retry takes one token when it starts. In any span of time, the retries are at most
+// the capacity plus what flows in during the span. This also holds over a change of the owner, although the new one
+// does not know what the previous one has spent, because a bucket with a limit for the whole fleet starts empty.
 type retryBudget struct {
-	tokens      float64
-	initialized bool
-	window      retryWindowCount
+	// tokens includes those that are reserved.
+	tokens float64
 	// reserved counts the retries that were decided and have not started yet. They wait for a target for up to the
 	// rest of their deadline, and count in the span in which they start.
-	reserved int
-	// exclusiveSince is the time since which no other entry is likely to use the budget, if the cell is not shared.
-	exclusiveSince Time
+	reserved    int
+	refilledAt  Time
+	initialized bool
 }
 
-// sharedBudgetFraction is the part of the percentage of a windowed budget that a cell uses while another entry
-// may use the rest.
-const sharedBudgetFraction = 0.5
+// retryRates are the parameters of a retry budget.
+type retryRates struct {
+	// capacity is the maximum number of tokens.
+	capacity float64
+	// perRequest and perSecond are the tokens that each request and each second add.
+	perRequest, perSecond float64
+}
 
-// retriesLeft returns how many more retries may be decided now.
-func (c *Cell) retriesLeft(now Time) float64 {
-	reserved := float64(c.budget.reserved)
-	if c.Policy.RetryBurst == 0 {
-		return c.budget.tokens - reserved
-	}
+// retryRates returns the rates that apply now. A retry burst of the policy is a limit for the whole fleet in any
+// retryWindow: a part of it is the capacity, and the rest flows in evenly.
+func (c *Cell) retryRates() retryRates {
 	percent := c.retryPercent()
-	slack := float64(c.Policy.RetryBurst)
-	if c.shared {
-		// Another entry may have used up the slack of this window.
-		percent *= sharedBudgetFraction
-		slack = 0
+	burst := float64(c.Policy.RetryBurst)
+	switch {
+	case burst == 0 && percent == 0:
+		return retryRates{}
+	case burst == 0:
+		return retryRates{capacity: retryBurst, perRequest: creditFraction * percent / 100}
+	case c.shared:
+		// The burst belongs to one entry at a time.
+		return retryRates{capacity: burst * capacityFraction, perRequest: sharedBudgetFraction * percent / 100}
+	}
+	return retryRates{
+		capacity:   burst * capacityFraction,
+		perRequest: percent / 100,
+		perSecond:  burst * (1 - capacityFraction) / retryWindow.Seconds(),
 	}
-	// An owner that has just taken over can't know what the previous one has used.
-	slack *= min(1, float64(now-c.budget.exclusiveSince)/float64(retryWindow))
-	return c.budget.window.remaining(now, percent, int(slack)) - reserved
+}
+
+// refillRetries adds the tokens of the time since the last call and of the given number of requests.
+func (c *Cell) refillRetries(now Time, requests int) {
+	rates := c.retryRates()
+	b := &c.budget
+	if !b.initialized {
+		b.initialized, b.refilledAt = true, now
+		if c.Policy.RetryBurst == 0 {
+			b.tokens = rates.capacity
+		}
+	}
+	added := rates.perSecond*time.Duration(now-b.refilledAt).Seconds() + rates.perRequest*float64(requests)
+	b.tokens = min(rates.capacity, b.tokens+added)
+	b.refilledAt = now
+}
+
+// retriesLeft returns how many more retries may be decided now.
+func (c *Cell) retriesLeft(now Time) float64 {
+	c.refillRetries(now, 0)
+	return c.budget.tokens - float64(c.budget.reserved)
 }
 
 // reserveRetry sets a retry of the request aside until it starts or the request ends.
@@ -75,8 +109,8 @@
 		return
 	}
 	c.releaseRetry(r)
+	c.refillRetries(now, 0)
 	c.budget.tokens--
-	c.budget.window.addRetry(now)
 }
 
 func (c *Cell) retryPercent() float64 {
@@ -86,19 +120,6 @@
 	return *c.Policy.RetryPercent
 }
 
-func (c *Cell) creditRetryBudget(now Time) {
-	c.budget.window.addRequest(now)
-	percent := c.retryPercent()
-	limit := float64(retryBurst)
-	if percent == 0 {
-		limit = 0
-	}
-	if !c.budget.initialized {
-		c.budget.tokens, c.budget.initialized = limit, true
-	}
-	c.budget.tokens = min(limit, c.budget.tokens+creditFraction*percent/100)
-}
-
 // mayRetry reports whether another attempt may follow one with this outcome, and the reason.
 func (c *Cell) mayRetry(now Time, r *request, o *Outcome) (bool, Reason) {
 	notExecuted := o.notRun()
--- a/pool/retrylimit_test.go
+++ b/pool/retrylimit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"sort"
 	"testing"
 	"time"
 
@@ -68,8 +69,8 @@
 func newRetryCell(now Time, n int) *Cell {
 	c, _ := newEpisodeCell(n, 6000)
 	c.Policy.RetryPercent = new(float64)
-	*c.Policy.RetryPercent = 100 * retryLimitRatio * 0.9
-	c.Policy.RetryBurst = retryLimitSlack * 73 / 100
+	*c.Policy.RetryPercent = 90 * retryLimitRatio
+	c.Policy.RetryBurst = retryLimitSlack * 9 / 10
 	c.Tick(now)
 	return c
 }
@@ -181,8 +182,8 @@
 	// begins when the first no longer counts, don't.
 	l.burst(now, cell)
 	shedAll(cell, now+wait)
-	l.run(now, now+Time(retryWindow+retryWindow/windowBuckets), perSecond, cell)
-	now += Time(retryWindow + retryWindow/windowBuckets)
+	l.run(now, now+Time(retryWindow+retryWindow/40), perSecond, cell)
+	now += Time(retryWindow + retryWindow/40)
 	l.burst(now, cell)
 	l.run(now, now+Time(time.Second), perSecond, cell)
 	start, excess := l.ledger.worst()
@@ -227,3 +228,51 @@
 	t.Logf("%d retries for %d requests; most in the 10 s from %v: %+.0f of the limit", len(l.ledger.retries), len(l.ledger.requests), time.Duration(start), excess)
 	is.New(t).True(excess <= 0)
 }
+
+// Guards against counting retries when they are decided. Those that wait for a target then start together with the
+// retries of a later span. The first case shows that the check finds that.
+func TestWaitingRetriesCountWhenTheyStart(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		whenDecided bool
+	}{
+		{"counted when decided", true},
+		{"counted when started", false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			const wait = Time(2 * time.Second)
+			cell := newRetryCell(Time(time.Second), 1)
+			var l retryLedger
+			var waiting []*request
+			for now := Time(20 * time.Second); now < Time(60*time.Second); now += Time(10 * time.Millisecond) {
+				l.requests = append(l.requests, now)
+				cell.refillRetries(now, 1)
+				for cell.retriesLeft(now) >= 1 {
+					r := &request{}
+					cell.reserveRetry(r)
+					if c.whenDecided {
+						cell.spendRetry(now, r)
+					}
+					waiting = append(waiting, r)
+				}
+				// Retries of every other span of 2 s wait for its end, those of the others start at once.
+				if now/wait%2 == 0 {
+					continue
+				}
+				for _, r := range waiting {
+					l.retries = append(l.retries, now)
+					cell.spendRetry(now, r)
+				}
+				waiting = nil
+			}
+			worst := 0
+			for i, from := range l.retries {
+				n := sort.Search(len(l.retries)-i, func(k int) bool { return l.retries[i+k] >= from+Time(retryWindow) })
+				worst = max(worst, n)
+			}
+			allowed := float64(cell.Policy.RetryBurst) + cell.retryPercent()/100*100*retryWindow.Seconds()
+			t.Logf("%d retries in 10 s, %.0f allowed", worst, allowed)
+			is.New(t).Equal(float64(worst) > allowed, c.whenDecided)
+		})
+	}
+}
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -136,11 +136,11 @@
 }
 
 // Fractions of RetryLimit that the fleet uses. The rest is reserved for what the owner of a cell can't
-// count: attempts of another entry during a handover of the cell, and requests that reach a pool outside
-// the window of this fleet.
+// count: requests that move from a silent connection to a new one, and attempts of an entry that does not know
+// yet that the cell has another owner.
 const (
 	retryRatioFraction = 0.9
-	retrySlackFraction = 0.73
+	retrySlackFraction = 0.9
 )
 
 func (p *PoolDefaults) setDefaults() {
