pool: the floor of targets in use applies before the losses of a span are over

Seen by callers: while more than a tenth of a pool's requests are not served, most healthy targets get none for 2 s, because they are suspect since an earlier failure episode. Cause: the floor applied once 8.5% of the requests that had ended in about a second had failed. A request that hangs ends at its deadline, 2 to 3 s after it came, when the span is over; and as soon as the fraction fell below the limit, the targets that were still idle stayed idle. Class: a late signal, and a switch without hysteresis.

--- a/pool/cell.go
+++ b/pool/cell.go
@@ -157,6 +157,7 @@
 	c.refreshLimits(now)
 	c.updatePrior(now)
 	c.countInUse(now)
+	c.countOverdue(now)
 	c.reportBelowFloor(now)
 	c.updateEvidence(now)
 	c.evaluateTargets(now)
@@ -245,7 +246,7 @@
 // refuse ends a request that no target ran.
 func (c *Cell) refuse(r *request, reason Reason, retryAfter time.Duration) {
 	if reason != ReasonPoison && reason != ReasonNotOwner {
-		c.recentFailures.add(c.lastCall, false)
+		c.countEnded(r, false)
 	}
 	c.decisions = append(c.decisions, Decision{
 		Kind: DecisionRefuse, Request: r.ID, Attempt: r.attempt, Reason: reason, RetryAfter: retryAfter,
@@ -256,7 +257,7 @@
 // endWithOutcome ends a request with the outcome of its last attempt.
 func (c *Cell) endWithOutcome(r *request, reason Reason) {
 	if reason != ReasonPoison && r.lastOutcome != OutcomeCanceled && !r.forFloor {
-		c.recentFailures.add(c.lastCall, reason == ReasonAnswered)
+		c.countEnded(r, reason == ReasonAnswered)
 	}
 	c.decisions = append(c.decisions, Decision{
 		Kind: DecisionFinal, Request: r.ID, Target: r.lastTarget, Attempt: r.attempt, Reason: reason,
--- a/pool/inuse.go
+++ b/pool/inuse.go
@@ -9,14 +9,17 @@
 	// inUseWindow is how long a target counts as in use after its last attempt began. The use of targets is
 	// assessed over 2 s; the difference is for the requests that it takes to reach all targets again.
 	inUseWindow = 1600 * time.Millisecond
-	// failureWindow is the time over which the fraction of failed requests is averaged. It too is assessed over
-	// 2 s.
-	failureWindow = time.Second
+	// failureWindow is the time over which the fraction of failed requests is averaged. It is shorter than the 2 s of
+	// the assessment, to leave time for reaching the floor.
+	failureWindow = 700 * time.Millisecond
 	// maxFailureFraction is the fraction of failed requests above which the floor applies to the targets in
 	// use. A tenth is acceptable to callers.
 	maxFailureFraction = 0.085
 	// minEnded is how many requests must have ended recently for the fraction of failed ones to be significant.
 	minEnded = 5.0
+	// overdueFraction is the fraction of the time to its deadline after which a request without a response counts as
+	// failed. Most requests that hang would otherwise count only when the span in which they came is over.
+	overdueFraction = 0.5
 	// belowFloorReportInterval is the minimum time between two reports that the floor applies.
 	belowFloorReportInterval = time.Second
 )
@@ -27,6 +30,8 @@
 type failureCounter struct {
 	ended, failed float64
 	at            Time
+	// manyUntil is until when tooMany holds.
+	manyUntil Time
 }
 
 func (f *failureCounter) decay(now Time) {
@@ -42,10 +47,31 @@
 	}
 }
 
-// tooMany reports whether so many requests fail that the suspicion of targets may be wrong.
-func (f *failureCounter) tooMany(now Time) bool {
+// tooMany reports whether so many requests fail, more than the limit as a fraction, that the suspicion of targets may
+// be wrong. It holds for inUseWindow, so that each idle target gets a request.
+func (f *failureCounter) tooMany(now Time, limit float64) bool {
 	f.decay(now)
-	return f.ended >= minEnded && f.failed > maxFailureFraction*f.ended
+	if f.ended >= minEnded && f.failed > limit*f.ended {
+		f.manyUntil = now + Time(inUseWindow)
+	}
+	return now < f.manyUntil
+}
+
+// countEnded counts the end of a request, unless it has counted as overdue before.
+func (c *Cell) countEnded(r *request, succeeded bool) {
+	if !r.countedAsEnded {
+		r.countedAsEnded = true
+		c.recentFailures.add(c.lastCall, succeeded)
+	}
+}
+
+// countOverdue counts the requests that have become overdue as failed.
+func (c *Cell) countOverdue(now Time) {
+	for i := range c.requests.len() {
+		if r := c.requests.at(i); !r.countedAsEnded && !r.forFloor && !r.canceled && r.Deadline > 0 && c.hasWaited(now, r, overdueFraction) {
+			c.countEnded(r, false)
+		}
+	}
 }
 
 // countInUse counts the targets that are in use.
@@ -68,7 +94,10 @@
 // targets look unhealthy, a common cause is likelier than a fault of each, and the few trusted targets can't
 // carry the whole load.
 func (c *Cell) belowFloor(now Time) bool {
-	return c.targetsInUse < c.inUseFloor() && !c.injectedFaults.ignoreFloor && c.recentFailures.tooMany(now)
+	floor := c.inUseFloor()
+	// The farther below the floor, the longer it takes to reach it, and the fewer failures suffice.
+	limit := maxFailureFraction * float64(c.targetsInUse) / float64(max(1, floor))
+	return c.targetsInUse < floor && !c.injectedFaults.ignoreFloor && c.recentFailures.tooMany(now, limit)
 }
 
 // inUseFloor returns how many targets are to be in use while many requests fail.
--- a/pool/request.go
+++ b/pool/request.go
@@ -46,6 +46,8 @@
 	notBefore Time
 	// retryDecidedAt is when the latest retry was decided.
 	retryDecidedAt Time
+	// countedAsEnded says that the request counts in Cell.recentFailures, as ended or as overdue.
+	countedAsEnded bool
 	// retryReserved says that a retry of the budget is set aside for the next attempt.
 	retryReserved bool
 	// mayHaveRun says that an attempt may have run the request, so that it must not be refused as not run.
