--- a/pool/floormix_test.go
+++ b/pool/floormix_test.go
@@ -29,6 +29,8 @@
 	resetting, hanging float64
 	// failing is the fraction of requests that fail in an episode.
 	failing float64
+	// ignoreFloor switches the floor off.
+	ignoreFloor bool
 }
 
 const mixedEpisode = Time(6 * time.Second)
@@ -45,11 +47,25 @@
 	outcome OutcomeKind
 }
 
-// run simulates length and returns the spans that break the floor, and the number of spans to which it applies.
+// mixedTrace is what a cell received and what its targets did.
+type mixedTrace struct {
+	requests []mixedRequest
+	// starts are the times at which attempts began, and targets where.
+	starts  []Time
+	targets []table.TargetID
+}
+
+// run simulates a cell and returns the spans that break the floor, the number of spans to which it applies, and the
+// fraction of the requests that were served.
 func (f mixedFaults) run(seed uint64, length Time) (broken []string, applicable int, served float64) {
+	return f.assess(length, f.simulate(seed, length))
+}
+
+func (f mixedFaults) simulate(seed uint64, length Time) mixedTrace {
 	random := rand.New(rand.NewPCG(seed, 5))
 	c, now := newEpisodeCell(f.targets, 6000)
 	c.SlotsPerTarget = f.slots
+	c.injectedFaults.ignoreFloor = f.ignoreFloor
 	c.Tick(now)
 	type episode struct {
 		until Time
@@ -129,43 +145,53 @@
 			running = append(running, a)
 		}
 	}
-	for _, r := range requests {
-		if r.served {
-			served += 1 / float64(len(requests))
-		}
-	}
-	broken, applicable = f.assess(requests, starts, startTargets, begin+Time(5*time.Second), begin+length-Time(f.deadline)-floorSpan)
-	return broken, applicable, served
+	return mixedTrace{requests, starts, startTargets}
 }
 
-func (f mixedFaults) assess(requests []mixedRequest, starts []Time, targets []table.TargetID, from, to Time) (broken []string, applicable int) {
-	for ; from < to; from += floorSpan / 4 {
-		n, unserved := 0, 0
-		for _, r := range requests {
-			if r.submitted >= from && r.submitted < from+floorSpan {
-				n++
-				if !r.served {
-					unserved++
+// assess checks the floor over the cells of one pool.
+func (f mixedFaults) assess(length Time, cells ...mixedTrace) (broken []string, applicable int, served float64) {
+	total := 0
+	for _, c := range cells {
+		total += len(c.requests)
+		for _, r := range c.requests {
+			if r.served {
+				served++
+			}
+		}
+	}
+	served /= float64(total)
+	begin := cells[0].requests[0].submitted
+	end := begin + length - Time(f.deadline) - floorSpan
+	for from := begin + Time(5*time.Second); from < end; from += floorSpan / 4 {
+		n, unserved, used := 0, 0, 0
+		for _, c := range cells {
+			for _, r := range c.requests {
+				if r.submitted >= from && r.submitted < from+floorSpan {
+					n++
+					if !r.served {
+						unserved++
+					}
 				}
 			}
+			inUse := make(map[table.TargetID]bool)
+			for i, at := range c.starts {
+				if at >= from && at < from+floorSpan {
+					inUse[c.targets[i]] = true
+				}
+			}
+			used += len(inUse)
 		}
 		loss := float64(unserved) / float64(n)
 		if loss <= minUnserved || loss >= maxUnserved {
 			continue
 		}
 		applicable++
-		used := make(map[table.TargetID]bool)
-		for i, at := range starts {
-			if at >= from && at < from+floorSpan {
-				used[targets[i]] = true
-			}
-		}
-		if float64(len(used)) < floorShare*float64(f.targets) {
+		if all := f.targets * len(cells); float64(used) < floorShare*float64(all) {
 			broken = append(broken, fmt.Sprintf("%.1f s: %d of %d targets used, %d of %d requests not served",
-				time.Duration(from).Seconds(), len(used), f.targets, unserved, n))
+				time.Duration(from).Seconds(), used, all, unserved, n))
 		}
 	}
-	return broken, applicable
+	return broken, applicable, served
 }
 
 // mixedFaultCases are the faults of pools with the load and the sizes that their operators have.
@@ -175,11 +201,11 @@
 	// late are seeds with which the floor is still broken at the onset of losses.
 	late []uint64
 }{
-	{"notices reset", mixedFaults{19, 4, 76, 320 * time.Millisecond, 3 * time.Second, false, 0.4, 0, 0.63}, nil},
-	{"notices hang", mixedFaults{19, 4, 76, 320 * time.Millisecond, 3 * time.Second, false, 0, 0.4, 0.63}, []uint64{1028, 1067, 1109}},
-	{"notices reset and hang", mixedFaults{19, 4, 76, 320 * time.Millisecond, 3 * time.Second, false, 0.25, 0.2, 0.63}, []uint64{1038, 1098}},
-	{"lookups hang", mixedFaults{12, 2, 26, 290 * time.Millisecond, 1500 * time.Millisecond, true, 0, 0.4, 0.63}, nil},
-	{"orders reset and hang", mixedFaults{18, 2, 52, 220 * time.Millisecond, 2 * time.Second, false, 0.25, 0.2, 0.63}, []uint64{1046}},
+	{"notices reset", mixedFaults{19, 4, 76, 320 * time.Millisecond, 3 * time.Second, false, 0.4, 0, 0.63, false}, nil},
+	{"notices hang", mixedFaults{19, 4, 76, 320 * time.Millisecond, 3 * time.Second, false, 0, 0.4, 0.63, false}, []uint64{1028, 1067, 1109}},
+	{"notices reset and hang", mixedFaults{19, 4, 76, 320 * time.Millisecond, 3 * time.Second, false, 0.25, 0.2, 0.63, false}, []uint64{1038, 1098}},
+	{"lookups hang", mixedFaults{12, 2, 26, 290 * time.Millisecond, 1500 * time.Millisecond, true, 0, 0.4, 0.63, false}, nil},
+	{"orders reset and hang", mixedFaults{18, 2, 52, 220 * time.Millisecond, 2 * time.Second, false, 0.25, 0.2, 0.63, false}, []uint64{1046}},
 }
 
 const mixedRun = Time(60 * time.Second)
@@ -218,3 +244,33 @@
 		}
 	}
 }
+
+// Guards against a floor that each cell of a pool keeps by its own losses, while operators assess the pool: cells with few
+// losses leave their suspect targets idle while another cell loses many requests. The first case shows that the check
+// finds that.
+func TestInUseFloorOverCells(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		ignoreFloor bool
+	}{
+		{"without the floor", true},
+		{"with the floor", false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			const seeds = 20
+			mild := mixedFaults{19, 2, 52, 220 * time.Millisecond, 2 * time.Second, false, 0.4, 0, 0.4, c.ignoreFloor}
+			severe := mild
+			severe.resetting, severe.hanging = 0, 0.8
+			spans, broken, served := 0, 0, 0.0
+			for seed := range uint64(seeds) {
+				found, applicable, share := mild.assess(mixedRun,
+					mild.simulate(seed, mixedRun), mild.simulate(seed+1000, mixedRun), severe.simulate(seed, mixedRun))
+				spans += applicable
+				broken += len(found)
+				served += share / seeds
+			}
+			t.Logf("%.4f served; the floor applied in %d spans and was broken in %d", served, spans, broken)
+			is.New(t).Equal(broken > 0, c.ignoreFloor)
+		})
+	}
+}
