--- a/pool/floormix_test.go
+++ b/pool/floormix_test.go
@@ -42,7 +42,6 @@
 
 type mixedAttempt struct {
 	id      RequestID
-	target  table.TargetID
 	end     Time
 	outcome OutcomeKind
 }
@@ -61,91 +60,117 @@
 	return f.assess(length, f.simulate(seed, length))
 }
 
+// episodeTarget is a target with unannounced failure episodes.
+type episodeTarget struct {
+	// until is the end of the current episode or of the time without one, and kind how requests fail meanwhile;
+	// OutcomeSuccess means that they don't.
+	until Time
+	kind  OutcomeKind
+}
+
+// mixedRunner simulates one cell.
+type mixedRunner struct {
+	mixedFaults
+	cell    *Cell
+	random  *rand.Rand
+	ordered []*episodeTarget
+	byID    map[table.TargetID]*episodeTarget
+	running []mixedAttempt
+	trace   mixedTrace
+}
+
+// simulate sends requests to a cell for length.
 func (f mixedFaults) simulate(seed uint64, length Time) mixedTrace {
-	random := rand.New(rand.NewPCG(seed, 5))
+	m := &mixedRunner{mixedFaults: f, random: rand.New(rand.NewPCG(seed, 5)), byID: make(map[table.TargetID]*episodeTarget)}
 	c, now := newEpisodeCell(f.targets, 6000)
 	c.SlotsPerTarget = f.slots
 	c.injectedFaults.ignoreFloor = f.ignoreFloor
 	c.Tick(now)
-	type episode struct {
-		until Time
-		kind  OutcomeKind
+	m.cell = c
+	for i := range f.targets {
+		t := &episodeTarget{until: now + Time(m.random.Int64N(int64(mixedEpisode)))}
+		m.ordered = append(m.ordered, t)
+		m.byID[table.TargetID(fmt.Sprintf("t%02d", i))] = t
 	}
-	episodes := make(map[table.TargetID]*episode)
-	ordered := make([]*episode, f.targets)
-	for i := range ordered {
-		ordered[i] = &episode{until: now + Time(random.Int64N(int64(mixedEpisode)))}
-		episodes[table.TargetID(fmt.Sprintf("t%02d", i))] = ordered[i]
-	}
-	var requests []mixedRequest
-	var starts []Time
-	var startTargets []table.TargetID
-	var running []mixedAttempt
-	step := Time(5 * time.Millisecond)
+	const step = Time(5 * time.Millisecond)
 	gap := Time(time.Second) / Time(f.perSecond)
 	next, nextTick := now, now
-	begin := now
-	for ; now < begin+length; now += step {
-		for _, e := range ordered {
-			if now < e.until {
-				continue
-			}
-			e.until = now + Time(float64(mixedEpisode)*(0.5+random.Float64()))
-			e.kind = OutcomeSuccess
-			switch x := random.Float64(); {
-			case x < f.resetting:
-				e.kind = OutcomeConnectionLost
-			case x < f.resetting+f.hanging:
-				e.kind = OutcomeTimeout
-			}
-		}
+	for end := now + length; now < end; now += step {
+		m.changeEpisodes(now)
 		if now >= nextTick {
 			nextTick += Time(TickInterval)
 			c.Tick(now)
 		}
-		kept := running[:0]
-		var ended []mixedAttempt
-		for _, a := range running {
-			if a.end <= now {
-				ended = append(ended, a)
-			} else {
-				kept = append(kept, a)
-			}
+		m.finish(now)
+		for ; next <= now; next += gap {
+			m.submit(now)
 		}
-		running = kept
-		for _, a := range ended {
-			if a.outcome == OutcomeSuccess {
-				requests[a.id-1].served = true
-			}
-			c.Finish(now, a.id, Outcome{Kind: a.outcome, Written: true, ServiceTime: f.service})
+		m.start(now)
+	}
+	return m.trace
+}
+
+func (m *mixedRunner) changeEpisodes(now Time) {
+	for _, t := range m.ordered {
+		if now < t.until {
+			continue
 		}
-		for ; next <= now; next += gap {
-			requests = append(requests, mixedRequest{submitted: now})
-			c.Submit(now, Request{
-				ID: RequestID(len(requests)), Idempotent: f.idempotent, Replayable: true, MaxAttempts: 2, Deadline: now + Time(f.deadline),
-			})
+		t.until = now + Time(float64(mixedEpisode)*(0.5+m.random.Float64()))
+		t.kind = OutcomeSuccess
+		switch x := m.random.Float64(); {
+		case x < m.resetting:
+			t.kind = OutcomeConnectionLost
+		case x < m.resetting+m.hanging:
+			t.kind = OutcomeTimeout
 		}
-		for _, d := range append([]Decision(nil), c.Decisions()...) {
-			if d.Kind != DecisionRun {
-				continue
-			}
-			starts, startTargets = append(starts, now), append(startTargets, d.Target)
-			a := mixedAttempt{id: d.Request, target: d.Target, end: now + Time(float64(f.service)*random.ExpFloat64())}
-			deadline := requests[d.Request-1].submitted + Time(f.deadline)
-			e := episodes[d.Target]
-			switch {
-			case e.kind != OutcomeSuccess && random.Float64() < f.failing:
-				a.outcome, a.end = e.kind, now+Time(time.Millisecond)
-				if e.kind == OutcomeTimeout {
-					a.end = deadline
-				}
-			case a.end > deadline:
-				a.outcome, a.end = OutcomeTimeout, deadline
-			}
-			running = append(running, a)
+	}
+}
+
+// finish reports the attempts that have ended.
+func (m *mixedRunner) finish(now Time) {
+	var kept, ended []mixedAttempt
+	for _, a := range m.running {
+		if a.end <= now {
+			ended = append(ended, a)
+		} else {
+			kept = append(kept, a)
+		}
+	}
+	m.running = kept
+	for _, a := range ended {
+		if a.outcome == OutcomeSuccess {
+			m.trace.requests[a.id-1].served = true
 		}
+		m.cell.Finish(now, a.id, Outcome{Kind: a.outcome, Written: true, ServiceTime: m.service})
+	}
+}
+
+func (m *mixedRunner) submit(now Time) {
+	m.trace.requests = append(m.trace.requests, mixedRequest{submitted: now})
+	m.cell.Submit(now, Request{
+		ID: RequestID(len(m.trace.requests)), Idempotent: m.idempotent, Replayable: true, MaxAttempts: 2,
+		Deadline: now + Time(m.deadline),
+	})
+}
+
+// start begins the attempts that the cell has decided.
+func (m *mixedRunner) start(now Time) {
+	for _, d := range append([]Decision(nil), m.cell.Decisions()...) {
+		if d.Kind != DecisionRun {
+			continue
+		}
+		m.trace.starts, m.trace.targets = append(m.trace.starts, now), append(m.trace.targets, d.Target)
+		a := mixedAttempt{id: d.Request, end: now + Time(float64(m.service)*m.random.ExpFloat64())}
+		deadline := m.trace.requests[d.Request-1].submitted + Time(m.deadline)
+		kind := m.byID[d.Target].kind
+		switch {
+		case kind == OutcomeConnectionLost && m.random.Float64() < m.failing:
+			a.outcome, a.end = kind, now+Time(time.Millisecond)
+		case kind == OutcomeTimeout && m.random.Float64() < m.failing, a.end > deadline:
+			a.outcome, a.end = OutcomeTimeout, deadline
+		}
+		m.running = append(m.running, a)
 	}
-	return mixedTrace{requests, starts, startTargets}
 }
 
 // assess checks the floor over the cells of one pool.
@@ -194,18 +219,32 @@
 	return broken, applicable, served
 }
 
-// mixedFaultCases are the faults of pools with the load and the sizes that their operators have.
+// Pools with the load and the sizes that their operators have.
+var (
+	noticePool = mixedFaults{targets: 19, slots: 4, perSecond: 76, service: 320 * time.Millisecond, deadline: 3 * time.Second, failing: 0.63}
+	lookupPool = mixedFaults{
+		targets: 12, slots: 2, perSecond: 26, service: 290 * time.Millisecond, deadline: 1500 * time.Millisecond, failing: 0.63, idempotent: true,
+	}
+	orderPool = mixedFaults{targets: 18, slots: 2, perSecond: 52, service: 220 * time.Millisecond, deadline: 2 * time.Second, failing: 0.63}
+)
+
+// with returns f with the given fractions of the time in episodes.
+func (f mixedFaults) with(resetting, hanging float64) mixedFaults {
+	f.resetting, f.hanging = resetting, hanging
+	return f
+}
+
 var mixedFaultCases = []struct {
 	name string
 	mixedFaults
 	// late are seeds with which the floor is still broken at the onset of losses.
 	late []uint64
 }{
-	{"notices reset", mixedFaults{19, 4, 76, 320 * time.Millisecond, 3 * time.Second, false, 0.4, 0, 0.63, false}, nil},
-	{"notices hang", mixedFaults{19, 4, 76, 320 * time.Millisecond, 3 * time.Second, false, 0, 0.4, 0.63, false}, []uint64{1028, 1067, 1109}},
-	{"notices reset and hang", mixedFaults{19, 4, 76, 320 * time.Millisecond, 3 * time.Second, false, 0.25, 0.2, 0.63, false}, []uint64{1038, 1098}},
-	{"lookups hang", mixedFaults{12, 2, 26, 290 * time.Millisecond, 1500 * time.Millisecond, true, 0, 0.4, 0.63, false}, nil},
-	{"orders reset and hang", mixedFaults{18, 2, 52, 220 * time.Millisecond, 2 * time.Second, false, 0.25, 0.2, 0.63, false}, []uint64{1046}},
+	{"notices reset", noticePool.with(0.4, 0), nil},
+	{"notices hang", noticePool.with(0, 0.4), []uint64{1028, 1067, 1109}},
+	{"notices reset and hang", noticePool.with(0.25, 0.2), []uint64{1038, 1098}},
+	{"lookups hang", lookupPool.with(0, 0.4), nil},
+	{"orders reset and hang", orderPool.with(0.25, 0.2), []uint64{1046}},
 }
 
 const mixedRun = Time(60 * time.Second)
@@ -258,9 +297,9 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			const seeds = 20
-			mild := mixedFaults{19, 2, 52, 220 * time.Millisecond, 2 * time.Second, false, 0.4, 0, 0.4, c.ignoreFloor}
-			severe := mild
-			severe.resetting, severe.hanging = 0, 0.8
+			mild := orderPool.with(0.4, 0)
+			mild.targets, mild.failing, mild.ignoreFloor = 19, 0.4, c.ignoreFloor
+			severe := mild.with(0, 0.8)
 			spans, broken, served := 0, 0, 0.0
 			for seed := range uint64(seeds) {
 				found, applicable, share := mild.assess(mixedRun,
