--- a/pool/report.go
+++ b/pool/report.go
@@ -24,7 +24,7 @@
 	ResponsesPerSecond float64 `json:"rate"`
 	// BaselineFailureRatio is the failure ratio that targets are compared with.
 	BaselineFailureRatio float64 `json:"baseRatio"`
-	// RetryTokens is the content of the token bucket, in retries. Pools that set a retry burst don't use it.
+	// RetryTokens is the content of the token bucket, in retries, with those that are decided and have not started.
 	RetryTokens float64 `json:"retryTokens"`
 	// Fingerprints is the number of fingerprints of suspected and refused requests.
 	Fingerprints int            `json:"fingerprints"`
--- a/table/types.go
+++ b/table/types.go
@@ -153,7 +153,8 @@
 	// recovers by itself. 0 means that targets are classified by their failure ratio and not by
 	// episodes.
 	SpellMs Millis `json:"spellMs,omitempty"`
-	// RetryBurst is the number of retries beyond RetryPercent that are allowed in any 10 s. 0 allows
+	// RetryBurst is the number of retries beyond RetryPercent that are allowed in any 10 s, whichever
+	// entries make them. Two fifths can be made at once, the rest evenly over the time. 0 allows
 	// bursts of five retries, refilled by further requests.
 	RetryBurst int `json:"retryBurst,omitempty"`
 	// RampMs is the length of the slow start, in which a new or restored target reaches all of its
