--- a/entry/bind.go
+++ b/entry/bind.go
@@ -129,7 +129,7 @@
 	if !ok {
 		return verdictRefusal(notice.VerdictResponseLost)
 	}
-	e.logAttempt(x, pool.Decision{Reason: reasonStoredResponse}, notice.OutcomeRun, 0)
+	e.logAttempt(x, pool.Decision{Reason: reasonStoredResponse}, notice.OutcomeRun, &pool.Outcome{})
 	header := peer.ResponseHeader{Status: stored.Status, Header: stored.Header, ContentLength: int64(len(stored.Body))}
 	if err := x.responseWriter.WriteHeader(header); err != nil {
 		return unknownRefusal(reasonCallerGone, err.Error())
--- a/entry/observe.go
+++ b/entry/observe.go
@@ -50,8 +50,9 @@
 	return 0
 }
 
-// logAttempt logs the routing decision of one attempt. serviceTime is how long the attempt occupied its target.
-func (e *Entry) logAttempt(x *exchange, d pool.Decision, outcome string, serviceTime time.Duration) {
+// logAttempt logs the routing decision of one attempt with the name of its outcome. o is what the target's part of it
+// was.
+func (e *Entry) logAttempt(x *exchange, d pool.Decision, outcome string, o *pool.Outcome) {
 	e.counters.attempts.Inc(1)
 	if outcome == outcomeNames[pool.OutcomeSuccess] {
 		e.counters.run.Inc(1)
@@ -69,8 +70,11 @@
 		Uint64("revision", uint64(e.revision())).
 		Int("attempt", x.attempts).
 		Int64("sinceArrivalMs", time.Since(x.arrivedAt).Milliseconds()).
-		Int64("serviceMs", serviceTime.Milliseconds()).
+		Int64("serviceMs", o.ServiceTime.Milliseconds()).
 		Str("outcome", outcome)
+	if o.RateLimit.Limited {
+		line = line.Float64("rateLimit", o.RateLimit.PerSecond)
+	}
 	if d.Attempt > 1 {
 		line = line.Float64("retriesLeft", math.Round(d.RetriesLeft*10)/10).Int64("retryWaitMs", d.RetryWait.Milliseconds())
 	}
@@ -80,6 +84,12 @@
 	line.Send()
 }
 
+// logRateLimitIgnored logs that a target named a rate limit that could not be read.
+func (e *Entry) logRateLimitIgnored(target table.TargetID, err error) {
+	e.Log.Warn().Str("event", "rateLimitIgnored").Str("target", string(target)).Err(err).
+		Msg("rate limit of a target could not be read; the one named before stays")
+}
+
 // logForward logs the routing decision for a request that was forwarded to a peer.
 func (e *Entry) logForward(x *exchange, to fleet.Member, outcome string) {
 	e.counters.forwarded.Inc(1)
--- a/entry/place.go
+++ b/entry/place.go
@@ -162,6 +162,9 @@
 		return p.handleError(d, err, time.Since(startedAt))
 	}
 	defer func() { _ = response.Body.Close() }()
+	if response.RateLimitErr != nil {
+		p.e.logRateLimitIgnored(d.Target, response.RateLimitErr)
+	}
 	o := response.Outcome()
 	if o.Kind == pool.OutcomeShed || o.Kind == pool.OutcomeMisdirected {
 		p.report(d, o)
@@ -190,7 +193,7 @@
 // report logs the outcome of an attempt and reports it to the cell.
 func (p *placement) report(d pool.Decision, o pool.Outcome) {
 	o.Draining = o.Draining && !p.e.faults.ignoreDrain
-	p.e.logAttempt(p.x, d, outcomeNames[o.Kind], o.ServiceTime)
+	p.e.logAttempt(p.x, d, outcomeNames[o.Kind], &o)
 	p.cell.finish(p.id, d.Target, o)
 }
 
@@ -233,6 +236,7 @@
 	case errors.As(err, &attempt):
 		o = attempt.Outcome()
 		o.ServiceTime, o.Draining, o.ResponseStarted = resp.ServiceTime, resp.Draining, true
+		o.RateLimit = resp.RateLimit
 	default:
 		o.Kind = pool.OutcomeCanceled
 	}
--- a/pool/types.go
+++ b/pool/types.go
@@ -87,6 +87,8 @@
 	TimeAfterBody time.Duration
 	// NewConnection says that the attempt was the first on its connection.
 	NewConnection bool
+	// RateLimit is what the response says about the target's rate limit.
+	RateLimit RateLimit
 }
 
 // DecisionKind says what the daemon does with a request.
--- a/target/client.go
+++ b/target/client.go
@@ -149,6 +149,7 @@
 func newResponse(p *Protocol, r *http.Response) *Response {
 	class := p.Classify(r.StatusCode, r.Header)
 	DropHopByHop(r.Header)
+	limit, limitErr := p.rateLimit(r.Header)
 	return &Response{
 		Status:        r.StatusCode,
 		Header:        r.Header,
@@ -158,6 +159,8 @@
 		Misdirected:   class == ClassMisdirected,
 		RetryAfter:    ParseRetryAfter(r.Header, time.Now()),
 		Draining:      p.draining(r.Header),
+		RateLimit:     limit,
+		RateLimitErr:  limitErr,
 	}
 }
 
--- a/target/header.go
+++ b/target/header.go
@@ -17,6 +17,9 @@
 	HeaderShed = "Bilberrywood-Shed"
 	// HeaderDraining with a value other than 0 announces that the target is draining.
 	HeaderDraining = "Bilberrywood-Draining"
+	// HeaderRateLimit holds the requests per second, a decimal number, that the target accepts from all entries
+	// together. The limit holds for as long as the target's responses have the field.
+	HeaderRateLimit = "Bilberrywood-Rate-Limit"
 	// HeaderID holds the request ID of a non-idempotent request.
 	HeaderID = "Bilberrywood-Id"
 	// HeaderNonce is chosen by a caller and echoed by targets, to detect misdelivered responses.
@@ -50,6 +53,9 @@
 	// InstanceHeader names the target that the request is meant for. If another target has taken
 	// over the address, it refuses the request without running it.
 	InstanceHeader string
+	// RateLimitHeader of a response holds the requests per second that the target accepts from all entries
+	// together.
+	RateLimitHeader string
 	// Classify returns the class of a final response header.
 	Classify func(status int, h http.Header) ResponseClass
 	// IsDraining reports whether a response to a request or a probe announces that the target is
@@ -66,8 +72,9 @@
 
 // DefaultProtocol is the protocol with bilberrywood's own header fields.
 var DefaultProtocol = Protocol{
-	DeadlineHeader: HeaderDeadline,
-	NonceHeader:    HeaderNonce,
+	DeadlineHeader:  HeaderDeadline,
+	NonceHeader:     HeaderNonce,
+	RateLimitHeader: HeaderRateLimit,
 	Classify: func(status int, h http.Header) ResponseClass {
 		if isShed(status, h) {
 			return ClassShed
--- a/target/request.go
+++ b/target/request.go
@@ -92,6 +92,10 @@
 	RetryAfter time.Duration
 	// Draining reports that the target announced that it is draining.
 	Draining bool
+	// RateLimit is the rate limit that the target names. RateLimitErr is of class Error if the field could not be
+	// read, else nil.
+	RateLimit    pool.RateLimit
+	RateLimitErr error
 	// SilentConnection reports that the request moved from a silent connection to a new one, on
 	// which the same target responded.
 	SilentConnection bool
@@ -115,6 +119,7 @@
 		RetryAfter:    r.RetryAfter,
 		Draining:      r.Draining,
 		NewConnection: !r.Reused,
+		RateLimit:     r.RateLimit,
 	}
 	switch {
 	case r.Misdirected:
