pool, fleet, entry: keep to the rate limit that a target names

Cause: no decision read the limit; a target that responds in time has free slots, and slots were all that bounded its load. Change: a token bucket for each target that names a limit. Each request that the target receives takes a token, also retries, trials, probes and requests that move to a new connection. The wait estimate counts only the slots that limits can keep busy. The owner's heartbeats hand limits to the next owner; a cell that may be shared uses half.

--- a/entry/cells.go
+++ b/entry/cells.go
@@ -124,7 +124,7 @@
 		}
 		cell.Finish(now, id, o)
 	})
-	if o.Kind == pool.OutcomeConnectionLost && o.Written {
+	if o.Kind == pool.OutcomeConnectionLost && o.Written && c.allowProbe(t) {
 		// The probe shows whether the target has crashed. If it has, the request may be the cause; if not, the
 		// connection was.
 		c.probeNow(t)
@@ -143,6 +143,12 @@
 	return time.Since(c.lastResponse[t]) < probeSkipAge
 }
 
+// allowProbe reports whether the rate limit of the target allows a probe now, which then counts as sent.
+func (c *cellRunner) allowProbe(t table.TargetID) (allowed bool) {
+	c.withCell(func(now pool.Time, cell *pool.Cell) { allowed = cell.AllowProbe(now, t) })
+	return allowed
+}
+
 // cancel cancels a request that waits for a target. If the cell has assigned one in the meantime, the attempt
 // ends as not started, which frees the target's slot.
 func (c *cellRunner) cancel(id pool.RequestID, decisions <-chan pool.Decision) {
--- a/entry/cellset.go
+++ b/entry/cellset.go
@@ -99,7 +99,7 @@
 	c := &servedCell{cellRunner: runner, alwaysSole: s.e.faults.alwaysSole}
 	c.prober = &target.Prober{
 		Protocol: s.e.TargetProtocol,
-		Skip:     func(t target.ProbeTarget) bool { return runner.respondedRecently(t.ID) },
+		Skip:     func(t target.ProbeTarget) bool { return runner.respondedRecently(t.ID) || !runner.allowProbe(t.ID) },
 		OnSignal: func(t target.ProbeTarget, signal pool.Signal) {
 			if signal.Kind != pool.SignalDraining || !s.e.faults.ignoreDrain {
 				runner.signal(t.ID, signal)
@@ -115,7 +115,8 @@
 func (c *servedCell) apply(active *activeTables, v *fleet.View) {
 	c.applyMu.Lock()
 	defer c.applyMu.Unlock()
-	if c.pair == nil || c.pair.Revision < active.pair.Revision {
+	created := c.pair == nil
+	if created || c.pair.Revision < active.pair.Revision {
 		c.pair = active.pair
 		c.applyTables(active)
 	}
@@ -126,6 +127,7 @@
 	if c.alwaysSole {
 		ownership = fleet.ExclusiveOwner
 	}
+	gained := c.ownership == fleet.NotOwner && ownership != fleet.NotOwner
 	lastEjected, known := v.LastEjected(c.key)
 	poison := make([]pool.Fingerprint, len(v.Poison))
 	for i, f := range v.Poison {
@@ -138,9 +140,12 @@
 		cell.SetShared(now, shared)
 		cell.SetPartitioned(now, partitioned)
 		cell.SetOwnership(now, max(ownership, fleet.ContestedOwner), v.RecentlyPaused && !c.alwaysSole)
-		if c.ownership == fleet.NotOwner && ownership != fleet.NotOwner && known {
+		if gained && known {
 			cell.ImportEjected(now, lastEjected)
 		}
+		if gained || created {
+			cell.ImportRateLimits(now, v.LastRateLimits(c.key))
+		}
 		if ownership != c.ownership || shared != c.shared || partitioned != c.partitioned {
 			c.logOwnership(ownership, shared, partitioned)
 		}
@@ -226,7 +231,7 @@
 				poison = append(poison, uint64(f))
 			}
 			if c.ownership != fleet.NotOwner {
-				claim := fleet.CellClaim{Cell: c.key, Ejected: cell.EjectedTargets()}
+				claim := fleet.CellClaim{Cell: c.key, Ejected: cell.EjectedTargets(), RateLimits: cell.RateLimits()}
 				if len(active.shardDomains) > 1 {
 					claim.SpareSlots = max(0, cell.SpareSlots(now))
 				}
--- a/fleet/link_test.go
+++ b/fleet/link_test.go
@@ -97,8 +97,8 @@
 	}
 }
 
-// Guards against the loss of claims that do not fit into one heartbeat, and against ejections that the next
-// owner does not learn.
+// Guards against the loss of claims that do not fit into one heartbeat, and against ejections and rate limits that the
+// next owner does not learn.
 func TestClaimsArePagedAndKept(t *testing.T) {
 	is := is.New(t)
 	group := settledGroup(44)
@@ -106,6 +106,7 @@
 	for i := range 120 {
 		claims = append(claims, CellClaim{Cell: CellKey{"mengen-buch", i}, Ejected: []table.TargetID{"b-1", "b-2"}})
 	}
+	claims[5].RateLimits = []TargetRateLimit{{Target: "b-3", PerSecond: 1.4}}
 	group[0].SetClaims(claims)
 	now := 3 * time.Second
 	for ; now < 9*time.Second; now += simTick { // 120 claims take 8 heartbeats
@@ -123,6 +124,8 @@
 	ejected, known := v.LastEjected(claims[5].Cell)
 	is.True(known)
 	is.Equal(ejected, []table.TargetID{"b-1", "b-2"})
+	is.Equal(v.LastRateLimits(claims[5].Cell), []TargetRateLimit{{Target: "b-3", PerSecond: 1.4}})
+	is.Equal(len(v.LastRateLimits(claims[6].Cell)), 0)
 }
 
 // Guards against entries that do not fetch a newer pair or fetch it from an entry without it, and against
--- a/fleet/ownership.go
+++ b/fleet/ownership.go
@@ -204,6 +204,25 @@
 // LastEjected returns the ejected targets in the latest claim of the cell by a peer, so that a new owner
 // starts with them, and whether there is such a claim.
 func (v *View) LastEjected(c CellKey) ([]table.TargetID, bool) {
+	latest := v.latestClaim(c)
+	if latest == nil {
+		return nil, false
+	}
+	return slices.Clone(latest.Ejected), true
+}
+
+// LastRateLimits returns the rate limits of targets in the latest claim of the cell by a peer, none if there is no such
+// claim.
+func (v *View) LastRateLimits(c CellKey) []TargetRateLimit {
+	latest := v.latestClaim(c)
+	if latest == nil {
+		return nil
+	}
+	return slices.Clone(latest.RateLimits)
+}
+
+// latestClaim returns the latest claim of the cell by a peer, or nil.
+func (v *View) latestClaim(c CellKey) *peerClaim {
 	var latest *peerClaim
 	for i := range v.states {
 		for j := range v.states[i].claims {
@@ -213,8 +232,5 @@
 			}
 		}
 	}
-	if latest == nil {
-		return nil, false
-	}
-	return slices.Clone(latest.Ejected), true
+	return latest
 }
--- a/fleet/send.go
+++ b/fleet/send.go
@@ -19,7 +19,7 @@
 	// maxUnlinked is the maximum number of unlinked entries that one heartbeat names.
 	maxUnlinked = 24
 	// Encoded sizes in bytes, rounded up.
-	keyBytes, poisonBytes, claimBytes, idBytes = 8, 9, 12, 3
+	keyBytes, poisonBytes, claimBytes, idBytes, rateLimitBytes = 8, 9, 12, 3, 17
 )
 
 // recordLinkSet computes, records and returns the set of this entry and its peers with two-way links; in the
@@ -173,6 +173,9 @@
 		for size < c.size() && len(c.Ejected) > 0 {
 			c.Ejected = c.Ejected[:len(c.Ejected)-1]
 		}
+		for size < c.size() && len(c.RateLimits) > 0 {
+			c.RateLimits = c.RateLimits[:len(c.RateLimits)-1]
+		}
 		size -= c.size()
 		page = append(page, c)
 		m.claimOffset++
@@ -193,6 +196,9 @@
 	for _, id := range c.Ejected {
 		n += idBytes + len(id)
 	}
+	for _, l := range c.RateLimits {
+		n += rateLimitBytes + len(l.Target)
+	}
 	return n
 }
 
--- a/fleet/types.go
+++ b/fleet/types.go
@@ -95,6 +95,15 @@
 	// SpareSlots is how many more requests the cell's targets could run now; at least 0. It is set where
 	// requests spill over to other cells.
 	SpareSlots int `cbor:"3,keyasint,omitempty"`
+	// RateLimits lists the targets that name a rate limit, so that the next owner starts with them.
+	RateLimits []TargetRateLimit `cbor:"4,keyasint,omitempty"`
+}
+
+// TargetRateLimit is the rate limit that a target names.
+type TargetRateLimit struct {
+	Target table.TargetID `cbor:"1,keyasint"`
+	// PerSecond is the requests per second that the target accepts from all entries together.
+	PerSecond float64 `cbor:"2,keyasint,omitempty"`
 }
 
 // Heartbeat is the message that the entries of a group send each other.
--- a/pool/cell.go
+++ b/pool/cell.go
@@ -71,8 +71,9 @@
 	belowFloorReportedAt Time
 
 	// Counts over the targets, updated by refreshLimits, and listedTargets by countListed. servingSlots counts the
-	// slots that ordinary requests may use, without those of targets that shed or are suspect.
-	servingSlots   int
+	// slots that ordinary requests may use, without those of targets that shed or are suspect and those that rate limits
+	// keep idle.
+	servingSlots   float64
 	servingTargets int
 	avoidedTargets int
 	listedTargets  int
@@ -226,6 +227,7 @@
 	}
 	t.lastAttemptAt = now
 	t.recordAttempt(now, r)
+	c.takeRate(now, t)
 	t.inFlight++
 	t.attempts = append(t.attempts, r)
 	if r.suspectedPoison {
--- a/pool/failureestimate.go
+++ b/pool/failureestimate.go
@@ -306,7 +306,7 @@
 	inService := t.state == TargetServing || t.state == TargetAvoided && t.reason == ReasonSlow
 	sameTarget := r.attempt > 0 && t.id == r.lastTarget
 	poisonConflict := r.suspectedPoison && t.poisonSuspectsInFlight > 0
-	return inService && now >= t.shedUntil && t.freeSlots() > 0 && !sameTarget && !poisonConflict
+	return inService && now >= t.shedUntil && t.freeSlots() > 0 && !sameTarget && !poisonConflict && c.withinRate(now, t)
 }
 
 // mayStartTrial reports whether the request may serve as a trial of a suspect target. One trial runs at a time at
--- a/pool/finish.go
+++ b/pool/finish.go
@@ -83,6 +83,12 @@
 
 // collectEvidence adds the evidence of an attempt that ended.
 func (c *Cell) collectEvidence(now Time, t *target, r *request, o *Outcome) {
+	if o.Resent {
+		c.takeRate(now, t)
+	}
+	if o.Kind != OutcomeMisdirected {
+		c.observeRateLimit(now, r.started, t, o.RateLimit)
+	}
 	switch o.Kind {
 	case OutcomeShed:
 		c.applyShed(now, t, o.RetryAfter)
--- a/pool/ownership.go
+++ b/pool/ownership.go
@@ -41,6 +41,7 @@
 func (c *Cell) handleRestart(now Time, t *target) {
 	t.evidence.reset()
 	t.estimate = failureEstimate{}
+	t.rate = rateLimiter{}
 	t.connection = connectionState{}
 	t.drainSignaled = false
 	if t.state != TargetServing {
--- a/pool/pick.go
+++ b/pool/pick.go
@@ -107,7 +107,7 @@
 		if t.state != state || now < t.shedUntil || t.freeSlots() <= 0 {
 			continue
 		}
-		if (r.suspectedPoison && t.poisonSuspectsInFlight > 0) || c.tooRisky(now, t, r) {
+		if (r.suspectedPoison && t.poisonSuspectsInFlight > 0) || c.tooRisky(now, t, r) || !c.withinRate(now, t) {
 			continue
 		}
 		if r.attempt > 0 && t.id == r.lastTarget {
@@ -194,13 +194,13 @@
 			}
 			suspect := c.tracksEpisodes() && c.failureProbability(now, t) >= suspectProbability
 			if now >= t.shedUntil && !suspect {
-				c.servingSlots += t.limit
+				c.servingSlots += c.slotsWithinRate(t)
 			}
 		case TargetAvoided:
 			c.avoidedTargets++
 			c.trials.outOfService++
 			if c.tracksEpisodes() && t.reason == ReasonSlow {
-				c.servingSlots += t.limit
+				c.servingSlots += c.slotsWithinRate(t)
 			}
 		case TargetEjected, TargetUnreachable:
 			c.trials.outOfService++
--- a/pool/queue.go
+++ b/pool/queue.go
@@ -89,7 +89,7 @@
 	if c.servingSlots == 0 {
 		return 0
 	}
-	return time.Duration(float64(ahead+1) * float64(c.queue.meanServiceTime) / float64(c.servingSlots))
+	return time.Duration(float64(ahead+1) * float64(c.queue.meanServiceTime) / c.servingSlots)
 }
 
 // enqueue puts a new request into its queue, or refuses it as not run.
--- a/pool/ratelimit_test.go
+++ b/pool/ratelimit_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"github.com/bilberrywood/bilberrywood/fleet"
 	"github.com/bilberrywood/bilberrywood/table"
 )
@@ -33,10 +35,10 @@
 	// failing is the fraction of attempts that lose their connection.
 	failing float64
 
-	inFlight         []limitedAttempt
-	refused, served  int
-	longestToRefusal time.Duration
-	submitted        map[RequestID]Time
+	inFlight []limitedAttempt
+	// refusedAtOnce counts the refused requests that got their refusal when they came.
+	served, refused, refusedAtOnce int
+	submitted                      map[RequestID]Time
 }
 
 type limitedAttempt struct {
@@ -105,7 +107,9 @@
 		switch d.Kind {
 		case DecisionRefuse:
 			p.refused++
-			p.longestToRefusal = max(p.longestToRefusal, time.Duration(p.now-p.submitted[d.Request]))
+			if p.now == p.submitted[d.Request] {
+				p.refusedAtOnce++
+			}
 		case DecisionRun:
 			p.arrivals[d.Target] = append(p.arrivals[d.Target], p.now)
 			a := limitedAttempt{cell: c, id: d.Request, target: d.Target, end: p.now + Time(p.service)}
@@ -206,3 +210,106 @@
 		})
 	}
 }
+
+// Guards against a limit that is lost with the owner of a cell: the next owner would send at will until the target has
+// named its limit again. Two owners that are aware of each other must keep to it together.
+func TestRateLimitHoldsAcrossOwners(t *testing.T) {
+	limits := map[table.TargetID]float64{"t03": 1.4, "t11": 0.5}
+	t.Run("one after the other", func(t *testing.T) {
+		is := is.New(t)
+		p := newLimitedPool(2, limits)
+		cell := p.newCell(19)
+		p.run(6*time.Second, 120, Request{}, cell)
+		begin := p.now
+		for range 6 {
+			handedOver := cell.RateLimits()
+			is.Equal(len(handedOver), len(limits))
+			cell = p.newCell(19)
+			cell.ImportRateLimits(p.now, handedOver)
+			p.run(time.Second, 120, Request{}, cell)
+		}
+		p.checkLimits(t, limits, begin)
+	})
+	t.Run("at the same time", func(t *testing.T) {
+		p := newLimitedPool(3, limits)
+		cells := []*Cell{p.newCell(19), p.newCell(19)}
+		cells[0].SetShared(p.now, true)
+		cells[1].SetPartitioned(p.now, true)
+		p.run(20*time.Second, 60, Request{}, cells...)
+		p.checkLimits(t, limits, Time(time.Second)+Time(rateLimitSettle))
+	})
+}
+
+// Guards against requests that wait until their deadline although rate limits leave no room for them, and against limits
+// that are not used up while requests wait.
+func TestRateLimitedPoolRefusesAtOnce(t *testing.T) {
+	is := is.New(t)
+	p := newLimitedPool(4, map[table.TargetID]float64{"t00": 4, "t01": 2, "t02": 2})
+	cell := p.newCell(3)
+	p.run(5*time.Second, 24, Request{}, cell)
+	p.served, p.refused, p.refusedAtOnce = 0, 0, 0
+	p.run(20*time.Second, 24, Request{}, cell)
+	t.Logf("%d served, %d refused, of these %d at once", p.served, p.refused, p.refusedAtOnce)
+	is.True(p.served >= 8*20*9/10)
+	is.True(p.refused > 0)
+	// The others were expected to get a response in time when they came.
+	is.True(p.refusedAtOnce >= p.refused*9/10)
+}
+
+// Guards against a target that stays limited after its limit has ended, and against responses to requests that were sent
+// before the limit was named, which don't show that it has ended.
+func TestRateLimitEnds(t *testing.T) {
+	for _, limit := range []float64{0, 0.5, 3} {
+		t.Run(fmt.Sprint(limit), func(t *testing.T) {
+			is := is.New(t)
+			p := newLimitedPool(5, map[table.TargetID]float64{"t00": limit})
+			cell := p.newCell(4)
+			p.run(10*time.Second, 36, Request{}, cell)
+			p.limits = nil
+			p.run(maxRequestInterval+2*time.Second, 36, Request{}, cell)
+			is.Equal(len(cell.RateLimits()), 0)
+			p.arrivals["t00"] = nil
+			p.run(4*time.Second, 36, Request{}, cell)
+			is.True(len(p.arrivals["t00"]) >= 20) // an even share would be 36
+		})
+	}
+	t.Run("responses out of order", func(t *testing.T) {
+		is := is.New(t)
+		cell, now := newEpisodeCell(1, 6000)
+		cell.Tick(now)
+		finish := func(at Time, id RequestID, l RateLimit) {
+			cell.Finish(at, id, Outcome{Kind: OutcomeSuccess, Written: true, ServiceTime: time.Second, RateLimit: l})
+		}
+		for id := range RequestID(3) {
+			cell.Submit(now, Request{ID: id + 1})
+		}
+		is.Equal(len(cell.Decisions()), 3)
+		named := now + Time(100*time.Millisecond)
+		finish(named, 1, RateLimit{Known: true, Limited: true, PerSecond: 2})
+		finish(named+1, 2, RateLimit{Known: true})
+		finish(named+2, 3, RateLimit{})
+		is.Equal(len(cell.RateLimits()), 1)
+	})
+}
+
+// Guards against requests that reach a limited target without counting: probes, and requests that are sent again because
+// their connection stayed silent.
+func TestRateLimitCountsEveryRequest(t *testing.T) {
+	is := is.New(t)
+	cell, now := newEpisodeCell(1, 6000)
+	cell.Tick(now)
+	is.True(cell.AllowProbe(now, "t00"))
+	cell.ImportRateLimits(now, []fleet.TargetRateLimit{{Target: "t00", PerSecond: 1}})
+	is.True(!cell.AllowProbe(now, "t00")) // the bucket starts empty
+	now += Time(time.Second)
+	cell.Submit(now, Request{ID: 1})
+	is.Equal(len(cell.Decisions()), 1)
+	is.True(!cell.AllowProbe(now, "t00"))
+	cell.Finish(now, 1, Outcome{Kind: OutcomeSuccess, Written: true, Resent: true, ServiceTime: time.Second})
+	now += Time(time.Second)
+	cell.Tick(now)
+	is.True(!cell.AllowProbe(now, "t00")) // the second arrival used this second's request
+	now += Time(time.Second)
+	cell.Tick(now)
+	is.True(cell.AllowProbe(now, "t00"))
+}
--- a/pool/report.go
+++ b/pool/report.go
@@ -57,6 +57,9 @@
 	// ShedUntil is the end of the pause after a shed; 0 if there is none.
 	ShedUntil Time `json:"shedUntil,omitempty"`
 	Ramping   bool `json:"ramping,omitempty"`
+	// RateLimited says that the target names a rate limit of RateLimit requests per second.
+	RateLimited bool    `json:"rateLimited,omitempty"`
+	RateLimit   float64 `json:"rateLimit,omitempty"`
 }
 
 // Report returns the cell's current state, with targets in the order of their IDs. Whether detection is suspended
@@ -90,6 +93,7 @@
 		InFlight: t.inFlight, Limit: t.limit, Evidence: sum,
 		AvoidThreshold: c.avoidThreshold(threshold), EjectThreshold: threshold,
 		Samples: samples, FailureRatio: t.evidence.failureRatio, Flaps: t.trial.flaps, Ramping: t.ramping,
+		RateLimited: t.rate.limited, RateLimit: t.rate.perSecond,
 	}
 	if t.state != TargetServing && t.state != TargetLeaving {
 		report.NextTrial = t.trial.due
--- a/pool/spareslots.go
+++ b/pool/spareslots.go
@@ -8,7 +8,11 @@
 		t := c.targets.at(i)
 		if t.state == TargetServing && now >= t.shedUntil &&
 			(!c.tracksEpisodes() || c.failureProbability(now, t) < suspectProbability) {
-			slots += max(0, t.freeSlots())
+			free := max(0, t.freeSlots())
+			if !c.withinRate(now, t) {
+				free = 0
+			}
+			slots += free
 		}
 	}
 	return slots
--- a/pool/target.go
+++ b/pool/target.go
@@ -66,6 +66,7 @@
 	cold      bool
 	shedUntil Time
 
+	rate       rateLimiter
 	estimate   failureEstimate
 	evidence   evidence
 	trial      trialState
--- a/pool/trial.go
+++ b/pool/trial.go
@@ -113,7 +113,7 @@
 // trialDue reports whether the request may be used as a trial of the target now.
 func (c *Cell) trialDue(now Time, t *target, r *request) bool {
 	s := &t.trial
-	if s.inFlight || now < s.due || now < t.shedUntil || t.freeSlots() <= 0 {
+	if s.inFlight || now < s.due || now < t.shedUntil || t.freeSlots() <= 0 || !c.withinRate(now, t) {
 		return false
 	}
 	if c.tracksEpisodes() && t.state == TargetAvoided && c.failureProbability(now, t) >= suspectProbability {
--- a/pool/types.go
+++ b/pool/types.go
@@ -87,6 +87,9 @@
 	TimeAfterBody time.Duration
 	// NewConnection says that the attempt was the first on its connection.
 	NewConnection bool
+	// Resent says that the request was sent again on a new connection because the first one stayed silent. The target
+	// may have received it twice.
+	Resent bool
 	// RateLimit is what the response says about the target's rate limit.
 	RateLimit RateLimit
 }
@@ -155,6 +158,10 @@
 	EventCommonCause    EventKind = "commonCause"
 	EventObserverPaused EventKind = "selfDoubt"
 	EventShed           EventKind = "shed"
+	// EventRateLimited means that the target names a rate limit, or another one than before: Threshold requests per
+	// second.
+	EventRateLimited    EventKind = "rateLimited"
+	EventRateLimitEnded EventKind = "rateLimitEnded"
 	// EventBelowFloor means that many requests fail while fewer targets are in use than the floor asks for.
 	// Evidence is the number of targets in use, Threshold the floor, and Samples the number of idle targets that
 	// could run a request now.
@@ -187,6 +194,7 @@
 	ReasonOwnership            Reason = "standing"
 	ReasonDrainSignal          Reason = "drainSignal"
 	ReasonTable                Reason = "table"
+	ReasonTarget               Reason = "namedByTarget"
 	ReasonDelayedTick          Reason = "lateTick"
 	ReasonMostTargetsUnhealthy Reason = "mostTargetsBad"
 	ReasonRecovered            Reason = "recovered"
--- a/target/attempt.go
+++ b/target/attempt.go
@@ -275,6 +275,7 @@
 		Kind:    pool.OutcomeTruncated,
 		Written: a.writtenOnPrevious || a.conn.written.Load(),
 		Reused:  a.conn.used,
+		Resent:  a.reconnected,
 		Cause:   Error.Wrap(cause),
 	}
 	switch {
--- a/target/error.go
+++ b/target/error.go
@@ -44,6 +44,8 @@
 	Written bool
 	// Reused reports that the connection had served an earlier request.
 	Reused bool
+	// Resent reports that the request was sent again on a new connection because the first one stayed silent.
+	Resent bool
 	// Cause is of class Error, or the error that Request.BeforeWrite returned.
 	Cause error
 }
@@ -69,7 +71,7 @@
 
 // Outcome returns the outcome of the attempt. The caller sets its service time.
 func (e *AttemptError) Outcome() pool.Outcome {
-	return pool.Outcome{Kind: e.Kind, Written: e.Written, NewConnection: !e.Reused}
+	return pool.Outcome{Kind: e.Kind, Written: e.Written, NewConnection: !e.Reused, Resent: e.Resent}
 }
 
 // notStarted returns the error of an attempt that ended before its first byte was written.
--- a/target/request.go
+++ b/target/request.go
@@ -119,6 +119,7 @@
 		RetryAfter:    r.RetryAfter,
 		Draining:      r.Draining,
 		NewConnection: !r.Reused,
+		Resent:        r.SilentConnection,
 		RateLimit:     r.RateLimit,
 	}
 	switch {
