pool: start no request that its deadline would end at the target

Cause: admission and expiry compared the start of a request with its deadline, not its end. Requests started in the last moment were ended by the deadline, took the place of others and made their targets suspect, which left less room. Change: a request is admitted if the wait leaves the mean service time, and ended as not run as soon as too little time is left.

The burst of a rate limit is one second's share, not half of one.

--- a/pool/queue.go
+++ b/pool/queue.go
@@ -102,7 +102,11 @@
 		r.class = classSuspectedPoison
 	}
 	wait := c.waitEstimate(r.class)
-	if r.Deadline > 0 && now+Time(wait) > r.Deadline && now+Time(c.waitByDeadline(r)) > r.Deadline {
+	latestStart := r.Deadline
+	if others := c.queue.size(); others > 0 {
+		latestStart = c.latestStart(r, others)
+	}
+	if r.Deadline > 0 && now+Time(wait) > latestStart && now+Time(c.waitByDeadline(r)) > latestStart {
 		c.refuse(r, ReasonDeadline, wait)
 		return
 	}
@@ -161,7 +165,7 @@
 	return true
 }
 
-// expire ends the queued requests whose deadline has passed.
+// expire ends the queued requests that can no longer get a response before their deadline.
 func (c *Cell) expire(now Time) {
 	for i := range c.queue.byClass {
 		q := &c.queue.byClass[i]
@@ -169,7 +173,7 @@
 			continue
 		}
 		q.each(func(r *request) {
-			if r.Deadline == 0 || now < r.Deadline {
+			if !c.tooLate(now, r, c.queue.size()-1) {
 				return
 			}
 			q.remove(&r.node)
@@ -194,7 +198,7 @@
 		}
 		c.queue.dispatched++
 		c.queue.byClass[class].pop()
-		if c.tooLate(now, r) {
+		if c.tooLate(now, r, c.queue.size()) {
 			c.endWaiting(r, ReasonDeadline, 0)
 			continue
 		}
@@ -218,12 +222,18 @@
 	}
 }
 
-// tooLate reports whether a request has waited so long that its response is likely to come after its deadline.
-// Running it would take a slot from requests that can still get a response in time. Half of the mean service
-// time is assumed, because many responses take less than the mean.
-func (c *Cell) tooLate(now Time, r *request) bool {
-	if r.Deadline == 0 || now == r.submitted {
-		return false
+// tooLate reports whether a request has waited so long that its response is likely to come after its deadline. others is
+// how many further requests wait.
+func (c *Cell) tooLate(now Time, r *request, others int) bool {
+	return r.Deadline > 0 && now > r.submitted && now > c.latestStart(r, others)
+}
+
+// latestStart returns the latest time at which a request is started after a wait. If others wait too, it must leave the
+// mean service time until the deadline: a request that expires at a target takes the place of one that would not, and
+// is taken for a fault of the target. Otherwise half of it will do, because many responses take less.
+func (c *Cell) latestStart(r *request, others int) Time {
+	if others > 0 {
+		return r.Deadline - Time(c.queue.meanServiceTime)
 	}
-	return now+Time(c.queue.meanServiceTime/2) > r.Deadline
+	return r.Deadline - Time(c.queue.meanServiceTime/2)
 }
--- a/pool/ratelimit.go
+++ b/pool/ratelimit.go
@@ -9,7 +9,7 @@
 
 const (
 	// rateBurst is the time whose share of a rate limit may be used at once. One request always may.
-	rateBurst = 500 * time.Millisecond
+	rateBurst = time.Second
 	// maxRequestInterval is the longest time between two requests that a rate limit may ask for, because only a
 	// response shows that the limit has ended.
 	maxRequestInterval = 5 * time.Second
--- a/pool/ratelimit_test.go
+++ b/pool/ratelimit_test.go
@@ -36,9 +36,10 @@
 	failing float64
 
 	inFlight []limitedAttempt
-	// refusedAtOnce counts the refused requests that got their refusal when they came.
-	served, refused, refusedAtOnce int
-	submitted                      map[RequestID]Time
+	// served counts the responses before the deadline and expired the attempts that it ended. refusedAtOnce counts the
+	// refused requests that got their refusal when they came.
+	served, expired, refused, refusedAtOnce int
+	submitted                               map[RequestID]Time
 }
 
 type limitedAttempt struct {
@@ -47,8 +48,13 @@
 	target table.TargetID
 	end    Time
 	lost   bool
+	// expired says that the deadline ends the attempt.
+	expired bool
 }
 
+// limitedDeadline is the time that callers wait.
+const limitedDeadline = 3 * time.Second
+
 func newLimitedPool(seed uint64, limits map[table.TargetID]float64) *limitedPool {
 	return &limitedPool{
 		random: rand.New(rand.NewPCG(seed, 7)), now: Time(time.Second), limits: limits,
@@ -97,7 +103,7 @@
 func (p *limitedPool) submit(c *Cell, r Request) {
 	p.lastID++
 	r.ID = p.lastID
-	r.Deadline = p.now + Time(3*time.Second)
+	r.Deadline = p.now + Time(limitedDeadline)
 	p.submitted[r.ID] = p.now
 	c.Submit(p.now, r)
 }
@@ -113,6 +119,9 @@
 		case DecisionRun:
 			p.arrivals[d.Target] = append(p.arrivals[d.Target], p.now)
 			a := limitedAttempt{cell: c, id: d.Request, target: d.Target, end: p.now + Time(p.service)}
+			if deadline := p.submitted[d.Request] + Time(limitedDeadline); a.end > deadline {
+				a.end, a.expired = deadline, true
+			}
 			if a.lost = p.random.Float64() < p.failing; a.lost {
 				a.end = p.now + Time(time.Millisecond)
 			}
@@ -137,9 +146,13 @@
 		if limit, ok := p.limits[a.target]; ok {
 			o.RateLimit.Limited, o.RateLimit.PerSecond = true, limit
 		}
-		if a.lost {
+		switch {
+		case a.lost:
 			o = Outcome{Kind: OutcomeConnectionLost, Written: true, ServiceTime: time.Millisecond}
-		} else {
+		case a.expired:
+			p.expired++
+			o = Outcome{Kind: OutcomeTimeout, Written: true, ServiceTime: p.service}
+		default:
 			p.served++
 		}
 		a.cell.Finish(p.now, a.id, o)
@@ -240,20 +253,34 @@
 	})
 }
 
-// Guards against requests that wait until their deadline although rate limits leave no room for them, and against limits
-// that are not used up while requests wait.
-func TestRateLimitedPoolRefusesAtOnce(t *testing.T) {
-	is := is.New(t)
-	p := newLimitedPool(4, map[table.TargetID]float64{"t00": 4, "t01": 2, "t02": 2})
-	cell := p.newCell(3)
-	p.run(5*time.Second, 24, Request{}, cell)
-	p.served, p.refused, p.refusedAtOnce = 0, 0, 0
-	p.run(20*time.Second, 24, Request{}, cell)
-	t.Logf("%d served, %d refused, of these %d at once", p.served, p.refused, p.refusedAtOnce)
-	is.True(p.served >= 8*20*9/10)
-	is.True(p.refused > 0)
-	// The others were expected to get a response in time when they came.
-	is.True(p.refusedAtOnce >= p.refused*9/10)
+// Guards against requests that wait until their deadline although there is no room for them, and against attempts that
+// begin so late that their deadline ends them: they take the place of others and are held against their targets. Seen on
+// the bench with limits on most targets: 204 requests ended without an attempt when their time was up.
+func TestOverloadedPoolRefusesAtOnce(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		limits map[table.TargetID]float64
+		// capacity and load are in requests per second.
+		capacity, load float64
+	}{
+		{"rate limits", map[table.TargetID]float64{"t00": 4, "t01": 2, "t02": 2}, 8, 24},
+		{"slots", nil, 12 / 0.32, 60},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			p := newLimitedPool(4, c.limits)
+			cell := p.newCell(3)
+			p.run(5*time.Second, c.load, Request{}, cell)
+			p.served, p.expired, p.refused, p.refusedAtOnce = 0, 0, 0, 0
+			const span = 20 * time.Second
+			p.run(span, c.load, Request{}, cell)
+			t.Logf("%d served, %d expired, %d refused, of these %d at once", p.served, p.expired, p.refused, p.refusedAtOnce)
+			is.True(float64(p.served) >= 0.95*c.capacity*span.Seconds())
+			is.Equal(p.expired, 0)
+			// The others were expected to get a response in time when they came.
+			is.True(p.refused > 0 && p.refusedAtOnce >= p.refused*9/10)
+		})
+	}
 }
 
 // Guards against a target that stays limited after its limit has ended, and against responses to requests that were sent
