--- a/configuration/store_watcher.go
+++ b/configuration/store_watcher.go
@@ -29,6 +29,9 @@
 
 // Changes are the changes up to a revision of the store.
 type Changes struct {
+	// Era counts how often the store was restored from a copy, from which on revisions are given out again; 0 if the
+	// store does not tell.
+	Era      uint64
 	Revision table.Revision
 	Changes  []Change
 }
@@ -146,6 +149,8 @@
 		w.recordResult(err)
 		switch {
 		case errors.Is(err, ErrCompacted):
+			w.Log.Info().Str("event", "storeCompacted").Uint64("revision", uint64(w.revision)).
+				Msg("the store does not have the changes since this revision; listing it")
 			listed = false
 			continue
 		case err != nil:
@@ -207,6 +212,10 @@
 	listed := make(map[table.TargetID]bool)
 	for _, c := range changes.Changes {
 		w.applyChange(c, now, listed)
+		if c.Definition != nil {
+			w.Log.Info().Str("event", "definitionRead").Int64("version", c.Definition.Routes.Version).Uint64("era", changes.Era).
+				Uint64("revision", uint64(changes.Revision)).Bool("listed", complete).Msg("read the operators' definition")
+		}
 	}
 	if complete {
 		w.Registry.DeregisterMissing(listed, now, w.graceUntil)
