platform, configuration: a store that is restored from a copy, tests that fail

Of TestStoreWatcher three new cases fail: targets that the copy lacks are dropped at once, and a changed era is not noticed.

--- a/configuration/store_watcher_test.go
+++ b/configuration/store_watcher_test.go
@@ -101,7 +101,7 @@
 // targets because the store was unreachable, or that drops the active tables because of a value that
 // can't be decoded.
 func TestStoreWatcher(t *testing.T) {
-	start := step{changes: Changes{Revision: 5, Changes: []Change{definition(1), change("1", 1), change("2", 1)}}}
+	start := step{changes: Changes{Era: 1, Revision: 5, Changes: []Change{definition(1), change("1", 1), change("2", 1)}}}
 	for _, tt := range []struct {
 		name  string
 		steps []step
@@ -130,6 +130,23 @@
 			start, {err: errUnreachable, after: 3 * time.Second}, {err: errUnreachable, after: time.Second},
 			{changes: Changes{Revision: 9, Changes: []Change{change("2", 0)}}},
 		}, []string{"1 2", "1"}, 1, "storeLost", true},
+		{"missing in the copy that the store was restored from", []step{
+			start, {changes: Changes{Era: 2, Revision: 4, Changes: []Change{definition(1), change("1", 2)}}},
+			{changes: Changes{Era: 2, Revision: 4, Changes: []Change{definition(1), change("1", 2)}}},
+			{changes: Changes{Era: 2, Revision: 5, Changes: []Change{change("2", 2)}}},
+			{changes: Changes{Era: 2, Revision: 6}, after: 3 * time.Second},
+		}, []string{"1 2"}, 2, "storeRestored", false},
+		{"gone when the store was restored", []step{
+			start, {changes: Changes{Era: 2, Revision: 9}},
+			{changes: Changes{Era: 2, Revision: 9, Changes: []Change{definition(1), change("1", 2)}}},
+			{changes: Changes{Era: 2, Revision: 10}, after: 3 * time.Second},
+		}, []string{"1 2", "1"}, 2, "storeRestored", false},
+		{"restored twice, with a delayed response from between", []step{
+			start, {changes: Changes{Era: 2, Revision: 3}},
+			{changes: Changes{Era: 3, Revision: 2, Changes: []Change{definition(1), change("1", 2), change("2", 2)}}},
+			{changes: Changes{Era: 2, Revision: 4, Changes: []Change{change("1", 0)}}},
+			{changes: Changes{Era: 3, Revision: 3, Changes: []Change{change("2", 0)}}},
+		}, []string{"1 2", "1"}, 2, "storeRestored", false},
 		{"a value that can't be decoded", []step{
 			start, {changes: Changes{Revision: 6, Changes: []Change{{Key: "op/x", Err: errUnreachable}, change("3", 1)}}},
 		}, []string{"1 2", "1 2 3"}, 1, "storeValueIgnored", false},
