table, configuration, platform: revisions carry the era of the store

Cause: a revision was taken for a point in one history. Readers watched from revision 40 while the restored store was at 39; each watch was refused and followed by a listing, 25 and 262 in 4.5 s; then 40 was given out for the second time, for the new definition, and no change after 40 contained it. Ruled out by the logs: tables that were read and rejected (no such line).

Change: table.Revision holds the era and the store's number, so that all comparisons, between entries too, stay right. A higher era makes a watcher list the store and keep what the copy lacks for the grace period; a lower one is ignored. Definitions never go back to a lower version. An unchanged content is delivered again under the new era.

--- a/configuration/status.go
+++ b/configuration/status.go
@@ -63,5 +63,5 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.stale++
-	w.Log.Debug().Uint64("revision", uint64(got)).Uint64("highest", uint64(have)).Msg("ignored a stale response of the platform")
+	w.Log.Debug().Stringer("revision", got).Stringer("highest", have).Msg("ignored a stale response of the platform")
 }
--- a/configuration/store_watcher.go
+++ b/configuration/store_watcher.go
@@ -29,14 +29,13 @@
 
 // Changes are the changes up to a revision of the store.
 type Changes struct {
-	// Era counts how often the store was restored from a copy, from which on revisions are given out again; 0 if the
-	// store does not tell.
-	Era      uint64
 	Revision table.Revision
 	Changes  []Change
 }
 
 // Store is a store to which operators publish definitions, and in which targets register themselves.
+//
+// It may be restored from a copy that lacks its latest changes. Its revisions then have a higher era.
 type Store interface {
 	// List returns the complete content of the store. It may include changes after the returned
 	// revision.
@@ -149,13 +148,25 @@
 		w.recordResult(err)
 		switch {
 		case errors.Is(err, ErrCompacted):
-			w.Log.Info().Str("event", "storeCompacted").Uint64("revision", uint64(w.revision)).
+			w.Log.Info().Str("event", "storeCompacted").Stringer("revision", w.revision).
 				Msg("the store does not have the changes since this revision; listing it")
 			listed = false
 			continue
 		case err != nil:
 			sleep(ctx, retryBackoff.next())
 			continue
+		case changes.Revision.Era() < w.revision.Era():
+			w.Log.Warn().Str("event", "storeResponseIgnored").Stringer("revision", changes.Revision).Stringer("highest", w.revision).
+				Msg("ignored a response from before the store was restored")
+			sleep(ctx, retryBackoff.next())
+			continue
+		case w.revision > 0 && changes.Revision.Era() > w.revision.Era():
+			w.storeRestored(changes.Revision)
+			if listed {
+				// The changes follow a revision of the former era.
+				listed = false
+				continue
+			}
 		}
 		retryBackoff.reset()
 		w.applyChanges(changes, !listed)
@@ -205,17 +216,25 @@
 	s.lastError, s.lastResponse = "", now
 }
 
+// storeRestored prepares for the content of a store that was restored from a copy. The copy may lack targets that are
+// alive; they register again. The tables are delivered again, with a revision of the new era, because one of the former
+// era ranks below the copy's tables, which an entry without tables may have accepted.
+func (w *StoreWatcher) storeRestored(to table.Revision) {
+	w.graceUntil = time.Now().Add(w.Registry.GracePeriod)
+	w.Log.Warn().Str("event", "storeRestored").Stringer("from", w.revision).Stringer("to", to).Time("heldUntil", w.graceUntil).
+		Msg("the store was restored from a copy; listing it")
+	w.digest = 0
+	// No table of the new era has been read yet.
+	w.revision = to - table.Revision(to.Number())
+}
+
 // applyChanges applies changes to the registry and delivers the tables if they differ from the last
 // ones. complete says that the changes are the complete content of the store.
 func (w *StoreWatcher) applyChanges(changes Changes, complete bool) {
 	now := time.Now()
 	listed := make(map[table.TargetID]bool)
 	for _, c := range changes.Changes {
-		w.applyChange(c, now, listed)
-		if c.Definition != nil {
-			w.Log.Info().Str("event", "definitionRead").Int64("version", c.Definition.Routes.Version).Uint64("era", changes.Era).
-				Uint64("revision", uint64(changes.Revision)).Bool("listed", complete).Msg("read the operators' definition")
-		}
+		w.applyChange(c, changes.Revision, now, listed)
 	}
 	if complete {
 		w.Registry.DeregisterMissing(listed, now, w.graceUntil)
@@ -225,7 +244,7 @@
 	w.deliver()
 }
 
-func (w *StoreWatcher) applyChange(c Change, now time.Time, listed map[table.TargetID]bool) {
+func (w *StoreWatcher) applyChange(c Change, at table.Revision, now time.Time, listed map[table.TargetID]bool) {
 	switch {
 	case c.Err != nil:
 		w.Log.Warn().Str("event", "storeValueIgnored").Str("key", c.Key).Err(c.Err).Msg("ignored an invalid value in the store")
@@ -233,7 +252,9 @@
 			w.Registry.Deregister(c.Deregistered, now, now)
 		}
 	case c.Definition != nil:
-		w.Registry.SetDefinition(*c.Definition)
+		applied := w.Registry.SetDefinition(*c.Definition)
+		w.Log.Info().Str("event", "definitionRead").Int64("version", c.Definition.Routes.Version).Stringer("revision", at).
+			Bool("applied", applied).Msg("read the operators' definition")
 	case c.Registration != nil:
 		listed[c.Registration.ID] = true
 		w.Registry.Register(*c.Registration)
--- a/configuration/watcher.go
+++ b/configuration/watcher.go
@@ -175,7 +175,7 @@
 	}
 	t.last = verified
 	t.revision.Store(uint64(s.Revision))
-	w.Log.Info().Uint64("revision", uint64(s.Revision)).Msg("read new tables from the platform")
+	w.Log.Info().Stringer("revision", s.Revision).Msg("read new tables from the platform")
 	if w.OnSnapshot != nil {
 		w.OnSnapshot(s)
 	}
--- a/entry/cells.go
+++ b/entry/cells.go
@@ -83,7 +83,7 @@
 		Float64("evidence", e.Evidence).
 		Float64("threshold", e.Threshold).
 		Int("samples", e.Samples).
-		Uint64("revision", uint64(c.revision)).
+		Stringer("revision", c.revision).
 		Msg("target placement changed")
 }
 
--- a/entry/observe.go
+++ b/entry/observe.go
@@ -67,7 +67,7 @@
 		Str("target", string(d.Target)).
 		Str("reason", string(d.Reason)).
 		Float64("doubt", math.Round(d.FailureProbability*1000)/1000).
-		Uint64("revision", uint64(e.revision())).
+		Stringer("revision", e.revision()).
 		Int("attempt", x.attempts).
 		Int64("sinceArrivalMs", time.Since(x.arrivedAt).Milliseconds()).
 		Int64("serviceMs", o.ServiceTime.Milliseconds()).
@@ -102,7 +102,7 @@
 		Str("pool", string(x.Cell.Pool)).
 		Str("forwardedTo", string(to.ID)).
 		Str("via", string(to.Relay)).
-		Uint64("revision", uint64(e.revision())).
+		Stringer("revision", e.revision()).
 		Int("attempt", x.attempts).
 		Int64("sinceArrivalMs", time.Since(x.arrivedAt).Milliseconds()).
 		Str("outcome", outcome).
@@ -128,7 +128,7 @@
 		Str("route", string(x.Route)).
 		Str("reason", string(refused.reason)).
 		Str("detail", refused.detail).
-		Uint64("revision", uint64(e.revision())).
+		Stringer("revision", e.revision()).
 		Int("attempt", x.attempts).
 		Int64("sinceArrivalMs", time.Since(x.arrivedAt).Milliseconds()).
 		Str("outcome", refused.outcome).
--- a/entry/tables.go
+++ b/entry/tables.go
@@ -102,11 +102,11 @@
 		active := newActiveTables(r.Active, ts.self, now)
 		active.fromPeer = strings.HasPrefix(r.Source, peerSourcePrefix)
 		ts.active.Store(active)
-		ts.log.Info().Str("event", "tablesAccepted").Uint64("revision", uint64(r.Revision)).Uint64("digest", active.pair.Digest).
+		ts.log.Info().Str("event", "tablesAccepted").Stringer("revision", r.Revision).Uint64("digest", active.pair.Digest).
 			Str("source", r.Source).Msg("tables activated")
 		ts.onChange(active)
 	case table.Rejected, table.Conflict:
-		ts.log.Warn().Str("event", "tablesRejected").Uint64("revision", uint64(r.Revision)).Str("source", r.Source).
+		ts.log.Warn().Str("event", "tablesRejected").Stringer("revision", r.Revision).Str("source", r.Source).
 			Str("verdict", r.Verdict.String()).Strs("problems", problemTexts(r.Problems)).
 			Msg("tables not accepted; keeping the active pair")
 	case table.Ignored:
--- a/operator/format.go
+++ b/operator/format.go
@@ -43,7 +43,7 @@
 	if r == 0 {
 		return ""
 	}
-	return strconv.FormatUint(uint64(r), 10)
+	return r.String()
 }
 
 func yesNo(b bool) string {
--- a/operator/rejected.go
+++ b/operator/rejected.go
@@ -45,7 +45,7 @@
 		}
 	}
 	for _, p := range r.Pairs {
-		_, err := fmt.Fprintf(w, "%s: revision %d from %s, digest %v, offered %d times from %s to %s\n",
+		_, err := fmt.Fprintf(w, "%s: revision %v from %s, digest %v, offered %d times from %s to %s\n",
 			p.Entry, p.Revision, p.Source, p.Digest, p.Count, timeText(p.FirstSeen), timeText(p.LastSeen))
 		if err != nil {
 			return err
--- a/table/registry.go
+++ b/table/registry.go
@@ -56,8 +56,15 @@
 	expiring map[TargetID]time.Time
 }
 
-// SetDefinition replaces the definition.
-func (r *Registry) SetDefinition(d Definition) { r.definition = &d }
+// SetDefinition replaces the definition, unless it is of a lower version than the known one, and reports whether it did.
+// A store that was restored from a copy returns an older definition until the operators' last one is written again.
+func (r *Registry) SetDefinition(d Definition) bool {
+	if r.definition != nil && d.Routes.Version < r.definition.Routes.Version {
+		return false
+	}
+	r.definition = &d
+	return true
+}
 
 // HasDefinition reports whether there is a definition.
 func (r *Registry) HasDefinition() bool { return r.definition != nil }
--- a/table/types.go
+++ b/table/types.go
@@ -4,9 +4,6 @@
 
 // Named types for IDs and units that the tables use.
 type (
-	// Revision is a store-wide revision of the platform's configuration service. It grows with every
-	// change of any value. Two tables that were read at one Revision existed at the same time.
-	Revision uint64
 	// RouteName is the name of a route, unique in the routes table.
 	RouteName string
 	// PoolName is the name of a pool, unique in the pools table. Routes refer to pools by it.
