--- a/entry/observe.go
+++ b/entry/observe.go
@@ -50,8 +50,8 @@
 	return 0
 }
 
-// logAttempt logs the routing decision of one attempt with the name of its outcome. o is what the target's part of it
-// was.
+// logAttempt logs the routing decision of one attempt. outcome is its name in the log; o has the service time and the
+// rate limit that the target named.
 func (e *Entry) logAttempt(x *exchange, d pool.Decision, outcome string, o *pool.Outcome) {
 	e.counters.attempts.Inc(1)
 	if outcome == outcomeNames[pool.OutcomeSuccess] {
--- a/process/tables_test.go
+++ b/process/tables_test.go
@@ -89,7 +89,7 @@
 	for line := range bytes.Lines(raw) {
 		var e struct {
 			Event    string
-			Revision table.Revision
+			Revision table.Revision `json:",string"`
 		}
 		// The last line may be incomplete.
 		if json.Unmarshal(line, &e) == nil && e.Event == "tablesAccepted" {
