entry: the only entry that can read the store keeps reading it

Cause: an entry reads if it knows no working reader, and counted itself as one, so that it stopped after its first answer, was none any more, and listed the store again with the next tick. Change: only other entries count. The field of the view that counted the entry itself is gone; the test that read it now asks for another reader, which is stricter.

--- a/entry/join.go
+++ b/entry/join.go
@@ -121,12 +121,12 @@
 const nonSeedReadDelay = 800 * time.Millisecond
 
 // shouldRead reports whether this entry should read the tables from the source: because it is one of the
-// readers, or because no live reader is known.
+// readers, or because no other live reader is known.
 func (e *Entry) shouldRead(v *fleet.View) bool {
 	if e.Settings.FirstStart && e.tables.current() == nil && e.sinceStart() < nonSeedReadDelay && e.isNonSeed() {
 		return false
 	}
-	return v.IsReader(e.Settings.ReadersPerDomain) || !v.HasReader
+	return v.IsReader(e.Settings.ReadersPerDomain) || !v.HasOtherReader
 }
 
 // isNonSeed reports whether the settings name seeds and this entry is not one of them.
--- a/fleet/link_test.go
+++ b/fleet/link_test.go
@@ -143,7 +143,7 @@
 	is.Equal(v.HighestRevision, table.Revision(200_000))
 	is.Equal(v.HighestDigest, uint64(5))
 	is.Equal(v.Holders, []EntryID{group[3].ID})
-	is.True(v.HasReader)
+	is.True(v.HasOtherReader)
 	readers := 0
 	for _, m := range group {
 		if m.View(now).IsReader(2) {
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -24,8 +24,6 @@
 	HighestRevision table.Revision
 	HighestDigest   uint64
 	Holders         []EntryID
-	// HasReader says that this entry or a peer read the platform recently.
-	HasReader bool
 	// HasOtherReader says that a peer read the platform recently.
 	HasOtherReader bool
 	// Poison is the sorted union of the fingerprints that peers reported recently.
@@ -62,7 +60,6 @@
 		RecentlyPaused:  m.recentlyPaused(now),
 		HighestRevision: m.acceptedRevision,
 		HighestDigest:   m.tablesDigest,
-		HasReader:       m.reader,
 		Members:         make([]Member, 0, len(m.peers)+1),
 		states:          make([]memberState, 0, len(m.peers)+1),
 		timing:          m.Timing,
@@ -135,7 +132,6 @@
 		return
 	}
 	v.Poison = append(v.Poison, p.poison...)
-	v.HasReader = v.HasReader || p.reader
 	v.HasOtherReader = v.HasOtherReader || p.reader
 	if !p.live || p.AcceptedRevision < v.HighestRevision || p.AcceptedRevision <= m.acceptedRevision {
 		return
