platform, configuration: a reader that is cut off from the store is replaced in time

Cause: an entry counts as a reader until readerFreshMs, 2.5 s, after its last response; no other entry read the store before. Ruled out: the fetch between entries (3.873 to 4.086 s, after the first listing).

--- a/configuration/store_watcher.go
+++ b/configuration/store_watcher.go
@@ -54,7 +54,7 @@
 	DefaultStoreMinInterval = 500 * time.Millisecond
 	// DefaultStoreLongPollTimeout is how long one call waits for a change. It is short, so that a silent
 	// connection is detected soon.
-	DefaultStoreLongPollTimeout = time.Second
+	DefaultStoreLongPollTimeout = 700 * time.Millisecond
 	// minStoreBackoff and maxStoreBackoff are the bounds of the delay after a failed call.
 	minStoreBackoff = 100 * time.Millisecond
 	maxStoreBackoff = time.Second
