entry: log when a peer becomes degraded or healthy

Every entry now logs the change; TestPeersLogHealthChanges fails without the line. One line for each entry and change.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -67,8 +67,8 @@
 	pairFetches pairFetches
 	// firstReadDelay is how long after the first start of the fleet the seeds alone read the tables.
 	firstReadDelay time.Duration
-	// linkStates has the state of each link at the last tick. Only the tick uses it.
-	linkStates map[fleet.EntryID]fleet.LinkState
+	// peerStatuses has the status of each member at the last tick. Only the tick uses it.
+	peerStatuses map[fleet.EntryID]peerStatus
 }
 
 // now returns the time since startTime as the cells use it.
@@ -130,7 +130,7 @@
 	if err := e.suspension.start(); err != nil {
 		e.Log.Warn().Str("event", "suspensionsUnnoticed").Err(err).Msg("no clock counts the time that the VM is suspended")
 	}
-	e.linkStates = make(map[fleet.EntryID]fleet.LinkState)
+	e.peerStatuses = make(map[fleet.EntryID]peerStatus)
 	e.firstReadDelay = nonSeedReadDelay + rand.N(nonSeedReadSpread)
 	if e.Metrics == nil {
 		e.Metrics = metrics.NewRegistry()
@@ -213,7 +213,7 @@
 	e.lastTick.Store(int64(e.sinceStart()))
 	v := e.fleet.view()
 	if active := e.tables.current(); active != nil {
-		e.logLinkChanges(v)
+		e.logPeerChanges(v)
 		e.cells.createOwned(active, v)
 		claims, poison := e.cells.tick(active, v)
 		e.monitorPaths()
--- a/entry/members.go
+++ b/entry/members.go
@@ -34,13 +34,25 @@
 	f.current.Store(f.membership.View(now))
 }
 
-// logLinkChanges logs peers that were lost since the last tick, and peers that are heard for the first time or
-// again. Requests forwarded to a lost peer continue: its heartbeats may only be delayed, and the connection has
-// its own timeout.
-func (e *Entry) logLinkChanges(v *fleet.View) {
+// peerStatus is what an entry logs changes of.
+type peerStatus struct {
+	link     fleet.LinkState
+	degraded bool
+}
+
+// logPeerChanges logs peers that were lost since the last tick, peers that are heard for the first time or again, and
+// those that begin or cease to be degraded. Requests forwarded to a lost peer continue: its heartbeats may only be
+// delayed, and the connection has its own timeout.
+func (e *Entry) logPeerChanges(v *fleet.View) {
 	for _, m := range v.Members {
-		previous, known := e.linkStates[m.ID]
-		e.linkStates[m.ID] = m.Link
+		last, known := e.peerStatuses[m.ID]
+		previous := last.link
+		e.peerStatuses[m.ID] = peerStatus{m.Link, m.Degraded}
+		if m.Degraded != last.degraded && m.ID != e.Settings.ID {
+			line := e.Log.Info().Str("event", "peerHealthChanged").Str("peer", string(m.ID)).
+				Str("domain", string(m.FailureDomain)).Bool("degraded", m.Degraded)
+			line.Msg("a peer reports whether it reaches its targets")
+		}
 		if !m.Hub && !v.IsHub() {
 			// In the hub-and-spoke topology most links between other entries are silent, and nothing depends on
 			// them.
--- a/entry/pathmonitor_test.go
+++ b/entry/pathmonitor_test.go
@@ -1,13 +1,16 @@
 package entry
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"os"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/rs/zerolog"
 
 	"github.com/bilberrywood/bilberrywood/fleet"
 	"github.com/bilberrywood/bilberrywood/pool"
@@ -107,3 +110,22 @@
 	e.startTime = e.startTime.Add(-time.Second)
 	e.fleet.update(e.sinceStart(), func(*fleet.Membership) {})
 }
+
+// Guards against an incident in which no log told when the owner had handed its cells over: its own lines had been
+// discarded, and no other entry logged the change.
+func TestPeersLogHealthChanges(t *testing.T) {
+	is := is.New(t)
+	e := newShardedEntry(t)
+	var log bytes.Buffer
+	e.Log = zerolog.New(&log)
+	for i, degraded := range []bool{false, true, true, false} {
+		e.fleet.receive(e.sinceStart(), fleet.Heartbeat{
+			From: "127.0.0.1:12", Incarnation: 1, Sequence: uint64(i + 1), State: fleet.StateServing, Full: true,
+			FailureDomain: "vils-tal", ReceiverIncarnation: e.dedup.Incarnation, Degraded: degraded,
+		})
+		e.fleet.update(e.sinceStart(), func(*fleet.Membership) {})
+		e.tick()
+	}
+	is.Equal(strings.Count(log.String(), `"event":"peerHealthChanged"`), 2)
+	is.Equal(strings.Count(log.String(), `"peer":"127.0.0.1:12","domain":"vils-tal","degraded":true`), 1)
+}
