--- a/entry/entry.go
+++ b/entry/entry.go
@@ -42,15 +42,17 @@
 	// TargetProtocol is the protocol of targets; nil means target.DefaultProtocol.
 	TargetProtocol *target.Protocol
 
-	startTime      time.Time
-	suspension     suspensionClock
-	dedup          *notice.Deduplicator
-	tables         tableState
-	fleet          fleetState
-	cells          *cellSet
-	announcements  pool.Announcements
-	targetClient   *target.Client
-	node           *peer.Node
+	startTime     time.Time
+	suspension    suspensionClock
+	dedup         *notice.Deduplicator
+	tables        tableState
+	fleet         fleetState
+	cells         *cellSet
+	announcements pool.Announcements
+	targetClient  *target.Client
+	node          *peer.Node
+	// sendHeartbeat is node.SendHeartbeat, except in tests.
+	sendHeartbeat  func(fleet.OutgoingHeartbeat)
 	source         Source
 	inFlight       inFlightCount
 	addressClock   addressClock
@@ -157,6 +159,7 @@
 		ID: s.ID, Address: s.PeerListen, Handler: e, Log: e.Log,
 		TLS: peer.TLSFiles{CA: s.TLS.CA, Certificate: s.TLS.Certificate, Key: s.TLS.Key},
 	}
+	e.sendHeartbeat = e.node.SendHeartbeat
 }
 
 // responseTTL is how long responses are stored for retries with the same request ID.
@@ -233,7 +236,7 @@
 		out = m.Tick(now)
 	})
 	for _, o := range out {
-		e.node.SendHeartbeat(o)
+		e.sendHeartbeat(o)
 	}
 	e.counters.tick.UpdateSince(started)
 }
