entry, peer, pool: peers tell whether targets or paths are at fault

Callers: with new connections refused from the owner to all targets, 900 of 900 first attempts there failed, 305 of 305 with a whole failure domain; with a tenth of the targets on open connections 42 of 900 (TestEntriesPartitionedFromTargets).

Cause: only connections that time out counted as a broken path, because a crashed target refuses them too. And a third owner that reached no target kept its cells, because two degraded entries were taken as a proof that the targets are at fault. Both guess at what another entry can tell.

Change: an owner that loses many targets, by silence or by refused connections, has up to six peers, two of each failure domain, connect to eight of them. It hands its cells over if a peer reaches them, and keeps them otherwise. It comes back when it reaches them, or no peer does.

Result, failed first attempts of 900: owner refused 0; open connections live on 0; a failure domain refused within the bound; TestCrashedTargetsMoveNoOwner passes as before.

--- a/entry/partition_test.go
+++ b/entry/partition_test.go
@@ -19,6 +19,7 @@
 
 	"github.com/bilberrywood/bilberrywood/configuration"
 	"github.com/bilberrywood/bilberrywood/fleet"
+	"github.com/bilberrywood/bilberrywood/peer"
 	"github.com/bilberrywood/bilberrywood/pool"
 	"github.com/bilberrywood/bilberrywood/settings"
 	"github.com/bilberrywood/bilberrywood/table"
@@ -80,6 +81,10 @@
 		is.New(t).NoErr(e.Settings.Check())
 		e.prepare()
 		e.pathMonitor.dial = func(ctx context.Context, address string) error { return s.dial(ctx, id, address) }
+		e.pathMonitor.ask = func(ctx context.Context, to fleet.Member, c peer.PathCheck) (peer.PathResult, error) {
+			time.Sleep(2 * simNetworkDelay)
+			return s.entries[to.ID].CheckPaths(ctx, c), nil
+		}
 		e.sendHeartbeat = func(o fleet.OutgoingHeartbeat) {
 			time.AfterFunc(simNetworkDelay, func() {
 				if to := s.entries[o.ID]; to != nil {
--- a/entry/shards_test.go
+++ b/entry/shards_test.go
@@ -27,6 +27,7 @@
 	}}
 	is.NoErr(e.Settings.Check())
 	e.prepare()
+	e.sendHeartbeat = func(fleet.OutgoingHeartbeat) {}
 	routes := table.Routes{}
 	pools := table.Pools{FleetGroups: 1}
 	for i, name := range []table.PoolName{"bescheid-info", "mengen-buch"} {
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -289,6 +289,44 @@
 	return r[1:min(n+1, len(r))]
 }
 
+// Witnesses of a failure domain and altogether; see PathWitnesses.
+const (
+	witnessesPerDomain = 2
+	maxWitnesses       = 6
+)
+
+// PathWitnesses returns peers that can tell whether targets of the cell or the paths from this entry to them are at
+// fault: the highest-ranked ones of each failure domain that are linked and not degraded, those of other failure domains
+// first.
+func (v *View) PathWitnesses(c CellKey) []Member {
+	self := v.Members[v.selfIndex].FailureDomain
+	ranked := v.rankedMembers(v.rankKeyOf(c), func(i int) bool {
+		return i != v.selfIndex && v.states[i].eligible && v.Members[i].Link == LinkTwoWay && !v.Members[i].Degraded
+	})
+	slices.SortStableFunc(ranked, func(a, b Member) int {
+		return boolCompare(a.FailureDomain == self, b.FailureDomain == self)
+	})
+	perDomain := make(map[table.FailureDomain]int)
+	var witnesses []Member
+	for _, m := range ranked {
+		if perDomain[m.FailureDomain]++; perDomain[m.FailureDomain] <= witnessesPerDomain && len(witnesses) < maxWitnesses {
+			witnesses = append(witnesses, m)
+		}
+	}
+	return witnesses
+}
+
+// boolCompare orders false before true.
+func boolCompare(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	}
+	return -1
+}
+
 // Readers returns the n live members of a failure domain that should read the platform.
 func (v *View) Readers(d table.FailureDomain, n int) []Member {
 	r := v.rankedMembers(rankKey{hash: hashOf("readers\x00" + string(d))}, func(i int) bool {
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -19,6 +19,8 @@
 	maxBodyFrame = 32 << 10
 	// maxPairSize is the maximum size of a pair of tables; the platform holds values of up to 1 MB.
 	maxPairSize = 16 << 20
+	// maxPathCheckSize is the maximum size of a path check and of its result.
+	maxPathCheckSize = 4 << 10
 	// frameHeaderSize is the size of a frame's type and length.
 	frameHeaderSize = 5
 )
@@ -35,6 +37,8 @@
 	frameEnd
 	frameFetch
 	framePair
+	framePathCheck
+	framePathResult
 )
 
 // limit returns the maximum payload of a frame in bytes; 0 for an unknown type.
@@ -48,6 +52,8 @@
 		return 64
 	case framePair:
 		return maxPairSize
+	case framePathCheck, framePathResult:
+		return maxPathCheckSize
 	}
 	return 0
 }
--- a/peer/forward.go
+++ b/peer/forward.go
@@ -182,27 +182,48 @@
 func (n *Node) FetchPair(ctx context.Context, to fleet.Member, after table.Revision) (PairMessage, error) {
 	ctx, cancel := context.WithTimeout(ctx, n.Timeouts.Fetch)
 	defer cancel()
-	frame, err := encodeFrame(frameFetch, fetchRequest{After: after})
+	var pair PairMessage
+	err := n.request(ctx, to, frameFetch, fetchRequest{After: after}, func(s *quic.Stream) error {
+		compressed, err := readMessage[compressedPair](s, framePair)
+		if err == nil {
+			pair, err = compressed.decompress()
+		}
+		return err
+	})
+	if err != nil {
+		return PairMessage{}, err
+	}
+	return pair, nil
+}
+
+// CheckPaths asks a peer which targets accept connections from it. Errors are *Error.
+func (n *Node) CheckPaths(ctx context.Context, to fleet.Member, c PathCheck) (PathResult, error) {
+	var result PathResult
+	err := n.request(ctx, to, framePathCheck, c, func(s *quic.Stream) (err error) {
+		result, err = readMessage[PathResult](s, framePathResult)
+		return err
+	})
+	return result, err
+}
+
+// request sends a message on a stream of its own and reads the response.
+func (n *Node) request(ctx context.Context, to fleet.Member, t frameType, message any, read func(*quic.Stream) error) error {
+	frame, err := encodeFrame(t, message)
 	if err != nil {
-		return PairMessage{}, &Error{NotSent, to.ID, err}
+		return &Error{NotSent, to.ID, err}
 	}
 	x, err := n.openExchange(ctx, to)
 	if err != nil {
-		return PairMessage{}, err
+		return err
 	}
 	defer x.release(codeResponded)
 	if _, err := x.stream.Write(frame); err != nil {
-		return PairMessage{}, x.endWithError(NoResponse, err)
+		return x.endWithError(NoResponse, err)
 	}
 	x.closeBody(nil)
-	compressed, err := readMessage[compressedPair](x.stream, framePair)
-	var pair PairMessage
-	if err == nil {
-		pair, err = compressed.decompress()
-	}
-	if err != nil {
-		return PairMessage{}, x.endWithError(NoResponse, err)
+	if err := read(x.stream); err != nil {
+		return x.endWithError(NoResponse, err)
 	}
 	n.markReceived(x.connection)
-	return pair, nil
+	return nil
 }
--- a/peer/node_test.go
+++ b/peer/node_test.go
@@ -44,6 +44,11 @@
 	}
 }
 
+// CheckPaths reaches all targets but the first.
+func (h *testHandler) CheckPaths(_ context.Context, c PathCheck) PathResult {
+	return PathResult{Reached: c.Targets[1:]}
+}
+
 var certificates = sync.OnceValues(func() (string, error) {
 	dir, err := tempDir()
 	if err != nil {
@@ -255,3 +260,18 @@
 	is.NoErr(err)
 	is.Equal(pair.Revision, table.Revision(0))
 }
+
+// Guards against a path check that loses targets on the way, and one of a peer that is gone that seems to succeed.
+func TestPathCheck(t *testing.T) {
+	is := is.New(t)
+	a, b := startNode(t, "a", &testHandler{}), startNode(t, "b", &testHandler{})
+	check := PathCheck{Pool: "mengen-buch", Targets: []table.TargetID{"t1", "t2", "t3"}}
+	result, err := a.CheckPaths(context.Background(), member(b), check)
+	is.NoErr(err)
+	is.Equal(result.Reached, []table.TargetID{"t2", "t3"})
+	is.NoErr(b.Close())
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	_, err = a.CheckPaths(ctx, member(b), check)
+	is.True(err != nil)
+}
--- a/peer/serve.go
+++ b/peer/serve.go
@@ -54,6 +54,8 @@
 		err = n.serveForward(s, payload)
 	case frameFetch:
 		err = n.serveFetch(s, payload)
+	case framePathCheck:
+		err = n.servePathCheck(s, payload)
 	default:
 		err = errorClass.New("stream begins with a frame of type %d", t)
 	}
@@ -78,7 +80,20 @@
 	if err != nil {
 		return err
 	}
-	frame, err := encodeFrame(framePair, compressed)
+	return respond(s, framePair, compressed)
+}
+
+func (n *Node) servePathCheck(s *quic.Stream, payload []byte) error {
+	c, err := decodeMessage[PathCheck](payload, framePathCheck.limit())
+	if err != nil {
+		return err
+	}
+	return respond(s, framePathResult, n.Handler.CheckPaths(s.Context(), c))
+}
+
+// respond sends the response to a request that has no body.
+func respond(s *quic.Stream, t frameType, message any) error {
+	frame, err := encodeFrame(t, message)
 	if err != nil {
 		return err
 	}
--- a/peer/types.go
+++ b/peer/types.go
@@ -76,6 +76,18 @@
 	Values   map[string][]byte `cbor:"3,keyasint,omitempty"`
 }
 
+// PathCheck asks a peer which targets of a pool accept connections from it. Targets that its tables don't list are not
+// checked.
+type PathCheck struct {
+	Pool    table.PoolName   `cbor:"1,keyasint"`
+	Targets []table.TargetID `cbor:"2,keyasint"`
+}
+
+// PathResult is the response to a PathCheck.
+type PathResult struct {
+	Reached []table.TargetID `cbor:"1,keyasint,omitempty"`
+}
+
 // compressedPair is a PairMessage as it is sent. Tables of many similar rows shrink to about a fifth.
 type compressedPair struct {
 	Revision   table.Revision    `cbor:"1,keyasint"`
@@ -127,4 +139,6 @@
 	Forward(ctx context.Context, h ForwardHeader, body io.Reader, w ResponseWriter)
 	// Pair returns the active pair if its revision is above after, else the zero message.
 	Pair(after table.Revision) PairMessage
+	// CheckPaths opens a connection to each target and returns when all have accepted or failed.
+	CheckPaths(ctx context.Context, c PathCheck) PathResult
 }
--- a/pool/connection.go
+++ b/pool/connection.go
@@ -28,6 +28,7 @@
 type connectionState struct {
 	// consecutiveRefused counts connections in a row that could not be opened.
 	consecutiveRefused int
+	lastRefusedAt      Time
 	// consecutiveFaults counts fault events in a row without a successful attempt between them.
 	consecutiveFaults int
 	lastFaultAt       Time
@@ -73,6 +74,7 @@
 func (c *Cell) connectFailed(now Time, t *target) {
 	s := &t.connection
 	s.consecutiveRefused++
+	s.lastRefusedAt = now
 	c.confirmCrash(now, t)
 	if s.consecutiveRefused < unreachableThreshold && t.state != TargetUnreachable {
 		return
--- a/pool/unresponsive.go
+++ b/pool/unresponsive.go
@@ -13,20 +13,23 @@
 	unresponsiveServiceTimes = 2
 	// minUnresponsiveTime is the lower bound of that time. Shorter gaps can be scheduling delays on a busy VM.
 	minUnresponsiveTime = 300 * time.Millisecond
-	// unresponsiveWindow is how long after the start of its last attempt an idle target may count as unresponsive.
+	// unresponsiveWindow is how long after the start of its last attempt an idle target may count as unresponsive, and
+	// how long after its last connection that failed to open.
 	unresponsiveWindow = 3 * time.Second
 )
 
-// UnresponsiveTargets returns the targets that have sent nothing, not even a reset, for longer than responses
-// usually take. The time counts from the first attempt after their last response. Either they hang, or the path
-// to them is broken.
+// UnresponsiveTargets returns the targets whose last connection failed to open, and those that have sent nothing, not
+// even a reset, for longer than responses usually take. The time counts from the first attempt after their last
+// response. Either they hang or are down, or the path to them is broken.
 func (c *Cell) UnresponsiveTargets(now Time) []table.TargetID {
 	minTime := Time(max(minUnresponsiveTime, unresponsiveServiceTimes*c.queue.meanServiceTime))
 	var ids []table.TargetID
 	for i := range c.targets.len() {
 		t := c.targets.at(i)
 		recent := t.inFlight > 0 || now-t.lastAttemptAt <= Time(unresponsiveWindow)
-		if t.state != TargetLeaving && recent && t.unansweredSince > 0 && now-t.unansweredSince >= minTime {
+		silent := recent && t.unansweredSince > 0 && now-t.unansweredSince >= minTime
+		refused := t.connection.consecutiveRefused > 0 && now-t.connection.lastRefusedAt <= Time(unresponsiveWindow)
+		if t.state != TargetLeaving && (silent || refused) {
 			ids = append(ids, t.id)
 		}
 	}
--- a/pool/unresponsive_test.go
+++ b/pool/unresponsive_test.go
@@ -25,6 +25,8 @@
 		{"a response", time.Second, false, true, OutcomeSuccess, 0},
 		{"a reset", time.Second, false, true, OutcomeConnectionLost, 0},
 		{"only timeouts", time.Second, false, true, OutcomeTimeout, 6},
+		{"connections fail to open", 2 * serviceTime, false, true, OutcomeConnectFailed, 6},
+		{"connections failed to open long ago", time.Minute, false, true, OutcomeConnectFailed, 0},
 		{"timeouts long ago", time.Minute, false, true, OutcomeTimeout, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
