fleet, entry: the next owners of a cell check the paths that a degraded owner has lost

Callers: with a whole failure domain partitioned from all targets, 115 of 119 first attempts at its entries failed from three seconds after the partition began; with the owner and the three next, 86 of 96.

Cause: only owners check their paths, and only after requests have been lost. Each next owner lost requests for about a second before it handed the cells on, and a cell that prefers its failure domain went through all entries of it.

Change: a degraded owner names some of the targets that it has lost in its heartbeats. Hubs connect to them and become degraded too if they reach less than half. Two degraded entries of a failure domain make all its entries rank behind those of other domains. Degraded entries count as hubs, since the heartbeats of others don't reach all entries.

TestDegradedDomainLosesItsCells fails with the suspect domain switched off.

--- a/entry/pathmonitor.go
+++ b/entry/pathmonitor.go
@@ -56,12 +56,41 @@
 	lost          []table.Target
 	lostCell      fleet.CellKey
 	lostTotal     int
+	// checkedReports has the degraded peers whose lost targets this entry has checked.
+	checkedReports map[fleet.EntryID]bool
+}
+
+// uncheckedReport returns a degraded peer whose lost targets this entry should check next. Only hubs check: they may own
+// cells next.
+func (m *pathMonitor) uncheckedReport(v *fleet.View) (reporter fleet.Member, ok bool) {
+	for _, p := range v.Members {
+		switch {
+		case !p.Degraded || !p.Live:
+			delete(m.checkedReports, p.ID)
+		case !ok && p.ID != v.Self && p.Lost != nil && v.IsHub() && !m.checkedReports[p.ID]:
+			reporter, ok = p, true
+		}
+	}
+	if ok {
+		if m.checkedReports == nil {
+			m.checkedReports = make(map[fleet.EntryID]bool)
+		}
+		m.checkedReports[reporter.ID] = true
+	}
+	return reporter, ok
 }
 
 // monitorPaths starts a check if many targets of a cell are unresponsive, or if this entry may own cells again.
 func (e *Entry) monitorPaths() {
 	m := &e.pathMonitor
-	if m.checking.Load() || e.sinceStart() < m.nextCheck {
+	if m.checking.Load() {
+		return
+	}
+	if reporter, ok := m.uncheckedReport(e.fleet.view()); ok && !m.degraded {
+		e.startPathCheck(func() { e.checkReported(reporter) })
+		return
+	}
+	if e.sinceStart() < m.nextCheck {
 		return
 	}
 	if m.degraded {
@@ -145,8 +174,8 @@
 		ask = e.node.CheckPaths
 	}
 	check := peer.PathCheck{Pool: cell.Pool}
-	for i := range min(len(lost), maxCheckedTargets) {
-		check.Targets = append(check.Targets, lost[i*len(lost)/min(len(lost), maxCheckedTargets)].ID)
+	for _, t := range sample(lost) {
+		check.Targets = append(check.Targets, t.ID)
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), witnessTimeout)
 	defer cancel()
@@ -188,10 +217,44 @@
 		return
 	}
 	line.Str("outcome", "handedOver").Msg("many targets unreachable; other entries take over the cells of this entry")
+	e.setDegraded(c.key, lost, total)
+}
+
+// checkReported checks whether this entry reaches the targets that a degraded peer has lost, although another peer
+// reaches them. If not, it must not take over cells.
+func (e *Entry) checkReported(reporter fleet.Member) {
+	targets := e.findTargets(reporter.Lost.Pool, func(t table.Target) bool { return slices.Contains(reporter.Lost.Targets, t.ID) })
+	lost := e.unreachable(context.Background(), targets)
+	degraded := pathLikelyBroken(len(lost), len(targets)) && 2*len(lost) >= len(targets)
+	e.Log.Info().Str("event", "lostPathsChecked").Str("peer", string(reporter.ID)).Str("pool", string(reporter.Lost.Pool)).
+		Int("outOfReach", len(lost)).Int("targets", len(targets)).Bool("degraded", degraded).
+		Msg("checked targets that a peer can't reach")
+	if degraded {
+		e.setDegraded(fleet.CellKey{Pool: reporter.Lost.Pool}, lost, len(targets))
+	}
+}
+
+// setDegraded hands over the cells of this entry, since it can't reach lost targets of a cell's total.
+func (e *Entry) setDegraded(cell fleet.CellKey, lost []table.Target, total int) {
+	m := &e.pathMonitor
 	m.degraded, m.degradedSince = true, e.sinceStart()
-	m.lost, m.lostCell, m.lostTotal = lost, c.key, total
+	m.lost, m.lostCell, m.lostTotal = lost, cell, total
 	m.nextCheck = m.degradedSince + degradedDuration
-	e.setHealthy(false)
+	loss := &fleet.PathLoss{Pool: cell.Pool}
+	for _, t := range sample(lost) {
+		loss.Targets = append(loss.Targets, t.ID)
+	}
+	e.fleet.update(e.sinceStart(), func(f *fleet.Membership) { f.SetDegraded(e.sinceStart(), loss) })
+}
+
+// sample returns at most maxCheckedTargets of the targets, spread over all.
+func sample(targets []table.Target) []table.Target {
+	n := min(len(targets), maxCheckedTargets)
+	sampled := make([]table.Target, n)
+	for i := range n {
+		sampled[i] = targets[i*len(targets)/n]
+	}
+	return sampled
 }
 
 // checkLostPaths ends the degraded state once the targets that were lost accept connections again or are no longer
@@ -210,7 +273,7 @@
 		}
 	}
 	m.degraded, m.lost = false, nil
-	e.setHealthy(true)
+	e.fleet.update(e.sinceStart(), func(f *fleet.Membership) { f.SetDegraded(e.sinceStart(), nil) })
 	line.Str("event", "pathsAssumed").Msg("entry owns cells again after handing them over")
 }
 
@@ -240,10 +303,6 @@
 	return found
 }
 
-func (e *Entry) setHealthy(healthy bool) {
-	e.fleet.update(e.sinceStart(), func(m *fleet.Membership) { m.SetHealthy(e.sinceStart(), healthy) })
-}
-
 func dialOnce(ctx context.Context, address string) error {
 	c, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
 	if err != nil {
--- a/fleet/hub_test.go
+++ b/fleet/hub_test.go
@@ -225,21 +225,65 @@
 	g := newHubGroup(44)
 	g.run(15 * time.Second)
 	first := g.members[g.order[0]].View(g.now).Candidates(CellKey{})[0].ID
-	g.members[first].SetHealthy(g.now, false)
+	g.members[first].SetDegraded(g.now, &PathLoss{})
 	g.run(2 * hubTiming.HeartbeatInterval)
 	owners := g.owners()
 	is.Equal(len(owners), 1)
 	is.Equal(owners[first], 0)
-	g.members[first].SetHealthy(g.now, true)
+	g.members[first].SetDegraded(g.now, nil)
 	g.run(hubTiming.SuspectTimeout + 2*hubTiming.HeartbeatInterval)
 	is.Equal(g.owners(), map[EntryID]int{first: len(g.order)})
 	for _, m := range g.members {
-		m.SetHealthy(g.now, false)
+		m.SetDegraded(g.now, &PathLoss{})
 	}
 	g.run(hubTiming.SlowHeartbeatInterval + 2*hubTiming.HeartbeatInterval)
 	is.Equal(len(g.owners()), 1)
 }
 
+// Guards against cells that go from one entry of a partitioned failure domain to the next: two degraded entries of a
+// domain are enough to move its cells, for all members, however long the partition lasts.
+func TestDegradedDomainLosesItsCells(t *testing.T) {
+	is := is.New(t)
+	g := newHubGroup(45)
+	domains := []table.FailureDomain{"d0", "d1", "d2"}
+	for _, m := range g.members {
+		m.ShardDomains = domains
+	}
+	g.cells = []CellKey{{Index: 0}, {Index: 1}, {Index: 2}}
+	g.run(15 * time.Second)
+	ownersIn := func(domain table.FailureDomain) (in, all int) {
+		for id := range g.ownersOf(CellKey{Index: 0}) {
+			all++
+			if g.members[id].FailureDomain == domain {
+				in++
+			}
+		}
+		return in, all
+	}
+	in, all := ownersIn("d0")
+	is.Equal([]int{in, all}, []int{1, 1})
+	var degraded []EntryID
+	for range minDegradedEntries {
+		for id := range g.ownersOf(CellKey{Index: 0}) {
+			degraded = append(degraded, id)
+			g.members[id].SetDegraded(g.now, &PathLoss{Pool: "mengen-buch", Targets: []table.TargetID{"t1"}})
+		}
+		g.run(2 * hubTiming.HeartbeatInterval)
+	}
+	is.Equal(len(degraded), minDegradedEntries)
+	for range 60 {
+		g.run(500 * time.Millisecond)
+		in, all = ownersIn("d0")
+		is.Equal([]int{in, all}, []int{0, 1})
+	}
+	for _, id := range degraded {
+		g.members[id].SetDegraded(g.now, nil)
+	}
+	g.run(hubTiming.SuspectTimeout + 2*hubTiming.HeartbeatInterval)
+	in, all = ownersIn("d0")
+	is.Equal([]int{in, all}, []int{1, 1})
+}
+
 // Guards against two owners that don't hear each other and both take themselves for the only one: an owner without
 // links must notice that it has lost the majority, and the next owner must have it.
 func TestCutOffOwnerHasNoMajority(t *testing.T) {
--- a/fleet/membership.go
+++ b/fleet/membership.go
@@ -112,9 +112,10 @@
 	// hub says that this entry announces itself as a hub: it owns cells or is one of the next in line, and
 	// sends heartbeats at the short interval.
 	hub bool
-	// degraded is the opposite of what SetHealthy last set. After a change the entry counts as a hub until
-	// announceUntil, so that all peers learn of it.
+	// degraded and lost are what SetDegraded last set. A degraded entry counts as a hub, so that all peers know of it,
+	// and does so until announceUntil after a change.
 	degraded      bool
+	lost          *PathLoss
 	announceUntil time.Duration
 
 	lastTick           time.Duration
@@ -226,7 +227,7 @@
 
 // SetHub sets whether this entry owns a cell or is one of the next in line for one.
 func (m *Membership) SetHub(now time.Duration, hub bool) {
-	hub = hub || now < m.announceUntil
+	hub = hub || m.degraded || now < m.announceUntil
 	if hub && !m.hub {
 		m.scheduleHeartbeats(now)
 	}
@@ -237,14 +238,54 @@
 // long after the first heartbeat of a peer the heartbeats to it name several owner candidates instead of one.
 const startupPeriod = 5 * time.Second
 
-// SetHealthy sets whether this entry reaches its targets. An entry that does not hands its cells over at once.
-func (m *Membership) SetHealthy(now time.Duration, healthy bool) {
+// degradedDomains counts the degraded entries of each failure domain, this one included.
+func (m *Membership) degradedDomains() degradedDomains {
+	var d degradedDomains
+	for _, p := range m.peers {
+		member := p.Member
+		member.Live = p.live
+		d.add(&member)
+	}
+	d.add(&Member{FailureDomain: m.FailureDomain, Degraded: m.degraded, Live: true})
+	return d
+}
+
+// maxLossBytes is the maximum size of the target IDs that a degraded entry names in its heartbeats.
+const maxLossBytes = 200
+
+// SetDegraded sets whether this entry can't reach its targets, and which of them; nil means that it reaches them. A
+// degraded entry hands its cells over at once. Only so many targets are announced as fit into a heartbeat.
+func (m *Membership) SetDegraded(now time.Duration, lost *PathLoss) {
 	m.initialize(now)
-	if m.degraded == healthy {
+	if degraded := lost != nil; degraded != m.degraded {
 		m.announceUntil = now + m.Timing.SuspectTimeout
 		m.scheduleHeartbeats(now)
+		m.degraded = degraded
+	}
+	m.lost = nil
+	if lost == nil || len(lost.Targets) == 0 {
+		return
+	}
+	m.lost = &PathLoss{Pool: lost.Pool}
+	size := 0
+	for _, id := range lost.Targets {
+		if size += idBytes + len(id); size > maxLossBytes {
+			break
+		}
+		m.lost.Targets = append(m.lost.Targets, id)
+	}
+}
+
+// size returns the encoded size in bytes, rounded up.
+func (l *PathLoss) size() int {
+	if l == nil {
+		return 0
+	}
+	n := claimBytes + len(l.Pool)
+	for _, id := range l.Targets {
+		n += idBytes + len(id)
 	}
-	m.degraded = !healthy
+	return n
 }
 
 // reportedHubTTL is how long an entry sends heartbeats at the short interval to a silent peer that others
--- a/fleet/peer.go
+++ b/fleet/peer.go
@@ -6,8 +6,10 @@
 )
 
 // rankAttributes returns the properties that the peer's rank depends on.
-func (p *peer) rankAttributes() rankAttributes {
-	return rankAttributes{hash: p.hash, degraded: p.Degraded, capacity: p.Capacity, domain: p.FailureDomain}
+func (p *peer) rankAttributes(degraded degradedDomains) rankAttributes {
+	return rankAttributes{
+		hash: p.hash, health: degraded.health(&p.Member), capacity: p.Capacity, domain: p.FailureDomain,
+	}
 }
 
 // never lies before every time that is passed in. It is small enough that differences don't overflow.
--- a/fleet/receive.go
+++ b/fleet/receive.go
@@ -21,7 +21,7 @@
 	p.AcceptedRevision, p.Digest = h.AcceptedRevision, h.Digest
 	p.Epoch = h.Epoch
 	p.reader = h.Reader
-	p.Hub, p.Degraded = h.Hub, h.Degraded
+	p.Hub, p.Degraded, p.Lost = h.Hub, h.Degraded, h.Lost
 	p.poison = h.Poison
 	p.linksDigest, p.knownLinksDigest = h.LinksDigest, h.KnownLinksDigest
 	p.peerInterval = time.Duration(h.NextHeartbeatMs) * time.Millisecond
--- a/fleet/rendezvous.go
+++ b/fleet/rendezvous.go
@@ -37,30 +37,64 @@
 // rankAttributes are the properties of an entry that its rank depends on.
 type rankAttributes struct {
 	hash     hash64
-	degraded bool
+	health   health
 	capacity CapacityClass
 	domain   table.FailureDomain
 }
 
+// health is how likely an entry reaches its targets.
+type health uint8
+
+const (
+	// healthDegraded means that the entry reports that it does not.
+	healthDegraded health = iota
+	// healthSuspect means that other entries of its failure domain report so.
+	healthSuspect
+	healthGood
+)
+
+// degradedDomains counts the degraded live entries of each failure domain.
+type degradedDomains map[table.FailureDomain]int
+
+// minDegradedEntries is how many degraded entries make their failure domain suspect. One may have a fault of its own.
+const minDegradedEntries = 2
+
+func (d *degradedDomains) add(m *Member) {
+	if !m.Degraded || !m.Live {
+		return
+	}
+	if *d == nil {
+		*d = make(degradedDomains)
+	}
+	(*d)[m.FailureDomain]++
+}
+
+func (d degradedDomains) health(m *Member) health {
+	switch {
+	case m.Degraded:
+		return healthDegraded
+	case d[m.FailureDomain] >= minDegradedEntries:
+		return healthSuspect
+	}
+	return healthGood
+}
+
 // Bits of a rank. Health counts most, then the capacity class, the preferred failure domain and the rendezvous
 // weight.
 const (
-	healthyBit    = 1 << 63
-	capacityShift = 59
-	domainBit     = 1 << 58
-	weightShift   = 6
+	healthShift   = 62
+	capacityShift = 58
+	domainBit     = 1 << 57
+	weightShift   = 7
 )
 
 // rank returns the rank of an entry for a cell; the entry with the highest rank owns the cell. Rendezvous
 // hashing orders entries that are equal in health, capacity class and preference of their failure domain.
 func (k rankKey) rank(r rankAttributes) uint64 {
-	rank := uint64(r.capacity)<<capacityShift | weight(r.hash, k.hash)>>weightShift
+	rank := uint64(r.health)<<healthShift | uint64(r.capacity)<<capacityShift | weight(r.hash, k.hash)>>weightShift
 	if k.domain != "" && k.domain == r.domain {
 		rank |= domainBit
 	}
-	if !r.degraded {
-		rank |= healthyBit
-	}
 	return rank
 }
 
--- a/fleet/send.go
+++ b/fleet/send.go
@@ -61,12 +61,13 @@
 		Reader:           m.reader,
 		Hub:              m.hub,
 		Degraded:         m.degraded,
+		Lost:             m.lost,
 		TickDelayMs:      m.tickDelay.Milliseconds(),
 		Poison:           m.nextPoison(),
 	}
 	compact.Unlinked = m.nextUnlinked(now)
 	compact.Leaving = m.leavingPeers(now)
-	used := keyBytes*(len(set.keys)+len(compact.Unlinked)+len(compact.Leaving)) + poisonBytes*len(compact.Poison)
+	used := keyBytes*(len(set.keys)+len(compact.Unlinked)+len(compact.Leaving)) + poisonBytes*len(compact.Poison) + m.lost.size()
 	compact.Claims, compact.MoreClaims = m.nextClaims(maxVariableBytes - used)
 	full := compact
 	full.Full = true
@@ -266,10 +267,11 @@
 			linked = append(linked, p)
 		}
 	}
+	degraded := m.degradedDomains()
 	for i, domain := range domains {
 		key := shardKey(i, domain)
 		slices.SortFunc(linked, func(a, b *peer) int {
-			return cmp.Compare(key.rank(b.rankAttributes()), key.rank(a.rankAttributes()))
+			return cmp.Compare(key.rank(b.rankAttributes(degraded)), key.rank(a.rankAttributes(degraded)))
 		})
 		for _, p := range linked[:min(candidatesPerShard, len(linked))] {
 			if !slices.Contains(candidates, p) {
--- a/fleet/types.go
+++ b/fleet/types.go
@@ -76,6 +76,8 @@
 	// Degraded says that the entry can't reach many of its targets. It owns a cell only if no healthy entry
 	// can.
 	Degraded bool `json:"unfit"`
+	// Lost has some of the targets that a degraded entry can't reach; nil if it named none.
+	Lost *PathLoss `json:"lostPaths,omitempty"`
 	// Live says that the entry can be reached, directly or through Relay.
 	Live bool `json:"live"`
 	// Relay is the peer that relays while the direct link is not two-way; empty means direct.
@@ -105,6 +107,12 @@
 	FailedTenths int `cbor:"7,keyasint,omitempty"`
 }
 
+// PathLoss names targets that an entry can't reach although a peer does.
+type PathLoss struct {
+	Pool    table.PoolName   `cbor:"1,keyasint" json:"pool"`
+	Targets []table.TargetID `cbor:"2,keyasint,omitempty" json:"targets"`
+}
+
 // TargetAnnouncement is what a process of a target has said about itself in responses.
 type TargetAnnouncement struct {
 	Target table.TargetID `cbor:"1,keyasint"`
@@ -171,6 +179,8 @@
 	Hub bool `cbor:"25,keyasint,omitempty"`
 	// Degraded says that the sender can't reach many of its targets.
 	Degraded bool `cbor:"27,keyasint,omitempty"`
+	// Lost has some of these targets, so that the next owners can check whether they reach them.
+	Lost *PathLoss `cbor:"29,keyasint,omitempty"`
 	// NextHeartbeatMs is the longest time until the sender's next heartbeat to the receiver in milliseconds; 0
 	// means the heartbeat interval of the settings.
 	NextHeartbeatMs int64 `cbor:"24,keyasint,omitempty"`
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -29,15 +29,17 @@
 	// Poison is the sorted union of the fingerprints that peers reported recently.
 	Poison []uint64
 
-	shardDomains   []table.FailureDomain
-	hubTopology    bool
-	timing         Timing
-	states         []memberState // parallel to Members
-	selfIndex      int
-	selfEligible   bool // this entry can own cells
-	canBeExclusive bool // the conditions of exclusive ownership that don't depend on the cell are met
-	canEject       bool
-	faults         faults
+	shardDomains []table.FailureDomain
+	// degradedDomains includes this entry.
+	degradedDomains degradedDomains
+	hubTopology     bool
+	timing          Timing
+	states          []memberState // parallel to Members
+	selfIndex       int
+	selfEligible    bool // this entry can own cells
+	canBeExclusive  bool // the conditions of exclusive ownership that don't depend on the cell are met
+	canEject        bool
+	faults          faults
 }
 
 // memberState holds the unexported state of a member.
@@ -88,6 +90,9 @@
 	if !selfAdded {
 		v.addSelf(m)
 	}
+	for i := range v.Members {
+		v.degradedDomains.add(&v.Members[i])
+	}
 	slices.Sort(v.Poison)
 	v.Poison = slices.Compact(v.Poison)
 	return v
@@ -113,6 +118,7 @@
 		Capacity:         m.Capacity,
 		Hub:              m.hub,
 		Degraded:         m.degraded,
+		Lost:             m.lost,
 		AcceptedRevision: m.acceptedRevision,
 		Epoch:            m.epoch,
 		Digest:           m.tablesDigest,
@@ -185,7 +191,7 @@
 func (v *View) rank(i int, cell rankKey) uint64 {
 	m := &v.Members[i]
 	return cell.rank(rankAttributes{
-		hash: v.states[i].hash, degraded: m.Degraded, capacity: m.Capacity, domain: m.FailureDomain,
+		hash: v.states[i].hash, health: v.degradedDomains.health(m), capacity: m.Capacity, domain: m.FailureDomain,
 	})
 }
 
