entry: requests that wait at a degraded entry go to the new owner

Cause: an entry without ownership goes on placing what it holds, as an owner whose cell another entry may serve too. That is right for a change of the view, and wrong for an entry that has handed its cells over because it reaches no target.

Change: a degraded entry that is not the owner places nothing. Its cells end waiting requests as not owned, and the entry forwards those of which nothing has been sent to the new owner; the same goes for requests that arrive at it later, from peers too.

An attempt that fails later without having sent anything is not repeated here.

--- a/entry/cellset.go
+++ b/entry/cellset.go
@@ -142,10 +142,14 @@
 	shared, partitioned := v.LikelyShared(c.key), !v.LinkedToMajority()
 	c.withCell(func(now pool.Time, cell *pool.Cell) {
 		// Without ownership, an entry that places requests is limited like an owner whose cell another entry
-		// may serve too.
+		// may serve too. One that does not reach its targets places none.
+		placing := max(ownership, fleet.ContestedOwner)
+		if v.IsDegraded() {
+			placing = ownership
+		}
 		cell.SetShared(now, shared)
 		cell.SetPartitioned(now, partitioned)
-		cell.SetOwnership(now, max(ownership, fleet.ContestedOwner), v.RecentlyPaused && !c.alwaysSole)
+		cell.SetOwnership(now, placing, v.RecentlyPaused && !c.alwaysSole)
 		if gained && known {
 			cell.ImportEjected(now, lastEjected)
 		}
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -179,7 +179,7 @@
 	if err := x.bufferBody(e.Settings.ReplayBytes); err != nil {
 		return notRunRefusal(http.StatusBadRequest, reasonCallerGone, err.Error())
 	}
-	return e.place(ctx, x, x.Cell)
+	return e.placeOrPassOn(ctx, x, x.Cell)
 }
 
 // relay forwards a request once more, to its destination. Only the bound entry may report that an ID was not
--- /dev/null
+++ b/entry/handover_test.go
@@ -0,0 +1,109 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/bilberrywood/bilberrywood/fleet"
+	"github.com/bilberrywood/bilberrywood/peer"
+	"github.com/bilberrywood/bilberrywood/pool"
+	"github.com/bilberrywood/bilberrywood/table"
+)
+
+// newOwner is a peer that serves forwarded requests and reaches all targets.
+type newOwner struct {
+	mu     sync.Mutex
+	served int
+}
+
+func (o *newOwner) Heartbeat(fleet.Heartbeat)            {}
+func (o *newOwner) Pair(table.Revision) peer.PairMessage { return peer.PairMessage{} }
+
+func (o *newOwner) CheckPaths(_ context.Context, c peer.PathCheck) peer.PathResult {
+	return peer.PathResult{Reached: c.Targets}
+}
+
+func (o *newOwner) Forward(_ context.Context, _ peer.ForwardHeader, body io.Reader, w peer.ResponseWriter) {
+	_, _ = io.Copy(io.Discard, body)
+	o.mu.Lock()
+	o.served++
+	o.mu.Unlock()
+	_ = w.WriteHeader(peer.ResponseHeader{Status: http.StatusOK})
+	_ = w.Finish(nil)
+}
+
+// statusWriter records the status of a response.
+type statusWriter struct{ status int }
+
+func (w *statusWriter) WriteHeader(h peer.ResponseHeader) error { w.status = h.Status; return nil }
+func (w *statusWriter) Write(b []byte) (int, error)             { return len(b), nil }
+func (w *statusWriter) Finish(http.Header) error                { return nil }
+
+// Guards against requests that wait at an entry which has handed its cells over because it can't reach its targets: they
+// were refused after 1.5 s, although the new owner would have run them at once.
+func TestWaitingRequestsGoToNewOwner(t *testing.T) {
+	const waiting = 5
+	is := is.New(t)
+	owner := &newOwner{}
+	node := &peer.Node{ID: "127.0.0.1:12", Address: "127.0.0.1:0", Handler: owner}
+	is.NoErr(node.Start())
+	defer func() { _ = node.Close() }()
+	e := newShardedEntry(t)
+	e.node = &peer.Node{ID: e.Settings.ID, Address: "127.0.0.1:0", Handler: e}
+	is.NoErr(e.node.Start())
+	defer func() { _ = e.node.Close() }()
+	e.fleet.receive(e.sinceStart(), fleet.Heartbeat{
+		From: "127.0.0.1:12", Incarnation: 1, Sequence: 1, State: fleet.StateServing, Full: true, Hub: true,
+		FailureDomain: "vils-tal", PeerAddress: node.LocalAddress(), CallerAddress: "127.0.0.1:11",
+		ReceiverIncarnation: e.dedup.Incarnation,
+	})
+	e.pathMonitor.dial = func(context.Context, string) error { return os.ErrDeadlineExceeded }
+	leaveUnanswered(t, e) // takes all slots
+
+	key := fleet.CellKey{Pool: "mengen-buch", Index: 0}
+	refusals := make(chan *refusal)
+	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+	defer cancel()
+	send := func() {
+		x := &exchange{
+			ForwardHeader: peer.ForwardHeader{Route: "mengen-buch", Method: http.MethodPost, URI: "/mengen-buch", Cell: key},
+			route:         e.tables.current().routes["mengen-buch"], pool: "mengen-buch", buffered: []byte{},
+			arrivedAt: time.Now(), deadline: time.Now().Add(5 * time.Second), responseWriter: &statusWriter{},
+		}
+		refusals <- e.placeOrPassOn(ctx, x, key)
+	}
+	for range waiting {
+		go send()
+	}
+	cell, ok := e.cells.getOrCreate(key)
+	is.True(ok)
+	for queued := 0; queued < waiting; time.Sleep(time.Millisecond) {
+		cell.mu.Lock()
+		queued = len(cell.pending) - 35
+		cell.mu.Unlock()
+	}
+	e.tick()
+	e.background.Wait()
+	is.True(e.pathMonitor.degraded)
+	e.tick()
+	go send() // one that arrives later
+	for range waiting + 1 {
+		is.Equal(<-refusals, (*refusal)(nil))
+	}
+	owner.mu.Lock()
+	defer owner.mu.Unlock()
+	is.Equal(owner.served, waiting+1)
+
+	// An attempt that fails later, with nothing sent, is not repeated here.
+	cell.finish(1, "mengen-buch-00", pool.Outcome{Kind: pool.OutcomeConnectFailed})
+	cell.mu.Lock()
+	defer cell.mu.Unlock()
+	is.Equal(len(cell.pending), 34)
+}
--- a/entry/place.go
+++ b/entry/place.go
@@ -24,7 +24,7 @@
 	key := e.spillover(active, e.pickCell(active, x.pool))
 	owner, ok := e.owner(key)
 	if !ok || owner.ID == e.Settings.ID {
-		return e.place(ctx, x, key)
+		return e.placeOrPassOn(ctx, x, key)
 	}
 	x.Cell = key
 	refused := e.forward(ctx, x, owner, peer.ForwardPlace)
@@ -41,6 +41,21 @@
 	return e.place(ctx, x, key)
 }
 
+// placeOrPassOn runs the request at a target of the cell. If this entry hands the cell over before it has sent the
+// request to a target, the new owner gets it.
+func (e *Entry) placeOrPassOn(ctx context.Context, x *exchange, key fleet.CellKey) *refusal {
+	refused := e.place(ctx, x, key)
+	if refused == nil || refused.reason != pool.ReasonNotOwner || refused.outcome != notice.OutcomeNotRun {
+		return refused
+	}
+	owner, ok := e.owner(key)
+	if !ok || owner.ID == e.Settings.ID || !x.replayable() || ctx.Err() != nil {
+		return refused
+	}
+	x.Cell = key
+	return e.forward(ctx, x, owner, peer.ForwardPlace)
+}
+
 // place runs the request at a target of the cell and passes the response on.
 func (e *Entry) place(ctx context.Context, x *exchange, key fleet.CellKey) *refusal {
 	cell, ok := e.cells.getOrCreate(key)
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -175,6 +175,9 @@
 // IsHub reports whether this entry announces itself as a hub.
 func (v *View) IsHub() bool { return v.Members[v.selfIndex].Hub }
 
+// IsDegraded reports whether this entry reports that it can't reach its targets.
+func (v *View) IsDegraded() bool { return v.Members[v.selfIndex].Degraded }
+
 // rankKeyOf returns the key that the candidates for a cell are ranked by.
 func (v *View) rankKeyOf(c CellKey) rankKey {
 	switch {
