fleet, entry: witnesses of a path are picked among all entries that were heard lately

Its log: 'pathsLost, peersAsked 2, peersReaching 0, kept'. In the hub-and-spoke topology the owner has two-way links only with hubs most of the time, and the two hubs next to it were partitioned too. It took its targets to be at fault and asked again two seconds later.

Change: witnesses are entries of each failure domain that were heard within ten seconds, linked or not, and the first one that reaches the targets decides, so that one which is gone costs no time.

--- a/entry/pathmonitor.go
+++ b/entry/pathmonitor.go
@@ -167,7 +167,8 @@
 	asked, answered, reaching int
 }
 
-// askWitnesses asks peers whether they reach the lost targets. A peer reaches them if it reaches half of a sample.
+// askWitnesses asks peers whether they reach the lost targets. A peer reaches them if it reaches half of a sample. It
+// returns once one does, or all have answered or failed.
 func (e *Entry) askWitnesses(cell fleet.CellKey, lost []table.Target) testimony {
 	ask := e.pathMonitor.ask
 	if ask == nil {
@@ -180,23 +181,33 @@
 	ctx, cancel := context.WithTimeout(context.Background(), witnessTimeout)
 	defer cancel()
 	witnesses := e.fleet.view().PathWitnesses(cell)
-	var answered, reaching atomic.Int64
-	var calls sync.WaitGroup
+	answers := make(chan testimony, len(witnesses))
 	for _, m := range witnesses {
-		calls.Go(func() {
+		e.background.Go(func() {
 			result, err := ask(ctx, m, check)
-			if err != nil {
-				e.Log.Warn().Str("event", "pathCheckFailed").Str("peer", string(m.ID)).Err(err).Msg("a peer did not check paths")
-				return
-			}
-			answered.Add(1)
-			if 2*len(result.Reached) >= len(check.Targets) {
-				reaching.Add(1)
+			switch {
+			case err == nil && 2*len(result.Reached) >= len(check.Targets):
+				answers <- testimony{answered: 1, reaching: 1}
+			case err == nil:
+				answers <- testimony{answered: 1}
+			default:
+				if ctx.Err() != context.Canceled {
+					e.Log.Warn().Str("event", "pathCheckFailed").Str("peer", string(m.ID)).Err(err).Msg("a peer did not check paths")
+				}
+				answers <- testimony{}
 			}
 		})
 	}
-	calls.Wait()
-	return testimony{len(witnesses), int(answered.Load()), int(reaching.Load())}
+	t := testimony{asked: len(witnesses)}
+	for range witnesses {
+		a := <-answers
+		t.answered += a.answered
+		t.reaching += a.reaching
+		if t.reaching > 0 {
+			break
+		}
+	}
+	return t
 }
 
 // checkPaths hands over the cells of this entry if many of the unresponsive targets don't accept a connection from it
--- a/fleet/hub_test.go
+++ b/fleet/hub_test.go
@@ -240,6 +240,31 @@
 	is.Equal(len(g.owners()), 1)
 }
 
+// Guards against an owner that asks only hubs whether they reach its targets: the two hubs next to it were partitioned
+// too, so that it took its targets to be at fault and kept its cells.
+func TestPathWitnessesAreInAllDomains(t *testing.T) {
+	is := is.New(t)
+	g := newHubGroup(44)
+	g.run(15 * time.Second)
+	var owner EntryID
+	for owner = range g.owners() {
+	}
+	for range 50 {
+		g.run(200 * time.Millisecond)
+		domains := make(map[table.FailureDomain]int)
+		hubs := 0
+		for _, m := range g.members[owner].View(g.now).PathWitnesses(CellKey{}) {
+			is.True(m.ID != owner)
+			domains[m.FailureDomain]++
+			if m.Hub {
+				hubs++
+			}
+		}
+		is.Equal(domains, map[table.FailureDomain]int{"d0": 2, "d1": 2, "d2": 2})
+		is.True(hubs < hubsPerCell)
+	}
+}
+
 // Guards against cells that go from one entry of a partitioned failure domain to the next: two degraded entries of a
 // domain are enough to move its cells, for all members, however long the partition lasts.
 func TestDegradedDomainLosesItsCells(t *testing.T) {
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -298,19 +298,22 @@
 	return r[1:min(n+1, len(r))]
 }
 
-// Witnesses of a failure domain and altogether; see PathWitnesses.
+// Witnesses of a failure domain and altogether, and how long ago they must have been heard; see PathWitnesses.
 const (
 	witnessesPerDomain = 2
 	maxWitnesses       = 6
+	maxWitnessSilence  = 10 * time.Second
 )
 
 // PathWitnesses returns peers that can tell whether targets of the cell or the paths from this entry to them are at
-// fault: the highest-ranked ones of each failure domain that are linked and not degraded, those of other failure domains
-// first.
+// fault: the highest-ranked ones of each failure domain that are not degraded, those of other failure domains first. In
+// the hub-and-spoke topology most of them are no hubs, so that they were heard some seconds ago.
 func (v *View) PathWitnesses(c CellKey) []Member {
 	self := v.Members[v.selfIndex].FailureDomain
 	ranked := v.rankedMembers(v.rankKeyOf(c), func(i int) bool {
-		return i != v.selfIndex && v.states[i].eligible && v.Members[i].Link == LinkTwoWay && !v.Members[i].Degraded
+		m := &v.Members[i]
+		return i != v.selfIndex && m.State == StateServing && m.PeerAddress != "" && !m.Degraded &&
+			v.At-v.states[i].heardAt <= maxWitnessSilence
 	})
 	slices.SortStableFunc(ranked, func(a, b Member) int {
 		return boolCompare(a.FailureDomain == self, b.FailureDomain == self)
