pool, entry: faults of broken paths make no target suspect

Cause: faults of the path count as faults of targets. A degraded entry kept them, with no request to disprove them, until it owned the cells again; and the claim that the next owner starts from held them too.

Change: an entry that becomes degraded discards the faults of the last three seconds and those of attempts in flight, and claims its cells once more, so that the next owner gets what is left.

TestPathEvidenceIsDiscarded guards it in pool.

--- a/entry/cellset.go
+++ b/entry/cellset.go
@@ -65,6 +65,9 @@
 	pair    *table.Pair
 	// alwaysSole is copied from faults.alwaysSole.
 	alwaysSole bool
+	// justDegraded says that this entry has handed the cell over, since it is degraded, and has not claimed it for the
+	// last time. mu guards it.
+	justDegraded bool
 	// outcomes are those of the last tick; only the tick uses them.
 	outcomes pool.Outcomes
 }
@@ -157,6 +160,7 @@
 			cell.ImportRateLimits(now, v.LastRateLimits(c.key))
 			cell.ImportAnnouncements(now, v.LastAnnouncements(c.key))
 		}
+		c.justDegraded = c.justDegraded || v.IsDegraded() && ownership == fleet.NotOwner && c.ownership != fleet.NotOwner
 		if ownership != c.ownership || shared != c.shared || partitioned != c.partitioned {
 			c.logOwnership(ownership, shared, partitioned)
 		}
@@ -245,7 +249,9 @@
 			for _, f := range cell.PoisonFingerprints() {
 				poison = append(poison, uint64(f))
 			}
-			if c.ownership != fleet.NotOwner {
+			// The last claim of a degraded entry tells the next owner what it still suspects.
+			if c.ownership != fleet.NotOwner || c.justDegraded {
+				c.justDegraded = false
 				claim := fleet.CellClaim{
 					Cell: c.key, Ejected: cell.EjectedTargets(), RateLimits: cell.RateLimits(),
 					Announcements: cell.TargetAnnouncements(now),
--- a/entry/partition_test.go
+++ b/entry/partition_test.go
@@ -57,6 +57,8 @@
 	// served and failed count the requests by whether their entry was cut off.
 	served, failed map[bool]int
 	counting       bool
+	// objective is how long a request may take that counts as served; 0 means simDeadline.
+	objective time.Duration
 }
 
 func newPartitionSim(t *testing.T, targetsPerPool int, byDomain bool) *partitionSim {
@@ -189,7 +191,7 @@
 	i := slices.IndexFunc(s.order, func(id fleet.EntryID) bool { return s.entries[id].Settings.CallerAddress == address })
 	at := s.entries[s.order[i]]
 	s.mu.Lock()
-	counting, cut := s.counting, s.cut[at.Settings.ID]
+	counting, cut, objective := s.counting, s.cut[at.Settings.ID], s.objective
 	s.mu.Unlock()
 	key := at.pickCell(at.tables.current(), []table.PoolName{"bescheid-info", "mengen-buch"}[s.intN(2)])
 	if owner, ok := at.owner(key); ok {
@@ -197,7 +199,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, simDeadline)
 	defer cancel()
-	served := s.place(ctx, at, key)
+	sentAt := time.Now()
+	served := s.place(ctx, at, key) && (objective == 0 || time.Since(sentAt) <= objective)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !counting {
@@ -257,10 +260,20 @@
 	}
 	select {
 	case <-time.After(simServiceTime):
-		return pool.Outcome{Kind: pool.OutcomeSuccess, Written: true, ServiceTime: simServiceTime}
 	case <-ctx.Done():
 		return pool.Outcome{Kind: pool.OutcomeTimeout, Written: true, ServiceTime: time.Since(started)}
 	}
+	s.mu.Lock()
+	cut, cutError := s.cut[at.Settings.ID] && !open, s.cutError
+	s.mu.Unlock()
+	switch {
+	case !cut:
+		return pool.Outcome{Kind: pool.OutcomeSuccess, Written: true, ServiceTime: simServiceTime}
+	case errors.Is(cutError, os.ErrDeadlineExceeded):
+		<-ctx.Done()
+		return pool.Outcome{Kind: pool.OutcomeTimeout, Written: true, ServiceTime: time.Since(started)}
+	}
+	return pool.Outcome{Kind: pool.OutcomeConnectionLost, Written: true, ServiceTime: simServiceTime}
 }
 
 // Guards against callers of entries that are partitioned from all targets, while other entries reach them: once 40 of 63
@@ -376,3 +389,52 @@
 	}
 	return ids
 }
+
+// Guards against targets that are taken for faulty because paths to them were broken: a degraded owner made 17 targets
+// suspect, which the next owner inherited, and a quarter of the requests was refused or failed after the first one had
+// come back.
+func TestBrokenPathsMakeNoTargetSuspect(t *testing.T) {
+	for _, cutError := range []error{os.ErrDeadlineExceeded, errSimRefused} {
+		t.Run(strings.ReplaceAll(cutError.Error(), " ", "_"), func(t *testing.T) {
+			startMeters()
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				s := newPartitionSim(t, 30, false)
+				ctx, cancel := context.WithCancel(t.Context())
+				defer s.close(cancel)
+				s.start(ctx)
+				s.run(ctx, 12*time.Second)
+				first := s.candidates()[0]
+				s.set(func() { s.cut[first], s.cutError = true, cutError })
+				s.run(ctx, 2500*time.Millisecond)
+				second := s.candidates()[0]
+				is.True(second != first)
+				is.Equal(s.outOfService(second), 0)
+				s.run(ctx, 9500*time.Millisecond)
+				s.set(func() { clear(s.cut) })
+				for i := 0; s.candidates()[0] != first; i++ {
+					is.True(i < 50)
+					s.run(ctx, 100*time.Millisecond)
+				}
+				is.Equal(s.outOfService(first), 0)
+				s.set(func() { s.counting, s.objective = true, 2*simServiceTime })
+				s.run(ctx, 3*time.Second)
+				s.set(func() { s.counting = false })
+				s.run(ctx, simDeadline)
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				t.Logf("after the return: %d in time, %d late or failed", s.served[false], s.failed[false])
+				is.Equal(s.failed[false], 0)
+			})
+		})
+	}
+}
+
+// outOfService returns how many targets the cells of an entry suspect or can't reach.
+func (s *partitionSim) outOfService(id fleet.EntryID) int {
+	n := 0
+	for _, c := range s.entries[id].cells.list() {
+		c.withCell(func(_ pool.Time, cell *pool.Cell) { n += len(cell.EjectedTargets()) })
+	}
+	return n
+}
--- a/entry/pathmonitor.go
+++ b/entry/pathmonitor.go
@@ -10,6 +10,7 @@
 
 	"github.com/bilberrywood/bilberrywood/fleet"
 	"github.com/bilberrywood/bilberrywood/peer"
+	"github.com/bilberrywood/bilberrywood/pool"
 	"github.com/bilberrywood/bilberrywood/table"
 )
 
@@ -255,6 +256,10 @@
 	for _, t := range sample(lost) {
 		loss.Targets = append(loss.Targets, t.ID)
 	}
+	// The next owner starts with what this one suspects.
+	for _, c := range e.cells.list() {
+		c.withCell(func(now pool.Time, cell *pool.Cell) { cell.DiscardPathEvidence(now) })
+	}
 	e.fleet.update(e.sinceStart(), func(f *fleet.Membership) { f.SetDegraded(e.sinceStart(), loss) })
 }
 
--- a/pool/connection.go
+++ b/pool/connection.go
@@ -50,7 +50,7 @@
 	s := &t.connection
 	switch o.Kind {
 	case OutcomeConnectFailed:
-		c.connectFailed(now, t)
+		c.connectFailed(now, t, r)
 	case OutcomeConnectionLost:
 		c.connectionLost(now, t, r, o)
 	case OutcomeConnectionSilent:
@@ -71,7 +71,10 @@
 	}
 }
 
-func (c *Cell) connectFailed(now Time, t *target) {
+func (c *Cell) connectFailed(now Time, t *target, r *request) {
+	if r.started < c.suspension.evidenceFrom {
+		return
+	}
 	s := &t.connection
 	s.consecutiveRefused++
 	s.lastRefusedAt = now
--- a/pool/suspension.go
+++ b/pool/suspension.go
@@ -46,6 +46,32 @@
 	}
 }
 
+// pathFaultAge is how long before its owner notices a broken path faults of targets may be due to it.
+const pathFaultAge = Time(3 * time.Second)
+
+// DiscardPathEvidence forgets the recent faults of targets, since the paths to them were broken. Attempts in flight
+// will be no evidence.
+func (c *Cell) DiscardPathEvidence(now Time) {
+	c.beginCall(now)
+	c.suspension.evidenceFrom = now
+	for i := range c.targets.len() {
+		t := c.targets.at(i)
+		unreached := t.unansweredSince > 0 || t.connection.consecutiveRefused > 0
+		recent := t.estimate.lastFaultAt > 0 && now-t.estimate.lastFaultAt <= pathFaultAge
+		if !unreached && !recent {
+			continue
+		}
+		t.evidence.reset()
+		t.estimate = failureEstimate{}
+		t.connection = connectionState{}
+		t.unansweredSince = 0
+		if t.state == TargetUnreachable {
+			c.setState(now, t, TargetServing, ReasonRecovered, EventReachable, 0, 0, 0)
+		}
+	}
+	c.refreshLimits(now)
+}
+
 // checkCommonCause reports whether most of the serving and avoided targets, of which there must be at least three,
 // look unhealthy at the same time. Then a common cause, or a fault of the observer, is likelier than a fault of
 // each target. Avoided targets are restored, the evidence is discarded, and outlier detection is suspended.
--- a/pool/unresponsive_test.go
+++ b/pool/unresponsive_test.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -48,3 +49,46 @@
 		})
 	}
 }
+
+// Guards against targets that are suspect or unreachable for the next owner because paths from the last one were broken:
+// after a partition had ended, a quarter of the requests was refused or failed.
+func TestPathEvidenceIsDiscarded(t *testing.T) {
+	for _, kind := range []OutcomeKind{OutcomeConnectFailed, OutcomeConnectionLost, OutcomeTimeout} {
+		t.Run(fmt.Sprint("outcome ", kind), func(t *testing.T) {
+			is := is.New(t)
+			cell, now := newEpisodeCell(6, 6000)
+			fail := func(decisions []Decision) {
+				for _, d := range decisions {
+					cell.Finish(now, d.Request, Outcome{Kind: kind, Written: kind != OutcomeConnectFailed, ServiceTime: 3 * time.Second})
+				}
+			}
+			submit := func(from, to RequestID) []Decision {
+				for id := from; id < to; id++ {
+					cell.Submit(now, Request{ID: id, Deadline: now + Time(time.Minute)})
+				}
+				return append([]Decision(nil), cell.Decisions()...)
+			}
+			first := submit(1, 25)
+			is.Equal(len(first), 24) // four slots each
+			for range 60 {
+				now += Time(50 * time.Millisecond)
+				cell.Tick(now)
+			}
+			for _, d := range first[:18] {
+				now += Time(burstWindow)
+				fail([]Decision{d})
+				cell.Tick(now)
+			}
+			cell.Decisions()
+			is.True(len(cell.EjectedTargets()) > 0)
+			cell.DiscardPathEvidence(now)
+			fail(first[18:]) // these began before
+			cell.Tick(now)
+			is.Equal(len(cell.EjectedTargets()), 0)
+			is.Equal(len(cell.UnresponsiveTargets(now)), 0)
+			for i := range cell.targets.len() {
+				is.Equal(cell.targets.at(i).state, TargetServing)
+			}
+		})
+	}
+}
