entry: a test of an entry that becomes an owner while it is partitioned

The partition is noticed only once it owns cells, because nothing was sent before.

The stand-in of the test forwards requests up to maxHops times, as the entry does: two degraded entries that each take the other for the owner passed a request back and forth without end.

--- a/entry/partition_test.go
+++ b/entry/partition_test.go
@@ -200,7 +200,7 @@
 	ctx, cancel := context.WithTimeout(ctx, simDeadline)
 	defer cancel()
 	sentAt := time.Now()
-	served := s.place(ctx, at, key) && (objective == 0 || time.Since(sentAt) <= objective)
+	served := s.place(ctx, at, key, 1) && (objective == 0 || time.Since(sentAt) <= objective)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !counting {
@@ -214,7 +214,7 @@
 }
 
 // place runs an idempotent request in a cell and reports whether it was served in time.
-func (s *partitionSim) place(ctx context.Context, at *Entry, key fleet.CellKey) bool {
+func (s *partitionSim) place(ctx context.Context, at *Entry, key fleet.CellKey, hops int) bool {
 	cell, ok := at.cells.getOrCreate(key)
 	if !ok {
 		return false
@@ -229,6 +229,12 @@
 			cell.cancel(id, decisions)
 			return false
 		case d := <-decisions:
+			if d.Kind == pool.DecisionRefuse && d.Reason == pool.ReasonNotOwner {
+				owner, _ := at.owner(key)
+				time.Sleep(simNetworkDelay)
+				// As placeOrPassOn does.
+				return owner.ID != at.Settings.ID && hops < maxHops && s.place(ctx, s.entries[owner.ID], key, hops+1)
+			}
 			if d.Kind != pool.DecisionRun {
 				return false
 			}
@@ -330,6 +336,40 @@
 	}
 }
 
+// Guards against an entry that becomes an owner while it is partitioned from all targets, unnoticed since nothing has been
+// sent there. It must not take a second of lost requests to find out.
+func TestPartitionedEntryBecomesOwner(t *testing.T) {
+	for _, cutError := range []error{os.ErrDeadlineExceeded, errSimRefused} {
+		t.Run(strings.ReplaceAll(cutError.Error(), " ", "_"), func(t *testing.T) {
+			startMeters()
+			synctest.Test(t, func(t *testing.T) {
+				s := newPartitionSim(t, 30, false)
+				ctx, cancel := context.WithCancel(t.Context())
+				defer s.close(cancel)
+				s.start(ctx)
+				s.run(ctx, 12*time.Second)
+				owner, next := s.candidates()[0], s.candidates()[1]
+				s.set(func() { s.cut[next], s.cutError = true, cutError })
+				s.run(ctx, 3*time.Second)
+				s.set(func() { s.counting = true })
+				s.entries[owner].setState(fleet.StateLeaving)
+				s.run(ctx, 6*time.Second)
+				s.set(func() { s.counting = false })
+				s.run(ctx, simDeadline)
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				total := s.served[true] + s.failed[true] + s.served[false] + s.failed[false]
+				t.Logf("the partitioned entry served %d and failed %d, others served %d and failed %d",
+					s.served[true], s.failed[true], s.served[false], s.failed[false])
+				is := is.New(t)
+				is.True(total > 500)
+				is.True(s.failed[true] <= 10+total/50)
+				is.True(s.failed[false] <= total/50)
+			})
+		})
+	}
+}
+
 // Guards against owners that change because targets are at fault: no entry reaches them, so a handover helps nobody.
 func TestCrashedTargetsMoveNoOwner(t *testing.T) {
 	startMeters()
