entry: fewer connections to check paths

After a handover nearly all entries take themselves for hubs until they know who ranks above them, and each checked eight targets for each degraded peer. Trace: the log of TestEntriesPartitionedFromTargets, lostPathsChecked of 13 of 15 entries for the first report.

Change: four targets instead of eight; an entry that reaches a pool checks no further reports about it for five seconds; a degraded entry checks again every two seconds instead of every second.

--- a/entry/partition_test.go
+++ b/entry/partition_test.go
@@ -57,6 +57,8 @@
 	// served and failed count the requests by whether their entry was cut off.
 	served, failed map[bool]int
 	counting       bool
+	// checks counts the connections opened to check paths.
+	checks int
 	// objective is how long a request may take that counts as served; 0 means simDeadline.
 	objective time.Duration
 }
@@ -82,7 +84,10 @@
 		}}
 		is.New(t).NoErr(e.Settings.Check())
 		e.prepare()
-		e.pathMonitor.dial = func(ctx context.Context, address string) error { return s.dial(ctx, id, address) }
+		e.pathMonitor.dial = func(ctx context.Context, address string) error {
+			s.set(func() { s.checks++ })
+			return s.dial(ctx, id, address)
+		}
 		e.pathMonitor.ask = func(ctx context.Context, to fleet.Member, c peer.PathCheck) (peer.PathResult, error) {
 			time.Sleep(2 * simNetworkDelay)
 			return s.entries[to.ID].CheckPaths(ctx, c), nil
@@ -325,8 +330,8 @@
 				s.mu.Lock()
 				defer s.mu.Unlock()
 				total := s.served[true] + s.failed[true] + s.served[false] + s.failed[false]
-				t.Logf("partitioned entries served %d and failed %d, others served %d and failed %d",
-					s.served[true], s.failed[true], s.served[false], s.failed[false])
+				t.Logf("partitioned entries served %d and failed %d, others served %d and failed %d; %d connections checked paths",
+					s.served[true], s.failed[true], s.served[false], s.failed[false], s.checks)
 				is := is.New(t)
 				is.True(total > 800)
 				is.True(s.failed[true] <= 10+total/50)
--- a/entry/pathmonitor.go
+++ b/entry/pathmonitor.go
@@ -31,12 +31,16 @@
 	// maxDegradedDuration is how long it leaves them to others while its paths seem broken and no peer tells whether
 	// it reaches the targets.
 	maxDegradedDuration = time.Minute
-	// maxCheckedTargets is how many of the lost targets a peer is asked to check.
-	maxCheckedTargets = 8
+	// maxCheckedTargets is how many of the lost targets a peer checks.
+	maxCheckedTargets = 4
 	// witnessTimeout is how long a peer may take to respond. It checks all targets at the same time.
 	witnessTimeout = pathCheckTimeout + 200*time.Millisecond
-	// recheckDelay is the time until the next check after one that found the targets at fault.
+	// recheckDelay is the time until the next check after one that found the targets at fault, or that the paths are
+	// still broken.
 	recheckDelay = 2 * time.Second
+	// reachedTTL is how long an entry that reaches a pool's targets checks no further reports about that pool. The peers
+	// of a degraded one usually become degraded within this time.
+	reachedTTL = 5 * time.Second
 )
 
 // pathMonitor detects that this entry can't reach many of its targets, which other entries may reach.
@@ -59,6 +63,9 @@
 	lostTotal     int
 	// checkedReports has the degraded peers whose lost targets this entry has checked.
 	checkedReports map[fleet.EntryID]bool
+	// reachedPool was reached at reachedAt, when a report was checked.
+	reachedPool table.PoolName
+	reachedAt   time.Duration
 }
 
 // uncheckedReport returns a degraded peer whose lost targets this entry should check next. Only hubs check: they may own
@@ -68,19 +75,24 @@
 		switch {
 		case !p.Degraded || !p.Live:
 			delete(m.checkedReports, p.ID)
-		case !ok && p.ID != v.Self && p.Lost != nil && v.IsHub() && !m.checkedReports[p.ID]:
+		case ok || p.ID == v.Self || p.Lost == nil || !v.IsHub() || m.checkedReports[p.ID]:
+		case p.Lost.Pool == m.reachedPool && v.At-m.reachedAt <= reachedTTL:
+			m.markChecked(p.ID)
+		default:
 			reporter, ok = p, true
+			m.markChecked(p.ID)
 		}
 	}
-	if ok {
-		if m.checkedReports == nil {
-			m.checkedReports = make(map[fleet.EntryID]bool)
-		}
-		m.checkedReports[reporter.ID] = true
-	}
 	return reporter, ok
 }
 
+func (m *pathMonitor) markChecked(id fleet.EntryID) {
+	if m.checkedReports == nil {
+		m.checkedReports = make(map[fleet.EntryID]bool)
+	}
+	m.checkedReports[id] = true
+}
+
 // monitorPaths starts a check if many targets of a cell are unresponsive, or if this entry may own cells again.
 func (e *Entry) monitorPaths() {
 	m := &e.pathMonitor
@@ -243,7 +255,9 @@
 		Msg("checked targets that a peer can't reach")
 	if degraded {
 		e.setDegraded(fleet.CellKey{Pool: reporter.Lost.Pool}, lost, len(targets))
+		return
 	}
+	e.pathMonitor.reachedPool, e.pathMonitor.reachedAt = reporter.Lost.Pool, e.sinceStart()
 }
 
 // setDegraded hands over the cells of this entry, since it can't reach lost targets of a cell's total.
@@ -284,6 +298,7 @@
 		peers := e.askWitnesses(m.lostCell, lost)
 		line = line.Int("peersAsked", peers.asked).Int("peersAnswered", peers.answered).Int("peersReaching", peers.reaching)
 		if peers.reaching > 0 || peers.answered == 0 && since < maxDegradedDuration {
+			m.nextCheck = e.sinceStart() + recheckDelay
 			line.Str("event", "pathsStillLost").Msg("many targets still unreachable; other entries keep the cells")
 			return
 		}
