pool: a target that wants no requests gets no probe either

Found by reading: a lost connection makes a probe of its target due, and only the rate limit was asked whether it may be sent. Requests that are reset after their target has answered 503 with Retry-After each sent a probe into the pause; the operators allow two requests there.

Change: AllowProbe refuses while the target's pause lasts, for probes on demand and in rounds.

--- a/pool/announcements_test.go
+++ b/pool/announcements_test.go
@@ -307,3 +307,18 @@
 	is.True(next.AcceptsRequests(now+Time(8*time.Second), "t1"))
 	is.True(next.AcceptsRequests(now, "t2"))
 }
+
+// Guards against probes of a target that wants no requests until later: connections that are lost during the pause each
+// made a probe due, and the operators allow two requests in that time.
+func TestPausedTargetGetsNoProbe(t *testing.T) {
+	is := is.New(t)
+	c, now := newPausedCell(t, 2)
+	c.Submit(now, Request{ID: 1, Deadline: now + Time(3*time.Second), MaxAttempts: 1})
+	paused := c.Decisions()[0].Target
+	is.True(c.AllowProbe(now, paused))
+	c.Finish(now, 1, Outcome{Kind: OutcomeShed, Written: true, RetryAfter: 2 * time.Second})
+	for _, id := range []table.TargetID{"t0", "t1"} {
+		is.Equal(c.AllowProbe(now+Time(2*time.Second-TickInterval), id), id != paused)
+	}
+	is.True(c.AllowProbe(now+Time(2*time.Second), paused))
+}
--- a/pool/ratelimit.go
+++ b/pool/ratelimit.go
@@ -135,14 +135,15 @@
 	}
 }
 
-// AllowProbe reports whether the target may be probed now. If it names a rate limit, the probe counts as a request.
+// AllowProbe reports whether the target may be probed now. A probe counts as a request if the target names a rate limit,
+// and if it wants no requests until later.
 func (c *Cell) AllowProbe(now Time, id table.TargetID) bool {
 	c.beginCall(now)
 	t := c.targets.get(id)
 	if t == nil {
 		return true
 	}
-	if !c.withinRate(now, t) {
+	if now < t.pausedUntil || !c.withinRate(now, t) {
 		return false
 	}
 	c.takeRate(now, t)
