entry: a leaving entry refuses requests that may outlast it

Report of other operators: in a planned stop of one machine, requests that came late in the grace were taken and passed on, and cut at its end without an answer, among them requests that may not be repeated. It can happen here: a leaving entry serves callers with old addresses for 3.5 s of a grace of 6 s, and aborts what runs at 5.5 s; a request with a deadline of 3 s that came after 2.5 s could be cut while its target was at work.

Change: a leaving entry refuses a request whose deadline lies after its end with 503, as not run, to be sent again at once; unless no other entry serves.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -61,9 +61,11 @@
 	operatorServer *http.Server
 	extraServers   []*http.Server
 	// background tracks the goroutines that Run waits for.
-	background  sync.WaitGroup
-	state       atomic.Uint32
-	lastTick    atomic.Int64
+	background sync.WaitGroup
+	state      atomic.Uint32
+	lastTick   atomic.Int64
+	// stopAt is when a leaving entry aborts the requests in flight, on the clock of sinceStart; 0 while it serves.
+	stopAt      atomic.Int64
 	faults      faults
 	pathMonitor pathMonitor
 	pairFetches pairFetches
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -86,6 +86,9 @@
 	if x.id != nil {
 		return e.runBound(ctx, x, active, refused)
 	}
+	if refused == nil {
+		refused = e.refuseIfLeaving(x)
+	}
 	if refused != nil {
 		return refused
 	}
--- a/entry/refusal.go
+++ b/entry/refusal.go
@@ -43,6 +43,7 @@
 	reasonOwnerUnreachable      pool.Reason = "ownerUnreachable"
 	reasonCallerGone            pool.Reason = "callerGone"
 	reasonCellClosed            pool.Reason = "cellClosed"
+	reasonLeaving               pool.Reason = "leaving"
 )
 
 // refusal is a response that does not come from a target. Its outcome is notRun only if no byte of the request
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -34,10 +36,11 @@
 // stop leaves the fleet without aborting requests. Other entries may direct callers here until they hear that
 // this entry leaves, or until it counts as gone if they can't hear it. Their address responses stay valid for
 // AnswerValidMs after that, so the entry serves until then, but for at most StopLimitMs. Requests in flight then
-// get the rest of StopLimitMs to end, and at least 1 s.
+// get the rest of StopLimitMs to end, and at least 1 s. A request that may take longer is refused when it comes.
 func (e *Entry) stop() {
 	startedAt := time.Now()
 	limit := settings.Millis(e.Settings.StopLimitMs)
+	e.stopAt.Store(int64(e.sinceStart() + limit))
 	e.setState(fleet.StateLeaving)
 	advertisedFor := settings.Millis(e.Settings.GoneMs + e.Settings.AnswerValidMs)
 	if len(e.fleet.view().Members) > 1 && !e.faults.skipAnswerWait {
@@ -62,3 +65,20 @@
 	}
 	event.Str("event", "stopped").Int64("cutRequests", aborted).Dur("took", time.Since(startedAt)).Msg("entry stopped")
 }
+
+// leavingRetryAfter is the Retry-After delay of a request that a leaving entry refuses; other entries serve it at once.
+const leavingRetryAfter = 5 * time.Millisecond
+
+// refuseIfLeaving refuses a request that may not end before this entry stops, if another entry can serve it.
+func (e *Entry) refuseIfLeaving(x *exchange) *refusal {
+	stopAt := time.Duration(e.stopAt.Load())
+	if fleet.State(e.state.Load()) != fleet.StateLeaving || e.sinceStart()+time.Until(e.deadline(x)) < stopAt {
+		return nil
+	}
+	if !slices.ContainsFunc(e.fleet.view().Members, func(m fleet.Member) bool { return m.Live && m.State == fleet.StateServing }) {
+		return nil
+	}
+	refused := notRunRefusal(http.StatusServiceUnavailable, reasonLeaving, "this entry stops before the deadline of the request")
+	refused.retryAfter = leavingRetryAfter
+	return refused
+}
