--- a/entry/partition_test.go
+++ b/entry/partition_test.go
@@ -185,6 +185,26 @@
 	}
 }
 
+// measure counts the requests of the next d and waits until they have ended.
+func (s *partitionSim) measure(ctx context.Context, d time.Duration) {
+	s.set(func() { s.counting = true })
+	s.run(ctx, d)
+	s.set(func() { s.counting = false })
+	s.run(ctx, simDeadline+simServiceTime)
+}
+
+// checkServed checks that hardly any first attempt failed, at partitioned entries and at others.
+func (s *partitionSim) checkServed() {
+	s.t.Helper()
+	total := s.served[true] + s.failed[true] + s.served[false] + s.failed[false]
+	s.t.Logf("partitioned entries served %d and failed %d, others served %d and failed %d; %d connections checked paths",
+		s.served[true], s.failed[true], s.served[false], s.failed[false], s.checks)
+	is := is.New(s.t)
+	is.True(total > 800)
+	is.True(s.failed[true] <= 10+total/50)
+	is.True(s.failed[false] <= total/50)
+}
+
 // request looks up the entries for a random failure domain and sends a request to one of them.
 func (s *partitionSim) request(ctx context.Context) {
 	asked := s.entries[s.order[s.intN(len(s.order))]]
@@ -323,19 +343,8 @@
 					s.cutError, s.openWorks = c.cutError, c.openWorks
 				})
 				s.run(ctx, 3*time.Second)
-				s.set(func() { s.counting = true })
-				s.run(ctx, 9*time.Second)
-				s.set(func() { s.counting = false })
-				s.run(ctx, simDeadline)
-				s.mu.Lock()
-				defer s.mu.Unlock()
-				total := s.served[true] + s.failed[true] + s.served[false] + s.failed[false]
-				t.Logf("partitioned entries served %d and failed %d, others served %d and failed %d; %d connections checked paths",
-					s.served[true], s.failed[true], s.served[false], s.failed[false], s.checks)
-				is := is.New(t)
-				is.True(total > 800)
-				is.True(s.failed[true] <= 10+total/50)
-				is.True(s.failed[false] <= total/50)
+				s.measure(ctx, 9*time.Second)
+				s.checkServed()
 			})
 		})
 	}
@@ -356,20 +365,9 @@
 				owner, next := s.candidates()[0], s.candidates()[1]
 				s.set(func() { s.cut[next], s.cutError = true, cutError })
 				s.run(ctx, 3*time.Second)
-				s.set(func() { s.counting = true })
 				s.entries[owner].setState(fleet.StateLeaving)
-				s.run(ctx, 6*time.Second)
-				s.set(func() { s.counting = false })
-				s.run(ctx, simDeadline)
-				s.mu.Lock()
-				defer s.mu.Unlock()
-				total := s.served[true] + s.failed[true] + s.served[false] + s.failed[false]
-				t.Logf("the partitioned entry served %d and failed %d, others served %d and failed %d",
-					s.served[true], s.failed[true], s.served[false], s.failed[false])
-				is := is.New(t)
-				is.True(total > 500)
-				is.True(s.failed[true] <= 10+total/50)
-				is.True(s.failed[false] <= total/50)
+				s.measure(ctx, 9*time.Second)
+				s.checkServed()
 			})
 		})
 	}
@@ -462,12 +460,8 @@
 					s.run(ctx, 100*time.Millisecond)
 				}
 				is.Equal(s.outOfService(first), 0)
-				s.set(func() { s.counting, s.objective = true, 2*simServiceTime })
-				s.run(ctx, 3*time.Second)
-				s.set(func() { s.counting = false })
-				s.run(ctx, simDeadline)
-				s.mu.Lock()
-				defer s.mu.Unlock()
+				s.set(func() { s.objective = 2 * simServiceTime })
+				s.measure(ctx, 3*time.Second)
 				t.Logf("after the return: %d in time, %d late or failed", s.served[false], s.failed[false])
 				is.Equal(s.failed[false], 0)
 			})
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -306,8 +306,9 @@
 )
 
 // PathWitnesses returns peers that can tell whether targets of the cell or the paths from this entry to them are at
-// fault: the highest-ranked ones of each failure domain that are not degraded, those of other failure domains first. In
-// the hub-and-spoke topology most of them are no hubs, so that they were heard some seconds ago.
+// fault: the highest-ranked ones of each failure domain that are not degraded, those of other failure domains first;
+// with few failure domains, more of each. In the hub-and-spoke topology most of them are no hubs, so that they were heard
+// some seconds ago.
 func (v *View) PathWitnesses(c CellKey) []Member {
 	self := v.Members[v.selfIndex].FailureDomain
 	ranked := v.rankedMembers(v.rankKeyOf(c), func(i int) bool {
@@ -315,28 +316,21 @@
 		return i != v.selfIndex && m.State == StateServing && m.PeerAddress != "" && !m.Degraded &&
 			v.At-v.states[i].heardAt <= maxWitnessSilence
 	})
-	slices.SortStableFunc(ranked, func(a, b Member) int {
-		return boolCompare(a.FailureDomain == self, b.FailureDomain == self)
-	})
 	perDomain := make(map[table.FailureDomain]int)
-	var witnesses []Member
+	var own, others, rest []Member
 	for _, m := range ranked {
-		if perDomain[m.FailureDomain]++; perDomain[m.FailureDomain] <= witnessesPerDomain && len(witnesses) < maxWitnesses {
-			witnesses = append(witnesses, m)
+		perDomain[m.FailureDomain]++
+		switch {
+		case perDomain[m.FailureDomain] > witnessesPerDomain:
+			rest = append(rest, m)
+		case m.FailureDomain == self:
+			own = append(own, m)
+		default:
+			others = append(others, m)
 		}
 	}
-	return witnesses
-}
-
-// boolCompare orders false before true.
-func boolCompare(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case a:
-		return 1
-	}
-	return -1
+	witnesses := slices.Concat(others, own, rest)
+	return witnesses[:min(len(witnesses), maxWitnesses)]
 }
 
 // Readers returns the n live members of a failure domain that should read the platform.
