entry: attempts that have sent nothing go to the new owner at a handover

Callers: requests that came during the 1.3 s in which an owner did not know yet that its targets were out of reach waited for their connections until the time-out of 1.5 s, and were late or lost, although the new owner could have run them.

Cause: a handover ended the requests that waited for a slot, and not those that waited for a connection.

Change: the attempts of a cell that have sent nothing are known; a degraded entry ends them when it hands the cell over. They count as not started, and the requests go to the new owner. An attempt whose connection opens in the same moment is not sent.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -9,6 +9,7 @@
 	"github.com/bilberrywood/bilberrywood/fleet"
 	"github.com/bilberrywood/bilberrywood/notice"
 	"github.com/bilberrywood/bilberrywood/peer"
+	"github.com/bilberrywood/bilberrywood/pool"
 	"github.com/bilberrywood/bilberrywood/table"
 	"github.com/bilberrywood/bilberrywood/target"
 )
@@ -17,7 +18,7 @@
 var copyBuffers = sync.Pool{New: func() any { return new([copyBufferSize]byte) }}
 
 // targetRequest builds the request to a target.
-func (e *Entry) targetRequest(x *exchange, to table.Target, cell *cellRunner) *target.Request {
+func (e *Entry) targetRequest(x *exchange, to table.Target, cell *cellRunner, id pool.RequestID) *target.Request {
 	h := x.Header.Clone()
 	if x.Account != "" {
 		// The token authenticates to the entry only; targets get the name of the account.
@@ -31,7 +32,10 @@
 			if !cell.acceptsRequests(to.ID) {
 				return errRevoked
 			}
-			return e.beforeWrite(x)
+			if err := e.beforeWrite(x); err != nil {
+				return err
+			}
+			return cell.beginWrite(id)
 		},
 		Trailer:       x.Trailer,
 		NewConnection: !x.idempotent && slices.Contains(x.triedTargets, to.ID),
--- a/entry/cells.go
+++ b/entry/cells.go
@@ -32,6 +32,8 @@
 	targets map[table.TargetID]table.Target
 	// abandonable ends the attempt of each request that the cell may abandon.
 	abandonable map[pool.RequestID]context.CancelCauseFunc
+	// unsent has the attempts that have begun and not sent anything yet.
+	unsent map[pool.RequestID]*unsentAttempt
 	// pending has the decision channel of each submitted request without a final decision.
 	pending map[pool.RequestID]chan pool.Decision
 	lastID  pool.RequestID
@@ -124,6 +126,35 @@
 	return r.ID, ch, true
 }
 
+// unsentAttempt is an attempt that waits for a connection.
+type unsentAttempt struct {
+	end        context.CancelCauseFunc
+	handedOver bool
+}
+
+// errHandedOver is the cause of the end of an attempt that has sent nothing when this entry hands the cell over.
+var errHandedOver = Error.New("the cell has been handed over")
+
+// endUnsent ends the attempts that have sent nothing. The caller holds mu.
+func (c *cellRunner) endUnsent() {
+	for _, a := range c.unsent {
+		a.handedOver = true
+		a.end(errHandedOver)
+	}
+}
+
+// beginWrite is called before the request of an attempt is sent. It fails if the cell has been handed over since the
+// attempt began.
+func (c *cellRunner) beginWrite(id pool.RequestID) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if a := c.unsent[id]; a != nil && a.handedOver {
+		return errHandedOver
+	}
+	delete(c.unsent, id)
+	return nil
+}
+
 // errAbandoned is the cause of the end of an attempt that the cell has abandoned.
 var errAbandoned = Error.New("the attempt probably hangs")
 
@@ -134,13 +165,19 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.abandonable[id] = end
+	c.unsent[id] = &unsentAttempt{end: end}
 	responded = func() bool {
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		delete(c.abandonable, id)
 		return context.Cause(attempt) == errAbandoned
 	}
-	return attempt, responded, func() { end(nil) }
+	return attempt, responded, func() {
+		end(nil)
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		delete(c.unsent, id)
+	}
 }
 
 // finish reports the end of an attempt at a target.
--- a/entry/cellset.go
+++ b/entry/cellset.go
@@ -97,6 +97,7 @@
 		key: key, log: s.e.Log, now: s.e.now,
 		pending:      make(map[pool.RequestID]chan pool.Decision),
 		abandonable:  make(map[pool.RequestID]context.CancelCauseFunc),
+		unsent:       make(map[pool.RequestID]*unsentAttempt),
 		lastResponse: make(map[table.TargetID]time.Time),
 		lastUsed:     time.Now(),
 		cell: &pool.Cell{
@@ -160,7 +161,10 @@
 			cell.ImportRateLimits(now, v.LastRateLimits(c.key))
 			cell.ImportAnnouncements(now, v.LastAnnouncements(c.key))
 		}
-		c.justDegraded = c.justDegraded || v.IsDegraded() && ownership == fleet.NotOwner && c.ownership != fleet.NotOwner
+		if v.IsDegraded() && ownership == fleet.NotOwner && c.ownership != fleet.NotOwner {
+			c.justDegraded = true
+			c.endUnsent()
+		}
 		if ownership != c.ownership || shared != c.shared || partitioned != c.partitioned {
 			c.logOwnership(ownership, shared, partitioned)
 		}
--- a/entry/handover_test.go
+++ b/entry/handover_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"sync"
@@ -10,6 +12,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"golang.org/x/sys/unix"
 
 	"github.com/bilberrywood/bilberrywood/fleet"
 	"github.com/bilberrywood/bilberrywood/peer"
@@ -107,3 +110,83 @@
 	defer cell.mu.Unlock()
 	is.Equal(len(cell.pending), 34)
 }
+
+// silentAddress returns an address on which connections neither open nor fail, as behind a partition: nobody accepts them,
+// and the queue of the listener is full.
+func silentAddress(t *testing.T) string {
+	t.Helper()
+	is := is.New(t)
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	is.NoErr(err)
+	t.Cleanup(func() { _ = unix.Close(fd) })
+	is.NoErr(unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	is.NoErr(unix.Listen(fd, 0))
+	name, err := unix.Getsockname(fd)
+	is.NoErr(err)
+	address := fmt.Sprintf("127.0.0.1:%d", name.(*unix.SockaddrInet4).Port)
+	for {
+		c, err := net.DialTimeout("tcp", address, 200*time.Millisecond)
+		if err != nil {
+			return address
+		}
+		t.Cleanup(func() { _ = c.Close() })
+	}
+}
+
+// Guards against requests that wait for a connection to open although their entry has handed the cell over, until the
+// time-out of 1.5 s or their deadline. Nothing of them has been sent, so the new owner can run them, also those that
+// may not be repeated.
+func TestUnsentAttemptsGoToNewOwner(t *testing.T) {
+	is := is.New(t)
+	owner := &newOwner{}
+	node := &peer.Node{ID: "127.0.0.1:12", Address: "127.0.0.1:0", Handler: owner}
+	is.NoErr(node.Start())
+	defer func() { _ = node.Close() }()
+	e := newShardedEntry(t)
+	e.node = &peer.Node{ID: e.Settings.ID, Address: "127.0.0.1:0", Handler: e}
+	is.NoErr(e.node.Start())
+	defer func() { _ = e.node.Close() }()
+	e.fleet.receive(e.sinceStart(), fleet.Heartbeat{
+		From: "127.0.0.1:12", Incarnation: 1, Sequence: 1, State: fleet.StateServing, Full: true, Hub: true,
+		FailureDomain: "vils-tal", PeerAddress: node.LocalAddress(), CallerAddress: "127.0.0.1:11",
+		ReceiverIncarnation: e.dedup.Incarnation,
+	})
+	e.tick()
+	key := fleet.CellKey{Pool: "mengen-buch", Index: 0}
+	cell, ok := e.cells.getOrCreate(key)
+	is.True(ok)
+	address := silentAddress(t)
+	cell.mu.Lock()
+	for id, target := range cell.targets {
+		target.Address = address
+		cell.targets[id] = target
+	}
+	cell.mu.Unlock()
+	const requests = 10
+	refusals := make(chan *refusal)
+	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+	defer cancel()
+	for range requests {
+		go func() {
+			x := &exchange{
+				ForwardHeader: peer.ForwardHeader{Route: "mengen-buch", Method: http.MethodPost, URI: "/mengen-buch", Cell: key},
+				route:         e.tables.current().routes["mengen-buch"], pool: "mengen-buch", buffered: []byte{},
+				arrivedAt: time.Now(), deadline: time.Now().Add(5 * time.Second), responseWriter: &statusWriter{},
+			}
+			refusals <- e.placeOrPassOn(ctx, x, key)
+		}()
+	}
+	for unsent := 0; unsent < requests; time.Sleep(time.Millisecond) {
+		cell.mu.Lock()
+		unsent = len(cell.unsent)
+		cell.mu.Unlock()
+	}
+	handedOverAt := time.Now()
+	e.setDegraded(key, []table.Target{{ID: "mengen-buch-00"}}, 35)
+	e.tick()
+	for range requests {
+		is.Equal(<-refusals, (*refusal)(nil))
+	}
+	is.True(time.Since(handedOverAt) < time.Second) // the time-out of a dial is longer
+	is.Equal(owner.served, requests)
+}
--- a/entry/place.go
+++ b/entry/place.go
@@ -184,7 +184,7 @@
 	startedAt := time.Now()
 	ctx, responded, release := p.cell.beginAttempt(ctx, p.id)
 	defer release()
-	response, err := p.e.targetClient.Do(ctx, p.e.targetRequest(x, to, p.cell))
+	response, err := p.e.targetClient.Do(ctx, p.e.targetRequest(x, to, p.cell, p.id))
 	abandoned := responded()
 	if err == nil {
 		defer func() { _ = response.Body.Close() }()
@@ -194,7 +194,7 @@
 		}
 	}
 	if err != nil {
-		return p.handleError(d, err, time.Since(startedAt), abandoned)
+		return p.handleError(ctx, d, err, time.Since(startedAt), abandoned)
 	}
 	if response.RateLimitErr != nil {
 		p.e.logRateLimitIgnored(d.Target, response.RateLimitErr)
@@ -212,14 +212,17 @@
 }
 
 // handleError reports an attempt without a response. The cell decides what follows.
-func (p *placement) handleError(d pool.Decision, err error, elapsed time.Duration, abandoned bool) (refused *refusal, done bool) {
+func (p *placement) handleError(ctx context.Context, d pool.Decision, err error, elapsed time.Duration, abandoned bool) (refused *refusal, done bool) {
 	o := pool.Outcome{Kind: pool.OutcomeConnectionLost, Written: true}
 	var attempt *target.AttemptError
 	if errors.As(err, &attempt) {
 		o = attempt.Outcome()
 	}
-	if abandoned {
+	switch {
+	case abandoned:
 		o.Kind, o.Abandoned = pool.OutcomeTimeout, true
+	case context.Cause(ctx) == errHandedOver && !o.Written:
+		o.Kind = pool.OutcomeNotStarted
 	}
 	o.ServiceTime = elapsed
 	p.written = p.written || o.Written
