--- a/entry/handover_test.go
+++ b/entry/handover_test.go
@@ -26,6 +26,12 @@
 	served int
 }
 
+func (o *newOwner) total() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.served
+}
+
 func (o *newOwner) Heartbeat(fleet.Heartbeat)            {}
 func (o *newOwner) Pair(table.Revision) peer.PairMessage { return peer.PairMessage{} }
 
@@ -100,9 +106,7 @@
 	for range waiting + 1 {
 		is.Equal(<-refusals, (*refusal)(nil))
 	}
-	owner.mu.Lock()
-	defer owner.mu.Unlock()
-	is.Equal(owner.served, waiting+1)
+	is.Equal(owner.total(), waiting+1)
 
 	// An attempt that fails later, with nothing sent, is not repeated here.
 	cell.finish(1, "mengen-buch-00", pool.Outcome{Kind: pool.OutcomeConnectFailed})
@@ -188,5 +192,5 @@
 		is.Equal(<-refusals, (*refusal)(nil))
 	}
 	is.True(time.Since(handedOverAt) < time.Second) // the time-out of a dial is longer
-	is.Equal(owner.served, requests)
+	is.Equal(owner.total(), requests)
 }
--- a/entry/partition_test.go
+++ b/entry/partition_test.go
@@ -196,6 +196,8 @@
 // checkServed checks that hardly any first attempt failed, at partitioned entries and at others.
 func (s *partitionSim) checkServed() {
 	s.t.Helper()
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	total := s.served[true] + s.failed[true] + s.served[false] + s.failed[false]
 	s.t.Logf("partitioned entries served %d and failed %d, others served %d and failed %d; %d connections checked paths",
 		s.served[true], s.failed[true], s.served[false], s.failed[false], s.checks)
@@ -462,6 +464,8 @@
 				is.Equal(s.outOfService(first), 0)
 				s.set(func() { s.objective = 2 * simServiceTime })
 				s.measure(ctx, 3*time.Second)
+				s.mu.Lock()
+				defer s.mu.Unlock()
 				t.Logf("after the return: %d in time, %d late or failed", s.served[false], s.failed[false])
 				is.Equal(s.failed[false], 0)
 			})
