--- a/entry/handover_test.go
+++ b/entry/handover_test.go
@@ -55,24 +55,32 @@
 func (w *statusWriter) Write(b []byte) (int, error)             { return len(b), nil }
 func (w *statusWriter) Finish(http.Header) error                { return nil }
 
-// Guards against requests that wait at an entry which has handed its cells over because it can't reach its targets: they
-// were refused after 1.5 s, although the new owner would have run them at once.
-func TestWaitingRequestsGoToNewOwner(t *testing.T) {
-	const waiting = 5
+// newEntryWithNextOwner returns an entry that owns cells and the peer that owns them next, connected to each other.
+func newEntryWithNextOwner(t *testing.T) (*Entry, *newOwner) {
+	t.Helper()
 	is := is.New(t)
 	owner := &newOwner{}
 	node := &peer.Node{ID: "127.0.0.1:12", Address: "127.0.0.1:0", Handler: owner}
 	is.NoErr(node.Start())
-	defer func() { _ = node.Close() }()
+	t.Cleanup(func() { _ = node.Close() })
 	e := newShardedEntry(t)
 	e.node = &peer.Node{ID: e.Settings.ID, Address: "127.0.0.1:0", Handler: e}
 	is.NoErr(e.node.Start())
-	defer func() { _ = e.node.Close() }()
+	t.Cleanup(func() { _ = e.node.Close() })
 	e.fleet.receive(e.sinceStart(), fleet.Heartbeat{
 		From: "127.0.0.1:12", Incarnation: 1, Sequence: 1, State: fleet.StateServing, Full: true, Hub: true,
 		FailureDomain: "vils-tal", PeerAddress: node.LocalAddress(), CallerAddress: "127.0.0.1:11",
 		ReceiverIncarnation: e.dedup.Incarnation,
 	})
+	return e, owner
+}
+
+// Guards against requests that wait at an entry which has handed its cells over because it can't reach its targets: they
+// were refused after 1.5 s, although the new owner would have run them at once.
+func TestWaitingRequestsGoToNewOwner(t *testing.T) {
+	const waiting = 5
+	is := is.New(t)
+	e, owner := newEntryWithNextOwner(t)
 	e.pathMonitor.dial = func(context.Context, string) error { return os.ErrDeadlineExceeded }
 	leaveUnanswered(t, e) // takes all slots
 
@@ -142,19 +150,7 @@
 // may not be repeated.
 func TestUnsentAttemptsGoToNewOwner(t *testing.T) {
 	is := is.New(t)
-	owner := &newOwner{}
-	node := &peer.Node{ID: "127.0.0.1:12", Address: "127.0.0.1:0", Handler: owner}
-	is.NoErr(node.Start())
-	defer func() { _ = node.Close() }()
-	e := newShardedEntry(t)
-	e.node = &peer.Node{ID: e.Settings.ID, Address: "127.0.0.1:0", Handler: e}
-	is.NoErr(e.node.Start())
-	defer func() { _ = e.node.Close() }()
-	e.fleet.receive(e.sinceStart(), fleet.Heartbeat{
-		From: "127.0.0.1:12", Incarnation: 1, Sequence: 1, State: fleet.StateServing, Full: true, Hub: true,
-		FailureDomain: "vils-tal", PeerAddress: node.LocalAddress(), CallerAddress: "127.0.0.1:11",
-		ReceiverIncarnation: e.dedup.Incarnation,
-	})
+	e, owner := newEntryWithNextOwner(t)
 	e.tick()
 	key := fleet.CellKey{Pool: "mengen-buch", Index: 0}
 	cell, ok := e.cells.getOrCreate(key)
--- a/fleet/membership.go
+++ b/fleet/membership.go
@@ -238,56 +238,6 @@
 // long after the first heartbeat of a peer the heartbeats to it name several owner candidates instead of one.
 const startupPeriod = 5 * time.Second
 
-// degradedDomains counts the degraded entries of each failure domain, this one included.
-func (m *Membership) degradedDomains() degradedDomains {
-	var d degradedDomains
-	for _, p := range m.peers {
-		member := p.Member
-		member.Live = p.live
-		d.add(&member)
-	}
-	d.add(&Member{FailureDomain: m.FailureDomain, Degraded: m.degraded, Live: true})
-	return d
-}
-
-// maxLossBytes is the maximum size of the target IDs that a degraded entry names in its heartbeats.
-const maxLossBytes = 200
-
-// SetDegraded sets whether this entry can't reach its targets, and which of them; nil means that it reaches them. A
-// degraded entry hands its cells over at once. Only so many targets are announced as fit into a heartbeat.
-func (m *Membership) SetDegraded(now time.Duration, lost *PathLoss) {
-	m.initialize(now)
-	if degraded := lost != nil; degraded != m.degraded {
-		m.announceUntil = now + m.Timing.SuspectTimeout
-		m.scheduleHeartbeats(now)
-		m.degraded = degraded
-	}
-	m.lost = nil
-	if lost == nil || len(lost.Targets) == 0 {
-		return
-	}
-	m.lost = &PathLoss{Pool: lost.Pool}
-	size := 0
-	for _, id := range lost.Targets {
-		if size += idBytes + len(id); size > maxLossBytes {
-			break
-		}
-		m.lost.Targets = append(m.lost.Targets, id)
-	}
-}
-
-// size returns the encoded size in bytes, rounded up.
-func (l *PathLoss) size() int {
-	if l == nil {
-		return 0
-	}
-	n := claimBytes + len(l.Pool)
-	for _, id := range l.Targets {
-		n += idBytes + len(id)
-	}
-	return n
-}
-
 // reportedHubTTL is how long an entry sends heartbeats at the short interval to a silent peer that others
 // reported as a hub. They repeat the report while they receive the peer's heartbeats.
 const reportedHubTTL = 2 * time.Second
--- a/fleet/rendezvous.go
+++ b/fleet/rendezvous.go
@@ -42,43 +42,6 @@
 	domain   table.FailureDomain
 }
 
-// health is how likely an entry reaches its targets.
-type health uint8
-
-const (
-	// healthDegraded means that the entry reports that it does not.
-	healthDegraded health = iota
-	// healthSuspect means that other entries of its failure domain report so.
-	healthSuspect
-	healthGood
-)
-
-// degradedDomains counts the degraded live entries of each failure domain.
-type degradedDomains map[table.FailureDomain]int
-
-// minDegradedEntries is how many degraded entries make their failure domain suspect. One may have a fault of its own.
-const minDegradedEntries = 2
-
-func (d *degradedDomains) add(m *Member) {
-	if !m.Degraded || !m.Live {
-		return
-	}
-	if *d == nil {
-		*d = make(degradedDomains)
-	}
-	(*d)[m.FailureDomain]++
-}
-
-func (d degradedDomains) health(m *Member) health {
-	switch {
-	case m.Degraded:
-		return healthDegraded
-	case d[m.FailureDomain] >= minDegradedEntries:
-		return healthSuspect
-	}
-	return healthGood
-}
-
 // Bits of a rank. Health counts most, then the capacity class, the preferred failure domain and the rendezvous
 // weight.
 const (
--- a/fleet/types.go
+++ b/fleet/types.go
@@ -107,12 +107,6 @@
 	FailedTenths int `cbor:"7,keyasint,omitempty"`
 }
 
-// PathLoss names targets that an entry can't reach although a peer does.
-type PathLoss struct {
-	Pool    table.PoolName   `cbor:"1,keyasint" json:"pool"`
-	Targets []table.TargetID `cbor:"2,keyasint,omitempty" json:"targets"`
-}
-
 // TargetAnnouncement is what a process of a target has said about itself in responses.
 type TargetAnnouncement struct {
 	Target table.TargetID `cbor:"1,keyasint"`
