--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -4,4 +4,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/../.."
 [ -x review/bin/rig ] && [ -x target/entry ] || { echo "not built"; exit 2; }
-exec review/bin/rig catch-all . review/4/record.txt
+exec review/bin/rig decoded-slash . review/4/record.txt
--- a/review/_rig/client.go
+++ b/review/_rig/client.go
@@ -141,6 +141,9 @@
 		e.Note = string(a.body)
 	}
 	c.rec.add(e)
+	if err == nil && a.status == http.StatusOK && !bytes.Contains(a.body, []byte("request "+id)) {
+		c.rec.add(event{Who: "client", What: "wrong answer", ID: id, Note: string(a.body)})
+	}
 	return a
 }
 
--- a/review/_rig/fleet.go
+++ b/review/_rig/fleet.go
@@ -178,6 +178,11 @@
 					break
 				}
 			}
+			select {
+			case <-n.ended:
+				return fmt.Errorf("the process of %s has ended", n.name)
+			default:
+			}
 			if time.Now().After(end) {
 				return fmt.Errorf("%s is not ready: %v", n.name, err)
 			}
--- a/review/_rig/main.go
+++ b/review/_rig/main.go
@@ -120,14 +120,24 @@
 	}
 }
 
+// startAttempts is how often a fleet is started. Another process may take a port between its choice and its use.
+const startAttempts = 3
+
 // startFleet starts a fleet of n nodes and waits until it is ready.
 func (r *rig) startFleet(n int) error {
-	f, err := newFleet(r.rec, r.root, r.dir, r.store.address, n)
-	if err != nil {
-		return err
+	var err error
+	for range startAttempts {
+		var f *fleet
+		if f, err = newFleet(r.rec, r.root, r.dir, r.store.address, n); err != nil {
+			return err
+		}
+		r.fleet = f
+		if err = f.startAll(); err == nil {
+			return nil
+		}
+		f.stopAll()
 	}
-	r.fleet = f
-	return f.startAll()
+	return err
 }
 
 // traffic calls send perSecond times a second for a time, each call in a goroutine, and waits for all.
