--- a/review/_rig/case_early.go
+++ b/review/_rig/case_early.go
@@ -43,7 +43,11 @@
 	for i := range body {
 		if body[i] != want[i] {
 			note += fmt.Sprintf("; byte %d is not the one that the client sent: %q in place of %q", i, body[i:min(i+27, len(body))], want[i:min(i+27, len(body))])
-			s.rec.add(event{Who: s.id, What: "other bytes", ID: id, Note: note})
+			what := "whole body, other bytes"
+			if err != nil {
+				what = "cut body, other bytes"
+			}
+			s.rec.add(event{Who: s.id, What: what, ID: id, Note: note})
 			break
 		}
 	}
@@ -77,6 +81,7 @@
 		c.sendChunked(address, id, "/files/survey", uploadBody(id, 240_000), 30, 20*time.Millisecond, 3*time.Second)
 	})
 	early := r.rec.count(func(e event) bool { return e.What == "answered early" })
-	other := r.rec.count(func(e event) bool { return e.What == "other bytes" })
-	return r.verdict("UNASKED", other > 0, "%d of %d uploads that were answered early went on with other bytes than the client sent", other, early), nil
+	whole := r.rec.count(func(e event) bool { return e.What == "whole body, other bytes" })
+	other := whole + r.rec.count(func(e event) bool { return e.What == "cut body, other bytes" })
+	return r.verdict("UNASKED", other > 0, "%d of %d uploads that were answered early went on with other bytes than the client sent; %d of them ended like whole bodies", other, early, whole), nil
 }
