--- a/review/_rig/case_notice.go
+++ b/review/_rig/case_notice.go
@@ -28,8 +28,8 @@
 		{host, "r-ledger", "/ledger/", "unsafe", ledger, 3, 2},
 		{host, "r-notice", "/ledger/notices/", "safe", ledger, 2.5, 2},
 	})
-	r.addServers(info, 4, 60*time.Millisecond)
-	r.addServers(ledger, 10, 60*time.Millisecond)
+	r.addServers(info, 4, 120*time.Millisecond)
+	r.addServers(ledger, 10, 120*time.Millisecond)
 	// The dose of answer_lost on a standard day of the small site: 0.6 of the servers lose the answers of 0.4 of the
 	// requests that they ran, for 4 s.
 	lost := r.windows(6*time.Second, 4*time.Second, 4*time.Second)
