target, entry: early responses are not held back

A caller that was answered before it had sent its body got the last bytes of the response, or all of a response without a body, only when its body had been sent, at the latest at the deadline.

Cause: the read that ends a response waits for the request body, since the connection can be reused only then, and it had the last bytes with it. A response without a body waited before its header was returned, and the entry sent no header before the first bytes of a body.

--- a/entry/handler.go
+++ b/entry/handler.go
@@ -19,7 +19,8 @@
 // serve handles one request of a caller.
 func (e *Entry) serve(c echo.Context) error {
 	r := c.Request()
-	writer := &callerWriter{w: c.Response(), controller: http.NewResponseController(c.Response())}
+	body := newCallerBody(r)
+	writer := &callerWriter{w: c.Response(), controller: http.NewResponseController(c.Response()), body: body}
 	defer e.inFlight.begin()()
 	ctx, release := untilCallerLeaves(r.Context())
 	defer release()
@@ -30,7 +31,6 @@
 	// A target may respond before it has read the body and read on afterwards. Without full duplex, net/http would read
 	// the rest of the body itself when the response begins. Only writers of tests don't support it.
 	_ = writer.controller.EnableFullDuplex()
-	body := &callerBody{Reader: r.Body}
 	x := &exchange{
 		ForwardHeader: peer.ForwardHeader{
 			Method: r.Method, URI: r.URL.RequestURI(), Host: r.Host,
@@ -70,7 +70,7 @@
 		// Closing the connection shows the caller that the response is truncated.
 		panic(http.ErrAbortHandler)
 	}
-	if r.ContentLength != 0 && !body.ended.Load() {
+	if !body.ended.Load() {
 		closeAfterResponse(c.Response().Writer)
 		lingerUntil(r.Context(), x.deadline)
 	}
--- a/entry/requestbody.go
+++ b/entry/requestbody.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net/http"
 	"sync/atomic"
 )
 
@@ -11,6 +12,12 @@
 	ended atomic.Bool
 }
 
+func newCallerBody(r *http.Request) *callerBody {
+	b := &callerBody{Reader: r.Body}
+	b.ended.Store(r.ContentLength == 0)
+	return b
+}
+
 // Read implements io.Reader.
 func (b *callerBody) Read(p []byte) (int, error) {
 	n, err := b.Reader.Read(p)
--- a/entry/responsewriter.go
+++ b/entry/responsewriter.go
@@ -12,8 +12,10 @@
 type callerWriter struct {
 	w          http.ResponseWriter
 	controller *http.ResponseController
-	started    bool
-	complete   bool
+	// body is the body of the request.
+	body     *callerBody
+	started  bool
+	complete bool
 }
 
 var _ peer.ResponseWriter = (*callerWriter)(nil)
@@ -26,6 +28,10 @@
 		h[name] = values
 	}
 	cw.w.WriteHeader(response.Status)
+	if !cw.body.ended.Load() {
+		// The response may end only after the request.
+		cw.Flush()
+	}
 	return nil
 }
 
--- a/target/attempt.go
+++ b/target/attempt.go
@@ -56,7 +56,7 @@
 	response.TimeAfterBody = a.timeAfterBody()
 	body := &responseBody{attempt: a, response: response, httpResponse: httpResponse}
 	response.Body = body
-	if httpResponse.Body == http.NoBody {
+	if httpResponse.Body == http.NoBody && !a.sendingBody() {
 		body.complete()
 	}
 	return response, nil
--- a/target/response.go
+++ b/target/response.go
@@ -27,6 +27,8 @@
 	n, err := b.httpResponse.Body.Read(p)
 	b.bytesRead += int64(n)
 	switch {
+	case err == io.EOF && n > 0 && b.attempt.sendingBody():
+		// The end of the response waits for the request body; the bytes that have arrived don't.
 	case err == io.EOF:
 		b.complete()
 	case err != nil:
@@ -65,6 +67,9 @@
 		b.httpResponse.ContentLength-b.bytesRead <= int64(b.attempt.conn.reader.Buffered())
 }
 
+// sendingBody reports whether the request body is still being sent.
+func (a *attempt) sendingBody() bool { return a.writer != nil && a.writer.endedAt.Load() == 0 }
+
 // finishRequestBody waits until the request body is sent, if the target may still read it. It
 // reports whether all of it was sent. A target may go on reading the body after an early success,
 // but not after an error status.
--- a/target/stream_test.go
+++ b/target/stream_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"flag"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -89,6 +90,35 @@
 	}
 }
 
+// Guards against an early response that is held back, in whole or its last bytes, until the request body has been sent.
+func TestEarlyResponseIsNotHeldBack(t *testing.T) {
+	for _, size := range []int{0, 1, 1000, 100_000} {
+		t.Run(strconv.Itoa(size), func(t *testing.T) {
+			is := is.New(t)
+			address := scriptedTarget(t, func(c net.Conn, _ int) {
+				readRequestHeader(c)
+				_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", size, strings.Repeat("x", size))
+				_, _ = io.Copy(io.Discard, c)
+			})
+			c := newClient(t)
+			body, feed := io.Pipe()
+			defer func() { _ = feed.Close() }()
+			r := newPost(address, "", "", body)
+			r.Deadline = time.Now().Add(5 * time.Second)
+			resp, err := c.Do(t.Context(), r)
+			is.NoErr(err)
+			n, err := io.ReadFull(resp.Body, make([]byte, size))
+			is.NoErr(err)
+			is.Equal(n, size)
+			is.True(time.Now().Before(r.Deadline.Add(-3 * time.Second)))
+			is.NoErr(feed.Close())
+			rest, err := io.ReadAll(resp.Body)
+			is.NoErr(err)
+			is.Equal(len(rest), 0)
+		})
+	}
+}
+
 // Guards against a refusal that is lost because the target stops reading the body.
 func TestEarlyRefusal(t *testing.T) {
 	is := is.New(t)
