entry: one attempt at a time reads a body that is not kept

A request whose first attempt ended before its goroutine had read anything of the body was sent again, and two goroutines read one body, a part each. Its second target would get a body with missing parts (UNASKED), or the second attempt failed because the first had ended all reads of the connection.

Cause: the body was taken for unread by a field that another goroutine wrote without a lock, and nothing ended the reading of earlier attempts.

Change: the body is lent to one attempt; taking it back and reporting that it is unread are one step under a lock.

--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -47,8 +47,8 @@
 	buffered []byte
 	// bodyPrefix has the first bytes of an unbuffered body of known length.
 	bodyPrefix []byte
-	// bodyRead is true once bytes of an unbuffered body have been read for an attempt.
-	bodyRead bool
+	// stream lends an unbuffered body to attempts.
+	stream streamedBody
 	// attempts counts the attempts at targets and peers.
 	attempts int
 	// triedTargets has the targets of the attempts at targets.
@@ -131,25 +131,18 @@
 	return buf[:n], err
 }
 
-// replayable reports whether the body can be sent from its start.
-func (x *exchange) replayable() bool { return x.buffered != nil || !x.bodyRead }
+// replayable reports whether the body can be sent from its start. It ends the reading of an unbuffered body by the latest
+// attempt, which must have ended.
+func (x *exchange) replayable() bool { return x.buffered != nil || x.stream.withdraw() }
 
 // nextBody returns the body for another attempt. It must only be called if replayable returns true.
 func (x *exchange) nextBody() io.Reader {
 	if x.buffered != nil {
 		return bytes.NewReader(x.buffered)
 	}
-	return readFunc(func(b []byte) (int, error) {
-		x.bodyRead = true
-		return x.body.Read(b)
-	})
+	return x.stream.lend(x.body)
 }
 
-type readFunc func([]byte) (int, error)
-
-// Read implements io.Reader.
-func (f readFunc) Read(b []byte) (int, error) { return f(b) }
-
 // contentHash returns a hash of the request's content, which is the same for all its retries. It distinguishes
 // copies of a request from other requests with the same ID.
 func (x *exchange) contentHash() uint64 {
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -43,16 +43,21 @@
 		responseWriter:  writer,
 		body:            body,
 		Trailer:         r.Trailer,
-		abortBody: func() {
-			// Reads from a connection with an expired deadline return at once. An error means that the
-			// connection is already closed.
-			_ = writer.controller.SetReadDeadline(time.Unix(1, 0))
-		},
+	}
+	x.abortBody = func() {
+		if x.stream.withdraw() {
+			return
+		}
+		// Reads from a connection with an expired deadline return at once. An error means that the connection is
+		// already closed.
+		_ = writer.controller.SetReadDeadline(longAgo)
 	}
 	if fleet.State(e.state.Load()) == fleet.StateLeaving {
 		c.Response().Header().Set("Connection", "close")
 	}
-	if refused := e.handle(ctx, x, r); refused != nil {
+	refused := e.handle(ctx, x, r)
+	x.stream.withdraw()
+	if refused != nil {
 		e.callerProtocol().adapt(refused)
 		e.refuse(x, refused, writer.started)
 		if writer.started {
