table, platform: a prefix matches only paths that begin with it

Cause: the adapter cut the last slash off a prefix and the router compared whole segments, so that /ledger/notices/ matched /ledger/notices.

Change: a pair of tables is read with one of two ways to compare paths. The product's own compares segments as before; the platform's compares literally with prefixes that end with a slash.

--- a/entry/callerprotocol.go
+++ b/entry/callerprotocol.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/bilberrywood/bilberrywood/notice"
+	"github.com/bilberrywood/bilberrywood/table"
 )
 
 // CallerProtocol describes the header fields and retry conventions of callers.
@@ -17,6 +18,8 @@
 	// RetriesOnlyNotRun is true if callers retry a non-idempotent request only after a response that says it
 	// did not run, or if they saw that it was not read. Request IDs bound to an entry are then not needed.
 	RetriesOnlyNotRun bool
+	// Paths is how the paths of requests are compared with the prefixes of routes.
+	Paths table.PathMatching
 	// FractionalRetryAfter is true if callers accept fractions of seconds in Retry-After.
 	FractionalRetryAfter bool
 	// NotRunStatus, unless it is 0, is the status of every refusal that has the outcome notRun and would
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -150,7 +150,7 @@
 		},
 	}
 	e.counters.register(e.Metrics, e)
-	e.tables.acceptor.OnOffer = e.tables.onOffer
+	e.tables.acceptor.OnOffer, e.tables.acceptor.Paths = e.tables.onOffer, e.callerProtocol().Paths
 	e.tables.log, e.tables.self, e.tables.onChange = e.Log, s.ID, e.tablesChanged
 	e.fleet.membership = e.membership(incarnation)
 	e.fleet.update(0, func(*fleet.Membership) {})
--- a/table/acceptor.go
+++ b/table/acceptor.go
@@ -68,6 +68,8 @@
 // Acceptor holds the active pair and decides whether a snapshot replaces it. The revision of the active
 // pair never decreases. The zero value is ready for use. Methods may be called concurrently.
 type Acceptor struct {
+	// Paths is how accepted pairs match paths. It is set before the first offer.
+	Paths PathMatching
 	// OnOffer, if it is set before the first offer, is called with the result of each offer before the
 	// next offer is processed. State that is derived from the active pair must be updated in it: after
 	// Offer has returned, a later offer may already have been accepted, and an update could restore the
@@ -115,7 +117,7 @@
 		result.Verdict, result.Problems = Rejected, problems
 		return result
 	}
-	pair, err := NewPair(s.Revision, s.Values)
+	pair, err := newPair(s.Revision, s.Values, a.Paths)
 	if err == nil && previous != nil && pair.Routes.Version < previous.Routes.Version {
 		err = Problems{{File: RoutesKey, Pointer: "/version", Reason: fmt.Sprintf(
 			"version %d is below %d, which is in force", pair.Routes.Version, previous.Routes.Version)}}
--- a/table/pair.go
+++ b/table/pair.go
@@ -18,10 +18,26 @@
 	PoolsKey  = KeyPrefix + "pools"
 )
 
+// PathMatching says how the path of a request is compared with the prefixes of routes.
+type PathMatching uint8
+
+// Ways of comparing paths.
+const (
+	// MatchSegments compares decoded paths by whole segments: the prefix /a matches /a and /a/b, and not /ab.
+	MatchSegments PathMatching = iota
+	// MatchLiteral compares paths byte by byte with prefixes that end with a slash: the prefix /a/ matches /a/b,
+	// and neither /a nor /ab. The tables may leave out the slash.
+	MatchLiteral
+)
+
 // NewPair parses and checks the tables. values holds the raw values by key. The Pair retains them, so
 // they must not be modified afterwards. The error is of type Problems and holds every problem found,
-// including a missing value and a value with an unknown key.
+// including a missing value and a value with an unknown key. Paths are matched by MatchSegments.
 func NewPair(revision Revision, values map[string][]byte) (*Pair, error) {
+	return newPair(revision, values, MatchSegments)
+}
+
+func newPair(revision Revision, values map[string][]byte, paths PathMatching) (*Pair, error) {
 	problems := checkKeys(values)
 	routes, routesSource, more := parseTable(RoutesKey, values, routesSchema)
 	problems = append(problems, more...)
@@ -41,7 +57,7 @@
 		pools.Pools[i].SetDefaults()
 	}
 	return &Pair{
-		Revision: revision, Routes: routes, Pools: pools,
+		Revision: revision, Routes: routes, Pools: pools, Paths: paths,
 		Digest: Digest(values), Values: values,
 	}, nil
 }
--- a/table/router.go
+++ b/table/router.go
@@ -21,9 +21,9 @@
 	grants map[grant]struct{}
 	// hasHostRoutes says that at least one route is limited to a host.
 	hasHostRoutes bool
-	// maxSegments is the number of segments of the longest prefix. Longer paths are truncated to it, so
-	// that a path with many segments needs no more lookups.
-	maxSegments int
+	// maxSlashes is the number of slashes of the longest prefix with a slash at its end. Longer paths are
+	// truncated to it, so that a path with many segments needs no more lookups.
+	maxSlashes int
 	// poolsByHost holds the pools of the routes of each host. It is built on first use.
 	poolsByHost     map[string][]PoolName
 	poolsByHostOnce sync.Once
@@ -60,9 +60,10 @@
 	}
 	for i := range pair.Routes.Routes {
 		route := &pair.Routes.Routes[i]
-		r.prefixes[hostPrefix{route.Host, route.PathPrefix}] = uint32(i)
+		prefix := pair.Paths.normalizePrefix(route.PathPrefix)
+		r.prefixes[hostPrefix{route.Host, prefix}] = uint32(i)
 		r.hasHostRoutes = r.hasHostRoutes || route.Host != ""
-		r.maxSegments = max(r.maxSegments, strings.Count(route.PathPrefix, "/"))
+		r.maxSlashes = max(r.maxSlashes, strings.Count(withSlash(prefix), "/"))
 		for _, a := range route.Accounts {
 			r.grants[grant{uint32(i), r.accounts[a]}] = struct{}{}
 		}
@@ -82,8 +83,8 @@
 	return &r.pair.Pools.Pools[i]
 }
 
-// Route returns the route for a request with the given method, host and decoded path. If the caller gave
-// an account, Route verifies its bearer token. The error is of type *Refusal.
+// Route returns the route for a request with the given method, host and path, which is decoded unless paths are
+// compared literally. If the caller gave an account, Route verifies its bearer token. The error is of type *Refusal.
 func (r *Router) Route(method, host, path string, account AccountName, token string) (Match, error) {
 	i, err := r.find(host, path)
 	if err != nil {
@@ -134,27 +135,31 @@
 	return r.Split[len(r.Split)-1].Pool
 }
 
-// find returns the index of the route whose prefix is the longest match of path, by path segments. A
-// port in host is ignored.
+// find returns the index of the route whose prefix is the longest match of path. A port in host is ignored.
 func (r *Router) find(host, path string) (uint32, error) {
-	if !strings.HasPrefix(path, "/") || ambiguousPath(strings.TrimSuffix(path, "/")) {
+	literal := r.pair.Paths == MatchLiteral
+	if !strings.HasPrefix(path, "/") || !literal && ambiguousPath(strings.TrimSuffix(path, "/")) {
 		return 0, &Refusal{Reason: RefusedPath}
 	}
-	lookupPath := firstSegments(path, r.maxSegments)
+	match := r.longestSegments
+	if literal {
+		match = r.longestLiteral
+	}
+	lookupPath := throughSlash(path, r.maxSlashes)
 	if r.hasHostRoutes {
-		if i, ok := r.longestPrefix(normalizeHost(host), lookupPath); ok {
+		if i, ok := match(normalizeHost(host), lookupPath); ok {
 			return i, nil
 		}
 	}
-	if i, ok := r.longestPrefix("", lookupPath); ok {
+	if i, ok := match("", lookupPath); ok {
 		return i, nil
 	}
 	return 0, &Refusal{Reason: RefusedNoRoute}
 }
 
-// longestPrefix returns the route of a host whose prefix is the longest match of path.
-func (r *Router) longestPrefix(host, path string) (uint32, bool) {
-	for prefix := path; prefix != ""; prefix = prefix[:strings.LastIndexByte(prefix, '/')] {
+// longestSegments returns the route of a host whose prefix is the longest match of path by whole segments.
+func (r *Router) longestSegments(host, path string) (uint32, bool) {
+	for prefix := strings.TrimSuffix(path, "/"); prefix != ""; prefix = prefix[:strings.LastIndexByte(prefix, '/')] {
 		if i, ok := r.prefixes[hostPrefix{host, prefix}]; ok {
 			return i, true
 		}
@@ -162,6 +167,26 @@
 	return 0, false
 }
 
+// longestLiteral returns the route of a host with the longest prefix that path begins with.
+func (r *Router) longestLiteral(host, path string) (uint32, bool) {
+	for end := strings.LastIndexByte(path, '/'); end >= 0; end = strings.LastIndexByte(path[:end], '/') {
+		if i, ok := r.prefixes[hostPrefix{host, path[:end+1]}]; ok {
+			return i, true
+		}
+	}
+	return 0, false
+}
+
+// normalizePrefix returns a prefix in the form in which the router and the check for repeated prefixes compare it.
+func (m PathMatching) normalizePrefix(prefix string) string {
+	if m == MatchLiteral {
+		return withSlash(prefix)
+	}
+	return prefix
+}
+
+func withSlash(prefix string) string { return strings.TrimSuffix(prefix, "/") + "/" }
+
 // normalizeHost returns the host of a Host field in lower case, without the port.
 func normalizeHost(host string) string {
 	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
@@ -243,19 +268,17 @@
 	return index, known && equal
 }
 
-// firstSegments returns the first n segments of path, without a trailing "/".
-func firstSegments(path string, n int) string {
-	segments := 0
+// throughSlash returns path up to and including its nth slash, or all of it if it has fewer.
+func throughSlash(path string, n int) string {
 	for i := range len(path) {
 		if path[i] != '/' {
 			continue
 		}
-		if segments == n {
-			return path[:i]
+		if n--; n == 0 {
+			return path[:i+1]
 		}
-		segments++
 	}
-	return strings.TrimSuffix(path, "/")
+	return path
 }
 
 // ambiguousPath reports whether path has an empty segment or a dot segment. A target could resolve such
--- a/table/types.go
+++ b/table/types.go
@@ -41,8 +41,8 @@
 	// Host limits the route to requests for one host. Empty matches every host. Routes with the host of
 	// the request take precedence over routes without a host.
 	Host string `json:"host,omitempty"`
-	// PathPrefix starts with "/" and does not end with "/". The route with the longest matching prefix,
-	// in path segments, wins.
+	// PathPrefix starts with "/" and does not end with "/". The route with the longest matching prefix
+	// wins; see PathMatching.
 	PathPrefix string `json:"pathPrefix"`
 	// Methods lists the allowed methods; empty allows all.
 	Methods []string `json:"methods,omitempty"`
@@ -180,6 +180,7 @@
 	Revision Revision
 	Routes   *Routes
 	Pools    *Pools
+	Paths    PathMatching
 	// Digest is the xxhash of the raw values in the order of their keys. By comparing digests two
 	// entries can tell whether they have the same pair without exchanging it.
 	Digest uint64
