table, platform: routes of any prefix are applied

Callers' requests ran at the service of the older version, and changes of targets were left out too.

Cause: the adapter made "" of /, and the check of the product's own tables refused it, and with it both tables. The same held for prefixes with %, non-ASCII letters, empty or dot segments or over 32 segments.

Change: tables whose paths are compared literally take every prefix that begins with a slash. Prefixes that earlier builds accept keep the form in which those read them.

--- a/table/check.go
+++ b/table/check.go
@@ -32,9 +32,11 @@
 
 // Check returns every rule that the two tables break, each by itself or both together. A nil table is
 // one that could not be parsed; it is not checked. The problems have no line and column: File is the key
-// of the value and Pointer the location in it.
-func Check(routes *Routes, pools *Pools) Problems {
-	c := checker{}
+// of the value and Pointer the location in it. Paths are matched by MatchSegments.
+func Check(routes *Routes, pools *Pools) Problems { return check(routes, pools, MatchSegments) }
+
+func check(routes *Routes, pools *Pools, paths PathMatching) Problems {
+	c := checker{paths: paths}
 	if pools != nil {
 		c.checkPools(pools)
 	}
@@ -47,6 +49,7 @@
 // checker collects the problems of one table at a time.
 type checker struct {
 	file     string
+	paths    PathMatching
 	problems Problems
 }
 
--- a/table/check_routes.go
+++ b/table/check_routes.go
@@ -24,7 +24,7 @@
 		checkName(c, at, "name", r.Name)
 		checkUnique(c, names, r.Name, at, "name")
 		c.checkPrefix(at, r.PathPrefix)
-		checkUnique(c, prefixes, hostPrefix{r.Host, r.PathPrefix}, at, "pathPrefix")
+		checkUnique(c, prefixes, hostPrefix{r.Host, c.paths.normalizePrefix(r.PathPrefix)}, at, "pathPrefix")
 		c.checkHost(at, r.Host)
 		checkRange(c, at, "maxAttempts", r.MaxAttempts, 0, maxAttempts)
 		checkRange(c, at, "priority", r.Priority, 0, maxPriority)
@@ -84,6 +84,12 @@
 
 // checkPrefix reports prefixes that can't match the path of any request.
 func (c *checker) checkPrefix(at location, prefix string) {
+	if c.paths == MatchLiteral {
+		if !strings.HasPrefix(prefix, "/") {
+			c.addProblem(at, "pathPrefix", "pathPrefix %q must start with \"/\"", prefix)
+		}
+		return
+	}
 	switch {
 	case !strings.HasPrefix(prefix, "/") || strings.HasSuffix(prefix, "/"):
 		c.addProblem(at, "pathPrefix", "pathPrefix %q must start with \"/\" and end without one", prefix)
@@ -96,6 +102,13 @@
 	}
 }
 
+// IsSegmentPrefix reports whether tables that are read with MatchSegments may hold the prefix.
+func IsSegmentPrefix(prefix string) bool {
+	var c checker
+	c.checkPrefix(location{}, prefix)
+	return len(c.problems) == 0
+}
+
 func (c *checker) checkMethods(route location, methods []string) {
 	seen := make(map[string]location, len(methods))
 	for i, m := range methods {
--- a/table/pair.go
+++ b/table/pair.go
@@ -43,7 +43,7 @@
 	problems = append(problems, more...)
 	pools, poolsSource, more := parseTable(PoolsKey, values, poolsSchema)
 	problems = append(problems, more...)
-	for _, p := range Check(routes, pools) {
+	for _, p := range check(routes, pools, paths) {
 		s := routesSource
 		if p.File == PoolsKey {
 			s = poolsSource
--- a/table/types.go
+++ b/table/types.go
@@ -41,8 +41,8 @@
 	// Host limits the route to requests for one host. Empty matches every host. Routes with the host of
 	// the request take precedence over routes without a host.
 	Host string `json:"host,omitempty"`
-	// PathPrefix starts with "/" and does not end with "/". The route with the longest matching prefix
-	// wins; see PathMatching.
+	// PathPrefix starts with "/". It does not end with "/" if paths are compared by segments. The route with
+	// the longest matching prefix wins; see PathMatching.
 	PathPrefix string `json:"pathPrefix"`
 	// Methods lists the allowed methods; empty allows all.
 	Methods []string `json:"methods,omitempty"`
