entry: paths are compared and forwarded as they were sent

Paths with | or raw UTF-8 reached targets escaped, and ones with dot segments, %00 or backslashes got 400.

Cause: the entry unescaped the path before it compared it with prefixes, and passed on the form that net/url writes.

Change: where paths are compared literally, the request's target is taken from the request line. A target that is not UTF-8 goes between entries in a field of its own; earlier builds pass on the escaped one, as before. The refusals of the product's own routes stay; they guard accounts.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -25,7 +25,7 @@
 		h.Del("Authorization")
 	}
 	r := &target.Request{
-		Address: to.Address, Instance: string(to.ID), Method: x.Method, Path: x.URI, Host: x.Host, Header: h,
+		Address: to.Address, Instance: string(to.ID), Method: x.Method, Path: x.TargetURI(), Host: x.Host, Header: h,
 		ContentLength: x.ContentLength, Idempotent: x.idempotent, Deadline: e.deadline(x),
 		SilenceTimeout: cell.silenceTimeout(),
 		BeforeWrite: func() error {
--- a/entry/check.go
+++ b/entry/check.go
@@ -24,13 +24,6 @@
 		return "protocol upgrades are not served"
 	case r.URL.IsAbs():
 		return "absolute request targets are not served"
-	case strings.Contains(r.URL.Path, "\x00"), strings.Contains(r.URL.Path, "\\"):
-		return "the path has a byte that servers read differently"
-	}
-	for _, segment := range strings.Split(r.URL.Path, "/") {
-		if segment == "." || segment == ".." {
-			return "the path has dot segments"
-		}
 	}
 	for name := range r.Header {
 		if strings.Contains(name, "_") {
@@ -43,6 +36,20 @@
 	return ""
 }
 
+// checkPath returns the reason why a request is refused for its decoded path, or "". A target could resolve such a path to
+// one that another route, with other accounts, begins.
+func checkPath(path string) string {
+	if strings.Contains(path, "\x00") || strings.Contains(path, "\\") {
+		return "the path has a byte that servers read differently"
+	}
+	for _, segment := range strings.Split(path, "/") {
+		if segment == "." || segment == ".." {
+			return "the path has dot segments"
+		}
+	}
+	return ""
+}
+
 // requestDeadline returns the deadline of a request received at now. value is the remaining time from the header
 // in milliseconds; the result is at most the route's timeout after now. An empty value means the timeout. Any
 // other value that is not a whole number from 0 is an error.
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -152,7 +152,7 @@
 	if x.route != nil {
 		host = x.route.Host
 	}
-	for _, part := range []string{string(x.Account), x.Method, host, x.URI} {
+	for _, part := range []string{string(x.Account), x.Method, host, x.TargetURI()} {
 		// Writing to a hash never fails.
 		_, _ = h.WriteString(part)
 		_, _ = h.Write([]byte{0})
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -5,7 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
-	"net/url"
+	"strings"
 	"time"
 
 	"github.com/labstack/echo/v4"
@@ -33,7 +33,7 @@
 	_ = writer.controller.EnableFullDuplex()
 	x := &exchange{
 		ForwardHeader: peer.ForwardHeader{
-			Method: r.Method, URI: r.URL.RequestURI(), Host: r.Host,
+			Method: r.Method, Host: r.Host,
 			Header: r.Header, ContentLength: r.ContentLength,
 		},
 		arrivedAt:       time.Now(),
@@ -44,6 +44,7 @@
 		body:            body,
 		Trailer:         r.Trailer,
 	}
+	x.SetURI(e.requestURI(r))
 	x.abortBody = func() {
 		if x.stream.withdraw() {
 			return
@@ -82,10 +83,23 @@
 	return nil
 }
 
+// requestURI returns the target of a request as it is passed on. Where paths are compared literally, that is what the
+// caller sent; net/url escapes some characters that callers may leave as they are.
+func (e *Entry) requestURI(r *http.Request) string {
+	if e.callerProtocol().Paths == table.MatchLiteral && strings.HasPrefix(r.RequestURI, "/") {
+		return r.RequestURI
+	}
+	return r.URL.RequestURI()
+}
+
 // handle handles a request and sends the response. A refusal that it returns has not been sent. If a response
 // has started by then, it can only be aborted.
 func (e *Entry) handle(ctx context.Context, x *exchange, r *http.Request) *refusal {
-	if reason := checkRequest(r); reason != "" {
+	reason := checkRequest(r)
+	if reason == "" && e.callerProtocol().Paths != table.MatchLiteral {
+		reason = checkPath(r.URL.Path)
+	}
+	if reason != "" {
 		return e.refuseMalformed(x, http.StatusBadRequest, reason)
 	}
 	if refused := e.parseID(x); refused != nil {
@@ -168,7 +182,7 @@
 		refused.retryAfter = time.Second
 		return refused
 	}
-	path, err := url.PathUnescape(stripQuery(x.URI))
+	path, err := active.comparedPath(x.TargetURI())
 	if err != nil {
 		return notRunRefusal(http.StatusBadRequest, reasonBadRequest, err.Error())
 	}
@@ -178,7 +192,7 @@
 	}
 	route := match.Route
 	x.route = route
-	x.Route = route.Name
+	x.Route, x.Revision = route.Name, active.pair.Revision
 	x.Account = match.Account
 	x.idempotent = match.Idempotent
 	x.pool = route.ChoosePool(rand.Float64())
--- a/entry/tables.go
+++ b/entry/tables.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"net/url"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -61,6 +62,16 @@
 	return t
 }
 
+// comparedPath returns the path of a request's target in the form in which it is compared with prefixes.
+func (t *activeTables) comparedPath(uri string) (string, error) {
+	path := stripQuery(uri)
+	if t.pair.Paths == table.MatchLiteral {
+		return path, nil
+	}
+	path, err := url.PathUnescape(path)
+	return path, Error.Wrap(err)
+}
+
 // cellSizes returns the number of targets in each cell of a pool.
 func cellSizes(p *table.Pool) []int {
 	sizes := make([]int, table.CellCount(p))
--- a/peer/types.go
+++ b/peer/types.go
@@ -4,8 +4,11 @@
 	"bytes"
 	"compress/flate"
 	"context"
+	"fmt"
 	"io"
 	"net/http"
+	"strings"
+	"unicode/utf8"
 
 	"github.com/bilberrywood/bilberrywood/fleet"
 	"github.com/bilberrywood/bilberrywood/table"
@@ -40,6 +43,39 @@
 	Host          string            `cbor:"10,keyasint,omitempty"`
 	Header        http.Header       `cbor:"11,keyasint,omitempty"`
 	ContentLength int64             `cbor:"12,keyasint"`
+	// Revision is that of the tables by which the sender has chosen the route. It is 0 if the sender is of a build
+	// that may choose another route from the same tables.
+	Revision table.Revision `cbor:"13,keyasint,omitempty"`
+	// RawURI replaces URI if it is not UTF-8, which texts of messages have to be. URI is then escaped.
+	RawURI []byte `cbor:"14,keyasint,omitempty"`
+}
+
+// SetURI sets the target of the request.
+func (h *ForwardHeader) SetURI(uri string) {
+	h.URI, h.RawURI = uri, nil
+	if !utf8.ValidString(uri) {
+		h.URI, h.RawURI = escapeNonASCII(uri), []byte(uri)
+	}
+}
+
+// TargetURI returns the target of the request as the caller sent it.
+func (h *ForwardHeader) TargetURI() string {
+	if len(h.RawURI) > 0 {
+		return string(h.RawURI)
+	}
+	return h.URI
+}
+
+func escapeNonASCII(s string) string {
+	var b strings.Builder
+	for i := range len(s) {
+		if s[i] < utf8.RuneSelf {
+			b.WriteByte(s[i])
+			continue
+		}
+		fmt.Fprintf(&b, "%%%02X", s[i])
+	}
+	return b.String()
 }
 
 // ResponseHeader is the first frame of a response to a forwarded request.
