entry: an owner replaces the route that an earlier build has chosen

During an upgrade an entry of an earlier build chooses routes by segments and forwards requests to owners of this build, which took the route by its name.

Change: forwarded requests name the revision of the tables by which their route was chosen. Where none is named, the owner chooses the route by its own tables, refuses what has none, and passes on what another pool serves. A request with a revision keeps its route: all requests of one entry follow the same tables, as before. Earlier builds ignore the field.

Evidence: TestRouteChosenByEarlierBuild fails without the change (504 in place of 200 at the right service) and passes with it. Packages entry and peer pass.

--- a/entry/forward.go
+++ b/entry/forward.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/bilberrywood/bilberrywood/fleet"
@@ -172,16 +174,52 @@
 	if route == nil {
 		return notRunRefusal(http.StatusServiceUnavailable, reasonCellClosed, "the route is not in the tables in force at the owner")
 	}
-	x.route = route
 	x.pool = x.Cell.Pool
+	if x.Revision == 0 {
+		var refused *refusal
+		if route, refused = e.rerouted(x, active, route); refused != nil {
+			return refused
+		}
+	}
+	x.route = route
 	x.requestID = x.Header.Get(e.callerProtocol().RequestIDHeader)
 	x.idempotent = route.IsIdempotent(x.Method)
 	if err := x.bufferBody(e.Settings.ReplayBytes); err != nil {
 		return notRunRefusal(http.StatusBadRequest, reasonCallerGone, err.Error())
 	}
+	if x.pool != x.Cell.Pool {
+		return e.route(ctx, x, active)
+	}
 	return e.placeOrPassOn(ctx, x, x.Cell)
 }
 
+// rerouted returns the route of a request from an entry of an earlier build, which compared its path with prefixes in
+// another way and has chosen the route named. If the pool of the request's cell does not serve the route, it chooses the pool.
+// Requests that name the tables by which they were routed keep their route, so that all requests of one entry follow
+// the same tables.
+func (e *Entry) rerouted(x *exchange, active *activeTables, named *table.Route) (*table.Route, *refusal) {
+	if active.pair.Paths != table.MatchLiteral {
+		return named, nil
+	}
+	match, err := active.router.Route(x.Method, x.Host, stripQuery(x.TargetURI()), x.Account, bearerToken(x.Header))
+	if err != nil {
+		return nil, routeRefusal(err)
+	}
+	route := match.Route
+	if route == named {
+		return named, nil
+	}
+	x.Route, x.Revision = route.Name, active.pair.Revision
+	serves := func(p table.WeightedPool) bool { return p.Pool == x.Cell.Pool }
+	if !slices.ContainsFunc(route.WeightedPools(), serves) {
+		x.pool = route.ChoosePool(rand.Float64())
+	}
+	x.deadline = minTime(x.deadline, x.arrivedAt.Add(route.TimeoutMs.Duration()))
+	e.Log.Info().Str("event", "rerouted").Str("requestId", x.Header.Get(e.callerProtocol().RequestIDHeader)).Str("from", string(named.Name)).
+		Str("to", string(route.Name)).Stringer("revision", active.pair.Revision).Msg("an entry of an earlier build chose another route")
+	return route, nil
+}
+
 // relay forwards a request once more, to its destination. Only the bound entry may report that an ID was not
 // run, so a failed relay reports the outcome as unknown.
 func (e *Entry) relay(ctx context.Context, x *exchange) *refusal {
