--- a/table/check.go
+++ b/table/check.go
@@ -9,6 +9,7 @@
 // Limits of the tables' fields, in the unit of the field.
 const (
 	maxNameLength         = 128
+	maxHostLength         = 253
 	maxMillis             = 3_600_000
 	maxBodyBytes          = 1 << 40
 	maxFleetGroups        = 10_000
@@ -132,6 +133,21 @@
 	}
 }
 
+// IsName reports whether rows of the tables may have the name.
+func IsName(name string) bool { return name != "" && len(name) <= maxNameLength && validName(name) }
+
+// Limits of fields that are written from values with other limits.
+const (
+	MaxMillis      Millis = maxMillis
+	MaxAttempts           = maxAttempts
+	MaxPriority           = maxPriority
+	MaxConnections        = maxConnections
+	MaxSlots              = maxSlots
+	MinWeight             = minWeight
+	MaxWeight             = maxWeight
+	MaxBodyBytes   int64  = maxBodyBytes
+)
+
 // allowedNameBytes marks the bytes that are allowed in names.
 var allowedNameBytes = func() (marks [256]bool) {
 	for _, b := range []byte("abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789._-:@") {
--- a/table/check_routes.go
+++ b/table/check_routes.go
@@ -77,7 +77,7 @@
 	if host == "" {
 		return
 	}
-	if len(host) > maxNameLength || !validName(host) || host != strings.ToLower(host) {
+	if len(host) > maxHostLength || !validName(strings.Trim(host, "[]")) || host != strings.ToLower(host) {
 		c.addProblem(at, "host", "host %q is not a host name in lower case", host)
 	}
 }
