peer: header values of any encoding are forwarded

Each forwarded request with a header value that is not UTF-8 ended with 502; at the owner it was served.

Cause: messages between entries hold header values as CBOR texts, and decoding refused texts that are not UTF-8. Encoding never did. Now they are decoded. Earlier builds still refuse such a message, as before.

Evidence: TestHeaderValuesOfAnyEncoding fails for the forwarding entry without the change and passes with it.

--- a/peer/codec.go
+++ b/peer/codec.go
@@ -67,6 +67,8 @@
 		MaxMapPairs:      4096,
 		IndefLength:      cbor.IndefLengthForbidden,
 		TagsMd:           cbor.TagsForbidden,
+		// Header values may be of any encoding.
+		UTF8: cbor.UTF8DecodeInvalid,
 	}.DecMode())
 )
 
--- a/peer/types.go
+++ b/peer/types.go
@@ -46,7 +46,7 @@
 	// Revision is that of the tables by which the sender has chosen the route. It is 0 if the sender is of a build
 	// that may choose another route from the same tables.
 	Revision table.Revision `cbor:"13,keyasint,omitempty"`
-	// RawURI replaces URI if it is not UTF-8, which texts of messages have to be. URI is then escaped.
+	// RawURI replaces URI if it is not UTF-8, which earlier builds require of texts. URI is then escaped.
 	RawURI []byte `cbor:"14,keyasint,omitempty"`
 }
 
