entry: the refusal of an upload reaches callers that are still sending

A target that refused an upload early had the caller's connection closed with a part of the body unread. The reset overtook the refusal: callers got a broken pipe and were not told that nothing had run.

Evidence: TestRefusalOfUploadArrives failed in four of five forms of the body before (broken pipe), passes now.

--- a/entry/handler.go
+++ b/entry/handler.go
@@ -64,9 +64,10 @@
 		if writer.started {
 			panic(http.ErrAbortHandler)
 		}
-		if r.ContentLength != 0 && x.buffered == nil {
+		if !body.ended.Load() {
 			// An unread body must not be parsed as the next request.
 			c.Response().Header().Set("Connection", "close")
+			lingerUntil(r.Context(), latest(x.deadline, time.Now().Add(lingerTime)))
 		}
 		// An error means that the caller is gone, so nobody reads the refusal.
 		_ = refused.write(string(e.Settings.ID), writer)
@@ -83,6 +84,13 @@
 	return nil
 }
 
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // requestURI returns the target of a request as it is passed on. Where paths are compared literally, that is what the
 // caller sent; net/url escapes some characters that callers may leave as they are.
 func (e *Entry) requestURI(r *http.Request) string {
