entry, platform: callers may use all that the operators' limits allow

Requests with headers above 64 KiB got 431, those with a method that the HTTP router does not list 405, and connections were closed after 10 s within a header or 60 s idle, also where the operators' limits or routes allow more.

--- a/entry/callerconn.go
+++ b/entry/callerconn.go
@@ -6,6 +6,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/bilberrywood/bilberrywood/table"
 )
 
 const (
@@ -20,7 +22,11 @@
 var longAgo = time.Unix(1, 0)
 
 // callerListener wraps the connections of callers.
-type callerListener struct{ net.Listener }
+type callerListener struct {
+	net.Listener
+	// limits returns the operators' limits.
+	limits func() table.CallerLimits
+}
 
 // Accept implements net.Listener.
 func (l callerListener) Accept() (net.Conn, error) {
@@ -28,7 +34,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &callerConn{Conn: c}, nil
+	return &callerConn{Conn: c, limits: l.limits}, nil
 }
 
 // callerConn is a connection of a caller. While a handler runs, net/http waits for one byte, which may be the end of the
@@ -36,6 +42,8 @@
 // then on callerConn reads ahead.
 type callerConn struct {
 	net.Conn
+	// limits returns the operators' limits; nil means that there are none.
+	limits func() table.CallerLimits
 
 	mu sync.Mutex
 	// readDeadline is the one that the server has set.
@@ -181,6 +189,7 @@
 
 // SetReadDeadline implements net.Conn. The deadline does not apply to reading ahead.
 func (c *callerConn) SetReadDeadline(t time.Time) error {
+	t = c.withinLimits(t)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.readDeadline = t
@@ -190,6 +199,20 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
+// withinLimits returns the deadline t of the server, or a later one if the operators let callers take longer. The server
+// waits for readHeaderTimeout at most while it reads a header, and longer on an idle connection.
+func (c *callerConn) withinLimits(t time.Time) time.Time {
+	now := time.Now()
+	if c.limits == nil || !t.After(now) {
+		return t
+	}
+	limits := c.limits()
+	if t.Sub(now) > readHeaderTimeout {
+		return latest(t, now.Add(limits.IdleTimeoutMs.Duration()))
+	}
+	return latest(t, now.Add(limits.HeaderTimeoutMs.Duration()))
+}
+
 // SetDeadline implements net.Conn.
 func (c *callerConn) SetDeadline(t time.Time) error {
 	if err := c.SetReadDeadline(t); err != nil {
--- a/entry/callerconn_test.go
+++ b/entry/callerconn_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/bilberrywood/bilberrywood/table"
 )
 
 // Guards against a caller that fills the memory of the entry with pipelined requests, and against bytes that are lost or
@@ -62,3 +64,42 @@
 	is.True(ok && timeout.Timeout())
 	is.NoErr(c.Close())
 }
+
+// deadlineConn records the deadline of its reads.
+type deadlineConn struct {
+	net.Conn
+	deadline time.Time
+}
+
+func (c *deadlineConn) SetReadDeadline(t time.Time) error {
+	c.deadline = t
+	return nil
+}
+
+// Guards against a connection that ends although the operators let callers take longer for a header, or stay idle for longer.
+func TestOperatorsLimitsExtendDeadlines(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		server, want time.Duration
+		header, idle time.Duration
+	}{
+		{"header", readHeaderTimeout, 30 * time.Second, 30 * time.Second, 120 * time.Second},
+		{"idle", idleTimeout, 120 * time.Second, 30 * time.Second, 120 * time.Second},
+		{"short header", readHeaderTimeout, readHeaderTimeout, 3 * time.Second, 15 * time.Second},
+		{"short idle", idleTimeout, idleTimeout, 3 * time.Second, 15 * time.Second},
+		{"no limits", idleTimeout, idleTimeout, 0, 0},
+		{"aborted", -time.Hour, -time.Hour, 30 * time.Second, 120 * time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			recorder := &deadlineConn{}
+			conn := &callerConn{Conn: recorder, limits: func() table.CallerLimits {
+				return table.CallerLimits{HeaderTimeoutMs: table.Millis(c.header.Milliseconds()), IdleTimeoutMs: table.Millis(c.idle.Milliseconds())}
+			}}
+			is.NoErr(conn.SetReadDeadline(time.Now().Add(c.server)))
+			is.Equal(time.Until(recorder.deadline).Round(time.Second), c.want)
+			is.NoErr(conn.SetReadDeadline(time.Time{}))
+			is.True(recorder.deadline.IsZero())
+		})
+	}
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -18,6 +18,7 @@
 	"github.com/bilberrywood/bilberrywood/peer"
 	"github.com/bilberrywood/bilberrywood/pool"
 	"github.com/bilberrywood/bilberrywood/settings"
+	"github.com/bilberrywood/bilberrywood/table"
 	"github.com/bilberrywood/bilberrywood/target"
 )
 
@@ -287,7 +288,7 @@
 			return Error.Wrap(err)
 		}
 		if ep.server == e.callerServer {
-			listener = callerListener{listener}
+			listener = callerListener{Listener: listener, limits: e.callerLimits}
 		}
 		e.background.Go(func() {
 			// Serve always returns an error; after Shutdown it is ErrServerClosed.
@@ -299,6 +300,14 @@
 	return nil
 }
 
+// callerLimits returns the operators' limits for callers; the zero value if no tables are active.
+func (e *Entry) callerLimits() table.CallerLimits {
+	if active := e.tables.current(); active != nil {
+		return active.pair.Routes.Limits
+	}
+	return table.CallerLimits{}
+}
+
 // callerRoutes returns the HTTP handler for callers.
 func (e *Entry) callerRoutes() http.Handler {
 	r := echo.New()
@@ -307,6 +316,8 @@
 		r.GET("/v1/addresses", e.addresses)
 	}
 	r.Any("/*", e.serve)
+	// Any covers common methods only.
+	r.RouteNotFound("/*", e.serve)
 	return r
 }
 
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -13,8 +13,9 @@
 const (
 	// maxHeartbeatSize is the size that a QUIC datagram can have on every path.
 	maxHeartbeatSize = 1200
-	// maxHeaderSize is the maximum size of a forward header, a response header or a trailer.
-	maxHeaderSize = 256 << 10
+	// maxHeaderSize is the maximum size of a forward header, a response header or a trailer. It holds the largest
+	// request header that an entry accepts.
+	maxHeaderSize = 2 << 20
 	// maxBodyFrame is the maximum payload of a body frame.
 	maxBodyFrame = 32 << 10
 	// maxPairSize is the maximum size of a pair of tables; the platform holds values of up to 1 MB.
