entry, table: a lease of the body, one set of limits

Names only: the reader of a streamed body holds a lease, and the limits that the platform's adapter uses are the tables' own constants in place of a second block of them.

--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -47,7 +47,7 @@
 	buffered []byte
 	// bodyPrefix has the first bytes of an unbuffered body of known length.
 	bodyPrefix []byte
-	// stream lends an unbuffered body to attempts.
+	// stream leases an unbuffered body to attempts.
 	stream streamedBody
 	// attempts counts the attempts at targets and peers.
 	attempts int
@@ -133,14 +133,14 @@
 
 // replayable reports whether the body can be sent from its start. It ends the reading of an unbuffered body by the latest
 // attempt, which must have ended.
-func (x *exchange) replayable() bool { return x.buffered != nil || x.stream.withdraw() }
+func (x *exchange) replayable() bool { return x.buffered != nil || x.stream.revoke() }
 
 // nextBody returns the body for another attempt. It must only be called if replayable returns true.
 func (x *exchange) nextBody() io.Reader {
 	if x.buffered != nil {
 		return bytes.NewReader(x.buffered)
 	}
-	return x.stream.lend(x.body)
+	return x.stream.lease(x.body)
 }
 
 // contentHash returns a hash of the request's content, which is the same for all its retries. It distinguishes
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -46,7 +46,7 @@
 	}
 	x.SetURI(e.requestURI(r))
 	x.abortBody = func() {
-		if x.stream.withdraw() {
+		if x.stream.revoke() {
 			return
 		}
 		// Reads from a connection with an expired deadline return at once. An error means that the connection is
@@ -57,7 +57,7 @@
 		c.Response().Header().Set("Connection", "close")
 	}
 	refused := e.handle(ctx, x, r)
-	x.stream.withdraw()
+	x.stream.revoke()
 	if refused != nil {
 		e.callerProtocol().adapt(refused)
 		e.refuse(x, refused, writer.started)
--- a/entry/requestbody.go
+++ b/entry/requestbody.go
@@ -30,49 +30,49 @@
 	return n, err
 }
 
-// streamedBody is a request body that is not kept. Attempts read it on goroutines of their own, which may outlive them,
-// so it is lent to one attempt at a time.
+// streamedBody is a request body that is not buffered. Attempts read it on goroutines of their own, which may outlive them,
+// so only the holder of the lease can read it.
 type streamedBody struct {
 	mu sync.Mutex
-	// borrower is the reader of the latest attempt.
-	borrower *attemptBody
+	// holder is the reader of the latest attempt; nil if its lease was revoked.
+	holder *bodyLease
 	// started says that a read has begun. From then on the body can't be sent from its start.
 	started bool
 }
 
-// attemptBody is a streamedBody as one attempt reads it.
-type attemptBody struct {
+// bodyLease is a streamedBody as one attempt reads it.
+type bodyLease struct {
 	stream *streamedBody
 	r      io.Reader
 }
 
-// errBodyWithdrawn is returned by reads of a body that was lent to a later attempt, or whose request has ended.
-var errBodyWithdrawn = errs.New("the body is read by another attempt")
+// errBodyRevoked is returned by reads after the body was leased to a later attempt, or after the end of the request.
+var errBodyRevoked = errs.New("the lease of the body was revoked")
 
-// lend returns a reader of r for an attempt. Readers of earlier attempts fail from then on.
-func (s *streamedBody) lend(r io.Reader) *attemptBody {
+// lease returns a reader of r for an attempt. Readers of earlier attempts fail from then on.
+func (s *streamedBody) lease(r io.Reader) *bodyLease {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.borrower = &attemptBody{stream: s, r: r}
-	return s.borrower
+	s.holder = &bodyLease{stream: s, r: r}
+	return s.holder
 }
 
-// withdraw makes the reader of the latest attempt fail, and reports whether it has read nothing and is not reading.
-func (s *streamedBody) withdraw() bool {
+// revoke makes the reader of the latest attempt fail, and reports whether no read has begun.
+func (s *streamedBody) revoke() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.borrower = nil
+	s.holder = nil
 	return !s.started
 }
 
 // Read implements io.Reader.
-func (b *attemptBody) Read(p []byte) (int, error) {
+func (b *bodyLease) Read(p []byte) (int, error) {
 	b.stream.mu.Lock()
-	lent := b.stream.borrower == b
-	b.stream.started = b.stream.started || lent
+	held := b.stream.holder == b
+	b.stream.started = b.stream.started || held
 	b.stream.mu.Unlock()
-	if !lent {
-		return 0, errBodyWithdrawn
+	if !held {
+		return 0, errBodyRevoked
 	}
 	return b.r.Read(p)
 }
--- a/table/check.go
+++ b/table/check.go
@@ -6,15 +6,15 @@
 	"strings"
 )
 
-// Limits of the tables' fields, in the unit of the field.
+// Limits of the tables' fields, in the unit of the field. Adapters fit values of other sources to the exported ones.
 const (
 	maxNameLength         = 128
 	maxHostLength         = 253
-	maxMillis             = 3_600_000
-	maxBodyBytes          = 1 << 40
+	MaxMillis             = 3_600_000
+	MaxBodyBytes          = 1 << 40
 	maxFleetGroups        = 10_000
-	maxSlots              = 1_000
-	maxConnections        = 100_000
+	MaxSlots              = 1_000
+	MaxConnections        = 100_000
 	maxCellSize           = 10_000
 	maxCellDomains        = 1_000
 	maxQueueLimit         = 1_000_000
@@ -24,10 +24,10 @@
 	sha256HexLength       = 64
 	maxPercent            = 100
 	maxPrefixSegments     = 32
-	minWeight             = 1e-6
-	maxWeight             = 1_000_000
-	maxAttempts           = 100
-	maxPriority           = 100
+	MinWeight             = 1e-6
+	MaxWeight             = 1_000_000
+	MaxAttempts           = 100
+	MaxPriority           = 100
 	maxVersion            = 1 << 62
 )
 
@@ -136,18 +136,6 @@
 // IsName reports whether rows of the tables may have the name.
 func IsName(name string) bool { return name != "" && len(name) <= maxNameLength && validName(name) }
 
-// Limits of fields that are written from values with other limits.
-const (
-	MaxMillis      Millis = maxMillis
-	MaxAttempts           = maxAttempts
-	MaxPriority           = maxPriority
-	MaxConnections        = maxConnections
-	MaxSlots              = maxSlots
-	MinWeight             = minWeight
-	MaxWeight             = maxWeight
-	MaxBodyBytes   int64  = maxBodyBytes
-)
-
 // allowedNameBytes marks the bytes that are allowed in names.
 var allowedNameBytes = func() (marks [256]bool) {
 	for _, b := range []byte("abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789._-:@") {
--- a/table/check_pools.go
+++ b/table/check_pools.go
@@ -26,8 +26,8 @@
 	if p.Floor < 0 || p.Floor > len(p.Targets) {
 		c.addProblem(at, "floor", "floor %d is not between 0 and the pool's size of %d", p.Floor, len(p.Targets))
 	}
-	checkRange(c, at, "slots", p.Slots, 1, maxSlots)
-	checkRange(c, at, "maxConnections", p.MaxConnections, 1, maxConnections)
+	checkRange(c, at, "slots", p.Slots, 1, MaxSlots)
+	checkRange(c, at, "maxConnections", p.MaxConnections, 1, MaxConnections)
 	if p.MaxConnections < p.Slots {
 		c.addProblem(at, "maxConnections", "maxConnections %d is below slots %d, which could then not be filled",
 			p.MaxConnections, p.Slots)
@@ -61,9 +61,9 @@
 	if p.RetryPercent != nil {
 		checkRange(c, at, "policy/retryPercent", *p.RetryPercent, 0, maxPercent)
 	}
-	checkRange(c, at, "policy/spellMs", int64(p.SpellMs), 0, maxMillis)
+	checkRange(c, at, "policy/spellMs", int64(p.SpellMs), 0, MaxMillis)
 	checkRange(c, at, "policy/retryBurst", p.RetryBurst, 0, maxQueueLimit)
-	checkRange(c, at, "policy/rampMs", int64(p.RampMs), 0, maxMillis)
+	checkRange(c, at, "policy/rampMs", int64(p.RampMs), 0, MaxMillis)
 }
 
 func (c *checker) checkTargets(pool location, targets []Target, addresses map[netip.AddrPort]location) {
@@ -74,7 +74,7 @@
 		checkName(c, at, "id", t.ID)
 		checkUnique(c, ids, t.ID, at, "id")
 		checkName(c, at, "failureDomain", t.FailureDomain)
-		checkRange(c, at, "slots", t.Slots, 0, maxSlots)
+		checkRange(c, at, "slots", t.Slots, 0, MaxSlots)
 		if a, ok := checkAddress(c, at, "address", t.Address); ok {
 			checkUnique(c, addresses, a, at, "address")
 		}
--- a/table/check_routes.go
+++ b/table/check_routes.go
@@ -26,14 +26,14 @@
 		c.checkPrefix(at, r.PathPrefix)
 		checkUnique(c, prefixes, hostPrefix{r.Host, c.paths.normalizePrefix(r.PathPrefix)}, at, "pathPrefix")
 		c.checkHost(at, r.Host)
-		checkRange(c, at, "maxAttempts", r.MaxAttempts, 0, maxAttempts)
-		checkRange(c, at, "priority", r.Priority, 0, maxPriority)
-		checkRange(c, at, "objectiveMs", int64(r.ObjectiveMs), 0, maxMillis)
+		checkRange(c, at, "maxAttempts", r.MaxAttempts, 0, MaxAttempts)
+		checkRange(c, at, "priority", r.Priority, 0, MaxPriority)
+		checkRange(c, at, "objectiveMs", int64(r.ObjectiveMs), 0, MaxMillis)
 		if r.Idempotent && r.NonIdempotent {
 			c.addProblem(at, "nonIdempotent", "a route can't be both idempotent and nonIdempotent")
 		}
-		checkRange(c, at, "timeoutMs", int64(r.TimeoutMs), 1, maxMillis)
-		checkRange(c, at, "maxBodyBytes", r.MaxBodyBytes, 0, maxBodyBytes)
+		checkRange(c, at, "timeoutMs", int64(r.TimeoutMs), 1, MaxMillis)
+		checkRange(c, at, "maxBodyBytes", r.MaxBodyBytes, 0, MaxBodyBytes)
 		c.checkMethods(at, r.Methods)
 		c.checkRouteAccounts(at, r.Accounts, accounts)
 	}
@@ -61,7 +61,7 @@
 			if !names[s.Pool] {
 				c.addProblem(at.child(splitList, j), "pool", "pool %q is not in the pools table", s.Pool)
 			}
-			checkRange(c, at.child(splitList, j), "weight", s.Weight, minWeight, maxWeight)
+			checkRange(c, at.child(splitList, j), "weight", s.Weight, MinWeight, MaxWeight)
 		}
 	}
 }
