entry: a caller that has its response doesn't cut off its upload

A caller that closed its connection as soon as it had an early response and had sent all of its body could leave the target with a body without an end, a lost upload that was answered 200.

Cause: the end of the caller's connection cancelled the request, also when the response had been delivered and only the last part of the body was still being sent to the target. Forwarded requests were cancelled at the first entry.

Change: the end of the connection cancels only requests whose response has not been delivered. An incomplete body fails when it is read.

--- a/entry/callerconn.go
+++ b/entry/callerconn.go
@@ -70,16 +70,24 @@
 }
 
 // untilCallerLeaves returns a context that ends when the caller of the request with ctx has left, and a function that
-// releases it.
-func untilCallerLeaves(ctx context.Context) (context.Context, func()) {
+// releases it. The context goes on if the caller leaves after its response was delivered.
+func untilCallerLeaves(ctx context.Context, delivered func() bool) (context.Context, func()) {
+	requestCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	onGone := func() {
+		if !delivered() {
+			cancel()
+		}
+	}
+	stop := context.AfterFunc(ctx, onGone)
 	c, ok := ctx.Value(callerConnKey{}).(*callerConn)
-	if !ok {
-		return ctx, func() {}
+	if ok {
+		c.notify(onGone)
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	c.notify(cancel)
-	return ctx, func() {
-		c.notify(nil)
+	return requestCtx, func() {
+		stop()
+		if ok {
+			c.notify(nil)
+		}
 		cancel()
 	}
 }
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -21,10 +21,11 @@
 	r := c.Request()
 	body := newCallerBody(r)
 	writer := &callerWriter{w: c.Response(), controller: http.NewResponseController(c.Response()), body: body}
+	writer.left.Store(-1)
 	defer e.inFlight.begin()()
-	ctx, release := untilCallerLeaves(r.Context())
+	ctx, release := untilCallerLeaves(r.Context(), writer.delivered)
 	defer release()
-	if ctx.Err() != nil {
+	if r.Context().Err() != nil || ctx.Err() != nil {
 		// The caller has left behind an earlier request on the connection.
 		panic(http.ErrAbortHandler)
 	}
--- a/entry/responsewriter.go
+++ b/entry/responsewriter.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 
 	"github.com/bilberrywood/bilberrywood/peer"
 )
@@ -16,8 +17,15 @@
 	body     *callerBody
 	started  bool
 	complete bool
+	// left is how many bytes of a response with a length have not been written yet; -1 before its header, and if
+	// it has no length.
+	left atomic.Int64
 }
 
+// delivered reports whether a response with a length has been written to its end. The caller may leave then although the
+// target is still being sent the body. If the body is not whole, reading it fails.
+func (cw *callerWriter) delivered() bool { return cw.left.Load() == 0 }
+
 var _ peer.ResponseWriter = (*callerWriter)(nil)
 
 // WriteHeader implements peer.ResponseWriter.
@@ -27,6 +35,7 @@
 	for name, values := range response.Header {
 		h[name] = values
 	}
+	cw.left.Store(response.ContentLength)
 	cw.w.WriteHeader(response.Status)
 	if !cw.body.ended.Load() {
 		// The response may end only after the request.
@@ -41,6 +50,9 @@
 	if err != nil {
 		return n, Error.Wrap(err)
 	}
+	if cw.left.Load() > 0 {
+		cw.left.Add(-int64(n))
+	}
 	return n, nil
 }
 
--- a/process/stream_test.go
+++ b/process/stream_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/matryer/is"
 
 	"github.com/bilberrywood/bilberrywood/caller"
@@ -91,3 +92,43 @@
 	h.t.Fatal("no VmHWM")
 	return 0
 }
+
+// slowReader delays each read, so that the response to a request overtakes its body.
+type slowReader struct{ io.Reader }
+
+// Read implements io.Reader.
+func (r slowReader) Read(p []byte) (int, error) {
+	time.Sleep(2 * time.Millisecond)
+	return r.Reader.Read(p[:min(len(p), 8<<10)])
+}
+
+// Guards against a target that gets other bytes than the caller sent behind its early response, through an entry that owns
+// the pool and through one that forwards the request.
+func TestBodyBehindEarlyResponse(t *testing.T) {
+	h := newHarness(t, options{entryCount: 2, serviceTime: time.Millisecond})
+	addressList := h.addresses(h.fleetList[0].CallerAddress, uploads)
+	for i, to := range addressList.Entries[:2] {
+		for _, c := range []struct{ size, length int64 }{{200_000, -1}, {1 << 20, -1}, {200_000, 200_000}, {1 << 20, 1 << 20}} {
+			t.Run(fmt.Sprintf("entry %d, %d bytes, length %d", i, c.size, c.length), func(t *testing.T) {
+				is := is.New(t)
+				nonce := fmt.Sprintf("early-%d-%d-%d", i, c.size, c.length)
+				sum := xxhash.New()
+				r, err := http.NewRequest(http.MethodPost,
+					fmt.Sprintf("http://%s/%s/x?%s=1&%s=20000", to.Address, uploads, standin.ParamEarly, standin.ParamBytes),
+					slowReader{io.TeeReader(standin.NonceBody(nonce, c.size), sum)})
+				is.NoErr(err)
+				r.ContentLength = c.length
+				r.Header.Set(target.HeaderNonce, nonce)
+				r.Header.Set(target.HeaderID, caller.NewID(addressList.Entries[0].Binding))
+				response, err := http.DefaultClient.Do(r)
+				is.NoErr(err)
+				defer response.Body.Close()
+				is.Equal(response.StatusCode, http.StatusOK)
+				matches, _, err := standin.CheckNonceBody(response.Body, nonce, 20_000)
+				is.NoErr(err)
+				is.True(matches)
+				is.Equal(response.Trailer.Get(standin.HeaderBodySum), strconv.FormatUint(sum.Sum64(), 10))
+			})
+		}
+	}
+}
