--- a/entry/callerconn.go
+++ b/entry/callerconn.go
@@ -69,6 +69,11 @@
 	return context.WithValue(ctx, callerConnKey{}, c)
 }
 
+func callerConnOf(ctx context.Context) (c *callerConn, ok bool) {
+	c, ok = ctx.Value(callerConnKey{}).(*callerConn)
+	return c, ok
+}
+
 // untilCallerLeaves returns a context that ends when the caller of the request with ctx has left, and a function that
 // releases it. The context goes on if the caller leaves after its response was delivered.
 func untilCallerLeaves(ctx context.Context, delivered func() bool) (context.Context, func()) {
@@ -79,7 +84,7 @@
 		}
 	}
 	stop := context.AfterFunc(ctx, onGone)
-	c, ok := ctx.Value(callerConnKey{}).(*callerConn)
+	c, ok := callerConnOf(ctx)
 	if ok {
 		c.notify(onGone)
 	}
@@ -95,7 +100,7 @@
 // lingerUntil makes the end of the connection of the request with ctx wait, at most until a time, for the rest of the
 // request's body.
 func lingerUntil(ctx context.Context, end time.Time) {
-	if c, ok := ctx.Value(callerConnKey{}).(*callerConn); ok {
+	if c, ok := callerConnOf(ctx); ok {
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		c.lingerUntil = end
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -19,9 +19,7 @@
 // serve handles one request of a caller.
 func (e *Entry) serve(c echo.Context) error {
 	r := c.Request()
-	body := newCallerBody(r)
-	writer := &callerWriter{w: c.Response(), controller: http.NewResponseController(c.Response()), body: body}
-	writer.left.Store(-1)
+	writer := newCallerWriter(c.Response(), r)
 	defer e.inFlight.begin()()
 	ctx, release := untilCallerLeaves(r.Context(), writer.delivered)
 	defer release()
@@ -32,17 +30,37 @@
 	// A target may respond before it has read the body and read on afterwards. Without full duplex, net/http would read
 	// the rest of the body itself when the response begins. Only writers of tests don't support it.
 	_ = writer.controller.EnableFullDuplex()
+	x := e.callerExchange(r, writer)
+	if fleet.State(e.state.Load()) == fleet.StateLeaving {
+		c.Response().Header().Set("Connection", "close")
+	}
+	refused := e.handle(ctx, x, r)
+	x.stream.revoke()
+	if refused != nil {
+		e.refuseCaller(r, x, writer, refused)
+		return nil
+	}
+	if !writer.complete {
+		// Closing the connection shows the caller that the response is truncated.
+		panic(http.ErrAbortHandler)
+	}
+	if !writer.body.ended.Load() {
+		closeAfterResponse(c.Response().Writer)
+		lingerUntil(r.Context(), x.deadline)
+	}
+	return nil
+}
+
+// callerExchange returns the exchange of a caller's request.
+func (e *Entry) callerExchange(r *http.Request, writer *callerWriter) *exchange {
 	x := &exchange{
-		ForwardHeader: peer.ForwardHeader{
-			Method: r.Method, Host: r.Host,
-			Header: r.Header, ContentLength: r.ContentLength,
-		},
+		ForwardHeader:   peer.ForwardHeader{Method: r.Method, Host: r.Host, Header: r.Header, ContentLength: r.ContentLength},
 		arrivedAt:       time.Now(),
 		suspendedBefore: e.suspension.elapsed(),
 		caller:          r.RemoteAddr,
 		requestID:       r.Header.Get(e.callerProtocol().RequestIDHeader),
 		responseWriter:  writer,
-		body:            body,
+		body:            writer.body,
 		Trailer:         r.Trailer,
 	}
 	x.SetURI(e.requestURI(r))
@@ -54,35 +72,23 @@
 		// already closed.
 		_ = writer.controller.SetReadDeadline(longAgo)
 	}
-	if fleet.State(e.state.Load()) == fleet.StateLeaving {
-		c.Response().Header().Set("Connection", "close")
-	}
-	refused := e.handle(ctx, x, r)
-	x.stream.revoke()
-	if refused != nil {
-		e.callerProtocol().adapt(refused)
-		e.refuse(x, refused, writer.started)
-		if writer.started {
-			panic(http.ErrAbortHandler)
-		}
-		if !body.ended.Load() {
-			// An unread body must not be parsed as the next request.
-			c.Response().Header().Set("Connection", "close")
-			lingerUntil(r.Context(), latest(x.deadline, time.Now().Add(lingerTime)))
-		}
-		// An error means that the caller is gone, so nobody reads the refusal.
-		_ = refused.write(string(e.Settings.ID), writer)
-		return nil
-	}
-	if !writer.complete {
-		// Closing the connection shows the caller that the response is truncated.
+	return x
+}
+
+// refuseCaller sends a refusal, or aborts a response that has started.
+func (e *Entry) refuseCaller(r *http.Request, x *exchange, writer *callerWriter, refused *refusal) {
+	e.callerProtocol().adapt(refused)
+	e.refuse(x, refused, writer.started)
+	if writer.started {
 		panic(http.ErrAbortHandler)
 	}
-	if !body.ended.Load() {
-		closeAfterResponse(c.Response().Writer)
-		lingerUntil(r.Context(), x.deadline)
+	if !writer.body.ended.Load() {
+		// An unread body must not be parsed as the next request.
+		writer.w.Header().Set("Connection", "close")
+		lingerUntil(r.Context(), latest(x.deadline, time.Now().Add(lingerTime)))
 	}
-	return nil
+	// An error means that the caller is gone, so nobody reads the refusal.
+	_ = refused.write(string(e.Settings.ID), writer)
 }
 
 func latest(a, b time.Time) time.Time {
--- a/entry/responsewriter.go
+++ b/entry/responsewriter.go
@@ -22,6 +22,12 @@
 	left atomic.Int64
 }
 
+func newCallerWriter(w http.ResponseWriter, r *http.Request) *callerWriter {
+	cw := &callerWriter{w: w, controller: http.NewResponseController(w), body: newCallerBody(r)}
+	cw.left.Store(-1)
+	return cw
+}
+
 // delivered reports whether a response with a length has been written to its end. The caller may leave then although the
 // target is still being sent the body. If the body is not whole, reading it fails.
 func (cw *callerWriter) delivered() bool { return cw.left.Load() == 0 }
