entry, peer: log lines that tell why a forwarded request ended

Callers got 502 for requests at which a target was at work, around planned stops. The logs could not tell a relay that stops from an owner that stops or a connection that times out: a stopping entry counted the requests that it cut and named none, relays and owners logged forwarded requests without their ID until the owner had found the route, and the end of a peer connection was at level debug. Now: requestCut names each request that a stop aborts (100 at most), peerDisconnected the cause and the open requests, a forwarded request's routingDecision the states of owner and relay as the sender knew them, and a refusal at the receiver the cause of its context's end. Measured: TestStopNamesCutRequests; no logic changes.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -55,7 +55,7 @@
 	// sendHeartbeat is node.SendHeartbeat, except in tests.
 	sendHeartbeat  func(fleet.OutgoingHeartbeat)
 	source         Source
-	inFlight       inFlightCount
+	inFlight       inFlight
 	addressClock   addressClock
 	counters       counters
 	callerServer   *http.Server
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -104,16 +104,17 @@
 
 // Forward implements peer.Handler: it serves a request that a peer forwards.
 func (e *Entry) Forward(ctx context.Context, h peer.ForwardHeader, body io.Reader, w peer.ResponseWriter) {
-	defer e.inFlight.begin()()
 	x := &exchange{
 		ForwardHeader:   h,
 		arrivedAt:       time.Now(),
 		suspendedBefore: e.suspension.elapsed(),
 		caller:          "entry",
+		requestID:       h.Header.Get(e.callerProtocol().RequestIDHeader),
 		responseWriter:  w,
 		body:            body,
 		deadline:        time.Now().Add(time.Duration(h.RemainingMs) * time.Millisecond),
 	}
+	defer e.inFlight.begin(x)()
 	ctx, cancel := context.WithDeadline(ctx, x.deadline)
 	defer cancel()
 	started := &startedWriter{ResponseWriter: w}
@@ -122,6 +123,9 @@
 	if refused == nil {
 		return
 	}
+	if cause := context.Cause(ctx); cause != nil {
+		refused.detail += ": " + cause.Error()
+	}
 	e.refuse(x, refused, started.started)
 	if !started.started {
 		// An error means that the peer is gone, so nobody reads the refusal.
@@ -182,7 +186,6 @@
 		}
 	}
 	x.route = route
-	x.requestID = x.Header.Get(e.callerProtocol().RequestIDHeader)
 	x.idempotent = route.IsIdempotent(x.Method)
 	if err := x.bufferBody(e.Settings.ReplayBytes); err != nil {
 		return notRunRefusal(http.StatusBadRequest, reasonCallerGone, err.Error())
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -20,7 +20,6 @@
 func (e *Entry) serve(c echo.Context) error {
 	r := c.Request()
 	writer := newCallerWriter(c.Response(), r)
-	defer e.inFlight.begin()()
 	ctx, release := untilCallerLeaves(r.Context(), writer.delivered)
 	defer release()
 	if r.Context().Err() != nil || ctx.Err() != nil {
@@ -31,6 +30,7 @@
 	// the rest of the body itself when the response begins. Only writers of tests don't support it.
 	_ = writer.controller.EnableFullDuplex()
 	x := e.callerExchange(r, writer)
+	defer e.inFlight.begin(x)()
 	if fleet.State(e.state.Load()) == fleet.StateLeaving {
 		c.Response().Header().Set("Connection", "close")
 	}
--- a/entry/observe.go
+++ b/entry/observe.go
@@ -32,7 +32,7 @@
 	c.notRun = metrics.NewRegisteredCounter("outcome.notRun", r)
 	c.unknown = metrics.NewRegisteredCounter("outcome.unknown", r)
 	c.tick = metrics.NewRegisteredTimer("tick", r)
-	metrics.NewRegisteredFunctionalGauge("requests.inFlight", r, func() int64 { return e.inFlight.n.Load() })
+	metrics.NewRegisteredFunctionalGauge("requests.inFlight", r, func() int64 { return int64(e.inFlight.count()) })
 	metrics.NewRegisteredFunctionalGauge("notice.ids", r, func() int64 { ids, _ := e.dedup.Size(); return int64(ids) })
 	metrics.NewRegisteredFunctionalGauge("notice.answerBytes", r, func() int64 { _, b := e.dedup.Size(); return int64(b) })
 }
@@ -110,7 +110,9 @@
 		Str("route", string(x.Route)).
 		Str("pool", string(x.Cell.Pool)).
 		Str("forwardedTo", string(to.ID)).
+		Str("ownerState", stateNames[to.State]).
 		Str("via", string(to.Relay)).
+		Str("viaState", e.stateOf(to.Relay)).
 		Stringer("revision", e.revision()).
 		Int("attempt", x.attempts).
 		Int64("sinceArrivalMs", time.Since(x.arrivedAt).Milliseconds()).
@@ -118,6 +120,15 @@
 		Send()
 }
 
+// stateOf returns the name of an entry's state as this entry knows it, "" if it does not know the entry.
+func (e *Entry) stateOf(id fleet.EntryID) string {
+	m, ok := e.fleet.view().Member(id)
+	if !ok {
+		return ""
+	}
+	return stateNames[m.State]
+}
+
 // refuse counts and logs a refusal. aborted means that a response has started and is aborted instead.
 func (e *Entry) refuse(x *exchange, refused *refusal, aborted bool) {
 	if e.faults.sayNotRun {
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -2,23 +2,48 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/bilberrywood/bilberrywood/fleet"
 	"github.com/bilberrywood/bilberrywood/settings"
 )
 
-// inFlightCount counts the requests in flight.
-type inFlightCount struct{ n atomic.Int64 }
+// inFlight holds the requests in flight.
+type inFlight struct {
+	mu        sync.Mutex
+	exchanges map[*exchange]struct{}
+}
+
+// begin holds a request as in flight until the returned function is called.
+func (f *inFlight) begin(x *exchange) func() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.exchanges == nil {
+		f.exchanges = make(map[*exchange]struct{})
+	}
+	f.exchanges[x] = struct{}{}
+	return func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		delete(f.exchanges, x)
+	}
+}
 
-// begin counts a request as in flight until the returned function is called.
-func (c *inFlightCount) begin() func() {
-	c.n.Add(1)
-	return func() { c.n.Add(-1) }
+func (f *inFlight) count() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.exchanges)
+}
+
+// all returns the requests in flight in the order of their arrival.
+func (f *inFlight) all() []*exchange {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.SortedFunc(maps.Keys(f.exchanges), func(a, b *exchange) int { return a.arrivedAt.Compare(b.arrivedAt) })
 }
 
 // addressClock holds the time of the last address response.
@@ -55,15 +80,33 @@
 	err := e.callerServer.Shutdown(ctx)
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
-	for e.inFlight.n.Load() > 0 && ctx.Err() == nil {
+	for e.inFlight.count() > 0 && ctx.Err() == nil {
 		<-ticker.C
 	}
-	aborted := e.inFlight.n.Load()
+	aborted := e.inFlight.all()
+	for _, x := range aborted[:min(len(aborted), maxCutLines)] {
+		e.logCut(x)
+	}
 	event := e.Log.Info()
-	if aborted > 0 || err != nil {
+	if len(aborted) > 0 || err != nil {
 		event = e.Log.Error().Err(err)
 	}
-	event.Str("event", "stopped").Int64("cutRequests", aborted).Dur("took", time.Since(startedAt)).Msg("entry stopped")
+	event.Str("event", "stopped").Int("cutRequests", len(aborted)).Dur("took", time.Since(startedAt)).Msg("entry stopped")
+}
+
+// maxCutLines is the maximum number of log lines on requests that a stop aborts.
+const maxCutLines = 100
+
+// logCut logs that a request in flight is aborted by the end of this process. An empty destination means this entry.
+func (e *Entry) logCut(x *exchange) {
+	e.Log.Error().
+		Str("event", "requestCut").
+		Str("caller", x.caller).
+		Str("requestId", x.requestID).
+		Str("destination", string(x.To)).
+		Int64("sinceArrivalMs", time.Since(x.arrivedAt).Milliseconds()).
+		Int64("remainingMs", time.Until(e.deadline(x)).Milliseconds()).
+		Msg("the stop limit has passed while the request is in flight")
 }
 
 // leavingRetryAfter is the Retry-After delay of a request that a leaving entry refuses; other entries serve it at once.
--- a/entry/stop_test.go
+++ b/entry/stop_test.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"bytes"
+	"encoding/json"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -10,8 +12,10 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/rs/zerolog"
 
 	"github.com/bilberrywood/bilberrywood/fleet"
+	"github.com/bilberrywood/bilberrywood/peer"
 )
 
 // Guards against requests that come late in the grace of a planned stop and are cut off at its end, with a target at work on
@@ -63,3 +67,36 @@
 		})
 	}
 }
+
+// Guards against a planned stop that cuts requests off and doesn't tell which: the users' record of such requests could not
+// be explained.
+func TestStopNamesCutRequests(t *testing.T) {
+	is := is.New(t)
+	var log bytes.Buffer
+	e := &Entry{Log: zerolog.New(&log)}
+	for _, x := range []*exchange{
+		{requestID: "r-2", caller: "entry", ForwardHeader: peer.ForwardHeader{To: "kb-03"}, arrivedAt: time.Now()},
+		{requestID: "r-1", caller: "127.0.0.1:7", arrivedAt: time.Now().Add(-time.Second)},
+		{requestID: "r-0", arrivedAt: time.Now()},
+	} {
+		end := e.inFlight.begin(x)
+		if x.requestID == "r-0" {
+			end()
+		}
+	}
+	for _, x := range e.inFlight.all() {
+		e.logCut(x)
+	}
+	var lines []map[string]any
+	for d := json.NewDecoder(&log); d.More(); {
+		var line map[string]any
+		is.NoErr(d.Decode(&line))
+		lines = append(lines, line)
+	}
+	is.Equal(len(lines), 2)
+	for i, want := range []struct{ id, destination string }{{"r-1", ""}, {"r-2", "kb-03"}} {
+		is.Equal(lines[i]["event"], "requestCut")
+		is.Equal(lines[i]["requestId"], want.id)
+		is.Equal(lines[i]["destination"], want.destination)
+	}
+}
--- a/peer/link.go
+++ b/peer/link.go
@@ -130,7 +130,13 @@
 	n.mu.Lock()
 	l.connections = slices.DeleteFunc(l.connections, func(o *connection) bool { return o == c })
 	n.mu.Unlock()
-	n.Log.Debug().Str("peer", string(l.id)).AnErr("cause", context.Cause(c.Context())).Msg("peer connection ended")
+	line := n.Log.Debug()
+	open := c.streams.Load()
+	if open > 0 {
+		line = n.Log.Warn()
+	}
+	line.Str("event", "peerDisconnected").Str("peer", string(l.id)).Int64("requests", open).AnErr("cause", context.Cause(c.Context())).
+		Msg("connection with a peer ended")
 }
 
 // startDial opens a connection in the background, unless an attempt is pending. n.mu must be held.
--- a/peer/serve.go
+++ b/peer/serve.go
@@ -104,6 +104,9 @@
 	return errorClass.Wrap(s.Close())
 }
 
+// errStopping is the cause of the end of requests that the Close of a Node aborts.
+var errStopping = errorClass.New("this entry stops")
+
 func (n *Node) serveForward(s *quic.Stream, payload []byte) error {
 	h, err := decodeMessage[ForwardHeader](payload, maxHeaderSize)
 	if err != nil {
@@ -111,9 +114,9 @@
 	}
 	n.Counters.ForwardsReceived.Add(1)
 	// The stream's context ends when the sender stops reading, which is how it cancels the request.
-	ctx, cancel := context.WithCancel(s.Context())
-	defer cancel()
-	stop := context.AfterFunc(n.ctx, cancel)
+	ctx, cancel := context.WithCancelCause(s.Context())
+	defer cancel(nil)
+	stop := context.AfterFunc(n.ctx, func() { cancel(errStopping) })
 	defer stop()
 	w := &responseWriter{stream: s}
 	n.Handler.Forward(ctx, h, &bodyReader{r: s}, w)
