--- a/entry/stop_test.go
+++ b/entry/stop_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -16,6 +18,7 @@
 
 	"github.com/bilberrywood/bilberrywood/fleet"
 	"github.com/bilberrywood/bilberrywood/peer"
+	"github.com/bilberrywood/bilberrywood/table"
 )
 
 // Guards against requests that come late in the grace of a planned stop and are cut off at its end, with a target at work on
@@ -100,3 +103,84 @@
 		is.Equal(lines[i]["destination"], want.destination)
 	}
 }
+
+// forwardedRequest is a request from a peer with 3 s left.
+func forwardedRequest(to fleet.EntryID, cell fleet.CellKey) peer.ForwardHeader {
+	return peer.ForwardHeader{
+		Mode: peer.ForwardPlace, To: to, Cell: cell, Hops: 1, RemainingMs: 3000,
+		Route: table.RouteName(cell.Pool), Method: http.MethodPost, URI: "/" + string(cell.Pool), Host: shardHost, Revision: 1,
+	}
+}
+
+// Guards against requests of other entries that a stopping entry takes, as owner or as relay, though they may last longer
+// than it does: they were broken off at its end, with a target at work.
+func TestForwardedRequestLateInPlannedStop(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		to      fleet.EntryID
+		left    time.Duration
+		refused bool
+	}{
+		{"owner, may end after the stop", "127.0.0.1:2", 2 * time.Second, true},
+		{"relay, may end after the stop", "127.0.0.1:12", 2 * time.Second, true},
+		{"relay, ends before the stop", "127.0.0.1:12", 10 * time.Second, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			e, next := newEntryWithNextOwner(t)
+			e.tick()
+			e.setState(fleet.StateLeaving)
+			e.stopAt.Store(int64(e.sinceStart() + c.left))
+			w := httptest.NewRecorder()
+			ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond) // the owner's targets don't exist
+			defer cancel()
+			e.Forward(ctx, forwardedRequest(c.to, fleet.CellKey{Pool: "mengen-buch"}), strings.NewReader(""),
+				newCallerWriter(w, httptest.NewRequest(http.MethodPost, "/", nil)))
+			if !c.refused {
+				is.Equal(next.total(), 1)
+				return
+			}
+			is.Equal(w.Code, http.StatusServiceUnavailable)
+			is.Equal(w.Header().Get(headerOutcome), "notRun")
+			is.Equal(w.Header().Get(headerReason), string(reasonLeaving))
+			is.Equal(next.total(), 0)
+		})
+	}
+}
+
+// leavingOwner refuses forwarded requests because it stops.
+type leavingOwner struct{ newOwner }
+
+func (o *leavingOwner) Forward(_ context.Context, _ peer.ForwardHeader, _ io.Reader, w peer.ResponseWriter) {
+	_ = notRunRefusal(http.StatusServiceUnavailable, reasonLeaving, "").write("127.0.0.1:12", w)
+}
+
+// Guards against callers that get the refusal of a stopping entry which their request was forwarded to. The request
+// has not run, and the entry that took it can run it.
+func TestRefusalOfStoppingOwnerIsNotPassedOn(t *testing.T) {
+	is := is.New(t)
+	owner := &peer.Node{ID: "127.0.0.1:12", Address: "127.0.0.1:0", Handler: &leavingOwner{}}
+	is.NoErr(owner.Start())
+	t.Cleanup(func() { _ = owner.Close() })
+	target := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	defer target.Close()
+	e := newServingEntry(t, 1, strings.TrimPrefix(target.URL, "http://"))
+	e.node = &peer.Node{ID: e.Settings.ID, Address: "127.0.0.1:0", Handler: e}
+	is.NoErr(e.node.Start())
+	t.Cleanup(func() { _ = e.node.Close() })
+	server := httptest.NewServer(e.callerRoutes())
+	defer server.Close()
+	e.fleet.receive(e.sinceStart(), fleet.Heartbeat{
+		From: owner.ID, Incarnation: 1, Sequence: 1, State: fleet.StateServing, Full: true, FailureDomain: "donau-ost", Capacity: 9,
+		PeerAddress: owner.LocalAddress(), CallerAddress: "127.0.0.1:11", ReceiverIncarnation: e.dedup.Incarnation,
+	})
+	e.fleet.update(e.sinceStart(), func(*fleet.Membership) {})
+	first, ok := e.owner(fleet.CellKey{Pool: "pool-0000"})
+	is.True(ok)
+	is.Equal(first.ID, owner.ID)
+	response, err := http.Get(server.URL + "/pool-0000/x")
+	is.NoErr(err)
+	is.NoErr(response.Body.Close())
+	is.Equal(response.StatusCode, http.StatusOK)
+	is.Equal(response.Header.Get(headerEntry), string(e.Settings.ID))
+}
--- a/fleet/link_test.go
+++ b/fleet/link_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -187,3 +188,31 @@
 	e.byID["e9"].addedAt -= 6 * time.Second // longer than the gone timeout
 	is.True(e.View(n.now).MayEject(c))
 }
+
+// Guards against requests that pass through an entry which is about to end, while another one could relay them: a relay in
+// its planned stop ended, and requests at which a target was at work were broken off.
+func TestLeavingEntryIsNoRelay(t *testing.T) {
+	is := is.New(t)
+	n := settledNetwork(5)
+	a, b := 0, 1
+	n.brokenPaths[[2]int{a, b}], n.brokenPaths[[2]int{b, a}] = true, true
+	n.run(3 * time.Second)
+	relay := func() EntryID {
+		m, _ := n.entries[a].View(n.now).Member(simID(b))
+		is.True(m.Live)
+		return m.Relay
+	}
+	for left := 3; left > 1; left-- {
+		first := relay()
+		i := slices.IndexFunc(n.entries, func(e *entry) bool { return e.ID == first })
+		n.entries[i].SetState(n.now, StateLeaving)
+		n.run(time.Second)
+		is.True(relay() != first)
+	}
+	// The last one relays until it ends; it refuses requests that may outlast it.
+	last := relay()
+	i := slices.IndexFunc(n.entries, func(e *entry) bool { return e.ID == last })
+	n.entries[i].SetState(n.now, StateLeaving)
+	n.run(time.Second)
+	is.True(relay() != "")
+}
