fleet: an entry that leaves is the last choice as relay

Callers got 502 for requests at which a target was at work, many at once, at an entry that had just started: it reached the owner through a relay, the relay was in its planned stop, and at the relay's end everything that passed through it was broken off. Cause: every started peer with a two-way link could relay, and rendezvous weights make all entries choose the same one, so that a relay in its stop keeps getting requests until it ends. A peer that leaves by its own word or by the fleet list now relays only if no other can; then the owner stays reachable for as long as the relay lives.

--- a/fleet/peer.go
+++ b/fleet/peer.go
@@ -213,14 +213,19 @@
 	return m.relayBuffer
 }
 
-// findRelay returns the relay that has a two-way link with p. Of several it picks the one with the highest rendezvous weight
-// for p, which spreads the relaying.
+// findRelay returns the relay that has a two-way link with p, one that leaves only if no other has. Of several it picks the
+// one with the highest rendezvous weight for p, which spreads the relaying.
 func findRelay(relays []*peer, p *peer) (EntryID, bool) {
 	var best *peer
 	var bestWeight uint64
 	for _, q := range relays {
+		w := weight(q.hash, p.hash)
+		better := best == nil || w > bestWeight
+		if best != nil && best.leaves() != q.leaves() {
+			better = best.leaves()
+		}
 		// The weight is cheaper to compute than the membership in a large set of links.
-		if w := weight(q.hash, p.hash); q != p && (best == nil || w > bestWeight) && q.links.hasName(p.name) {
+		if better && q != p && q.links.hasName(p.name) {
 			best, bestWeight = q, w
 		}
 	}
@@ -230,6 +235,9 @@
 	return best.ID, true
 }
 
+// leaves reports whether the peer or the fleet list says that the peer is about to end.
+func (p *peer) leaves() bool { return p.State == StateLeaving || p.listedLeaving }
+
 // confirmedGone reports whether the entry certainly no longer runs. There must have been no sign of it for the
 // gone timeout, from itself or from peers. In addition, either the entry announced that it leaves, or all
 // of these hold for the fleet list:
