entry: a stopping entry refuses forwarded requests that may outlast it

Callers got 502 for requests at which a target was at work, around planned stops: the relay or the owner that the request was forwarded to ended first. Cause: only callers' requests were compared with the end of a stopping entry (refuseIfLeaving); forwarded ones came in by another door, in either role. They are now refused as not run too, at once, with the reason leaving. The sender does not pass this on: it places the request itself, as for an owner that can't be reached. Requests with an ID that is bound to the stopping process are taken as before, since they can run nowhere else. Class: a rule on admission that holds on one of several ways in.

--- a/entry/forward.go
+++ b/entry/forward.go
@@ -37,7 +37,8 @@
 }
 
 // forward forwards a request to a peer and passes its response on. A refusal with reasonOwnerUnreachable means
-// that no response came; its outcome tells whether the request may have been sent.
+// that no response came; its outcome tells whether the request may have been sent. One with reasonLeaving means that
+// the peer or the relay stops and has not run the request.
 func (e *Entry) forward(ctx context.Context, x *exchange, to fleet.Member, mode peer.ForwardMode) *refusal {
 	x.attempts++
 	h := x.ForwardHeader
@@ -60,12 +61,22 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	e.logForward(x, to, response.Header.Get(headerOutcome))
+	if isLeavingRefusal(response) {
+		refused := notRunRefusal(http.StatusServiceUnavailable, reasonLeaving, "entry "+response.Header.Get(headerEntry)+" stops")
+		refused.retryAfter = leavingRetryAfter
+		return refused
+	}
 	if a := response.Announcement; a != nil {
 		e.announcements.Add(a.Target, pool.Announcement{Started: a.Started, Leaving: a.Leaving})
 	}
 	return copyResponse(x.responseWriter, response)
 }
 
+// isLeavingRefusal reports whether a peer has refused a request because it stops. Other entries can run it.
+func isLeavingRefusal(r *peer.Response) bool {
+	return r.Header.Get(headerReason) == string(reasonLeaving) && r.Header.Get(headerOutcome) == notice.OutcomeNotRun
+}
+
 // copyResponse copies a peer's response to the caller.
 func copyResponse(w peer.ResponseWriter, resp *peer.Response) *refusal {
 	if err := w.WriteHeader(resp.ResponseHeader); err != nil {
@@ -155,6 +166,12 @@
 // handlePeerRequest handles a forwarded request: it relays it, decides whether its ID may run, or places it in
 // a cell.
 func (e *Entry) handlePeerRequest(ctx context.Context, x *exchange) *refusal {
+	if x.Mode == peer.ForwardPlace {
+		// An ID that is bound to this process can't run elsewhere.
+		if refused := e.refuseIfLeaving(x); refused != nil {
+			return refused
+		}
+	}
 	if x.To != e.Settings.ID {
 		return e.relay(ctx, x)
 	}
--- a/entry/place.go
+++ b/entry/place.go
@@ -28,7 +28,7 @@
 	}
 	x.Cell = key
 	refused := e.forward(ctx, x, owner, peer.ForwardPlace)
-	if refused == nil || refused.reason != reasonOwnerUnreachable {
+	if refused == nil || refused.reason != reasonOwnerUnreachable && refused.reason != reasonLeaving {
 		return refused
 	}
 	// If the route limits attempts, the owner may have used them up already.
@@ -36,8 +36,8 @@
 	if !retryHere || !x.replayable() || ctx.Err() != nil {
 		return refused
 	}
-	// The owner is unreachable although it is listed as live. Placing the request here still serves the caller,
-	// and the limits for shared cells bound the load on the targets.
+	// The owner is unreachable although it is listed as live, or stops. Placing the request here still serves the
+	// caller, and the limits for shared cells bound the load on the targets.
 	return e.place(ctx, x, key)
 }
 
