entry: a refused lookup gets its response

Callers that looked up an unknown route, or looked one up before the first tables, got a closed connection: the handler panicked. Cause: refuseCall built its writer without the request's body, which WriteHeader has read since. It now uses the constructor. Evidence: the case 'lookup of an unknown route' of TestRefusals failed before (0 responses) and passes.

--- a/entry/addresses.go
+++ b/entry/addresses.go
@@ -72,6 +72,5 @@
 
 // refuseCall responds to a call of the entry's own API with a refusal.
 func (e *Entry) refuseCall(c echo.Context, refused *refusal) error {
-	writer := &callerWriter{w: c.Response(), controller: http.NewResponseController(c.Response())}
-	return refused.write(string(e.Settings.ID), writer)
+	return refused.write(string(e.Settings.ID), newCallerWriter(c.Response(), c.Request()))
 }
--- a/entry/handler_test.go
+++ b/entry/handler_test.go
@@ -70,6 +70,7 @@
 		{"two lengths", "POST /pool-0000/x" + header + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", 400, ""},
 		{"unknown coding", "POST /pool-0000/x" + header + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n", 501, ""},
 		{"no route", "GET /nothing" + header + "\r\n", 404, "notRun"},
+		{"lookup of an unknown route", "GET /v1/addresses?route=nothing" + header + "\r\n", 404, "notRun"},
 		{"bad deadline", "GET /pool-0000/x" + header + "Bilberrywood-Deadline-Ms: soon\r\n\r\n", 400, "notRun"},
 		{"passed deadline", "GET /pool-0000/x" + header + "Bilberrywood-Deadline-Ms: 0\r\n\r\n", 504, "notRun"},
 		{"wrong account", "GET /pool-0000/x" + header + "Bilberrywood-Account: nobody\r\n\r\n", 401, "notRun"},
