entry: requests in flight at the stop limit get a final answer

Callers whose request was in flight when a planned stop reached its limit got a closed connection, whether their request was at work or had not been sent to any target. Those that had not run could not tell. 0.1 s before the limit the contexts of all requests in flight now end: what waits is refused as not run and may go to another entry, what is at work gets 502 unknown, and the listener's shutdown delivers both. Requests with an ID of the product's own interface run on as before.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -53,9 +53,12 @@
 	targetClient  *target.Client
 	node          *peer.Node
 	// sendHeartbeat is node.SendHeartbeat, except in tests.
-	sendHeartbeat  func(fleet.OutgoingHeartbeat)
-	source         Source
-	inFlight       inFlight
+	sendHeartbeat func(fleet.OutgoingHeartbeat)
+	source        Source
+	inFlight      inFlight
+	// aborted ends when abort is called, which aborts the requests in flight.
+	aborted        context.Context
+	abort          context.CancelCauseFunc
 	addressClock   addressClock
 	counters       counters
 	callerServer   *http.Server
@@ -135,6 +138,7 @@
 	if err := e.suspension.start(); err != nil {
 		e.Log.Warn().Str("event", "suspensionsUnnoticed").Err(err).Msg("no clock counts the time that the VM is suspended")
 	}
+	e.aborted, e.abort = context.WithCancelCause(context.Background())
 	e.peerStatuses = make(map[fleet.EntryID]peerStatus)
 	e.firstReadDelay = nonSeedReadDelay + rand.N(nonSeedReadSpread)
 	if e.Metrics == nil {
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -126,6 +126,8 @@
 		deadline:        time.Now().Add(time.Duration(h.RemainingMs) * time.Millisecond),
 	}
 	defer e.inFlight.begin(x)()
+	ctx, releaseAbort := e.untilAborted(ctx)
+	defer releaseAbort()
 	ctx, cancel := context.WithDeadline(ctx, x.deadline)
 	defer cancel()
 	started := &startedWriter{ResponseWriter: w}
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -31,6 +31,8 @@
 	_ = writer.controller.EnableFullDuplex()
 	x := e.callerExchange(r, writer)
 	defer e.inFlight.begin(x)()
+	ctx, releaseAbort := e.untilAborted(ctx)
+	defer releaseAbort()
 	if fleet.State(e.state.Load()) == fleet.StateLeaving {
 		c.Response().Header().Set("Connection", "close")
 	}
--- a/entry/place.go
+++ b/entry/place.go
@@ -81,10 +81,10 @@
 			}
 		case <-ctx.Done():
 			cell.cancel(id, decisions)
-			if p.lastFailure != nil {
-				return p.finishWithLastOutcome(reasonDeadlinePassed)
+			if context.Cause(ctx) == errStopLimit {
+				return p.finishWithLastOutcome(reasonLeaving)
 			}
-			return p.refuse(reasonDeadlinePassed, 0)
+			return p.finishWithLastOutcome(reasonDeadlinePassed)
 		}
 	}
 }
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -58,6 +58,13 @@
 	a.lastResponse = now
 }
 
+// abortMargin is how long before the stop limit the requests in flight are aborted, so that their callers get a final
+// answer in place of a closed connection.
+const abortMargin = 100 * time.Millisecond
+
+// errStopLimit is the cause of the end of requests that a stopping entry aborts.
+var errStopLimit = Error.New("the stop limit has passed")
+
 // stop leaves the fleet without aborting requests. Other entries may direct callers here until they hear that
 // this entry leaves, or until it counts as gone if they can't hear it. Their address responses stay valid for
 // AnswerValidMs after that, so the entry serves until then, but for at most StopLimitMs. Requests in flight then
@@ -74,19 +81,15 @@
 	if e.faults.cutOnStop {
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), max(time.Second, limit-time.Since(startedAt)))
-	defer cancel()
-	// Shutdown waits for the requests of callers; forwarded ones are counted separately.
-	err := e.callerServer.Shutdown(ctx)
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for e.inFlight.count() > 0 && ctx.Err() == nil {
-		<-ticker.C
-	}
+	err := e.awaitRequests(max(time.Second, limit-time.Since(startedAt)) - abortMargin)
 	aborted := e.inFlight.all()
 	for _, x := range aborted[:min(len(aborted), maxCutLines)] {
 		e.logCut(x)
 	}
+	if err != nil {
+		e.abort(errStopLimit)
+		err = e.awaitRequests(abortMargin)
+	}
 	event := e.Log.Info()
 	if len(aborted) > 0 || err != nil {
 		event = e.Log.Error().Err(err)
@@ -94,6 +97,40 @@
 	event.Str("event", "stopped").Int("cutRequests", len(aborted)).Dur("took", time.Since(startedAt)).Msg("entry stopped")
 }
 
+// awaitRequests stops listening for callers and waits until no request is in flight. It returns an error if that takes
+// longer than the timeout.
+func (e *Entry) awaitRequests(timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	// Shutdown waits for the requests of callers; forwarded ones are counted separately.
+	if err := e.callerServer.Shutdown(ctx); err != nil {
+		return Error.Wrap(err)
+	}
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for e.inFlight.count() > 0 {
+		select {
+		case <-ctx.Done():
+			return Error.Wrap(ctx.Err())
+		case <-ticker.C:
+		}
+	}
+	return nil
+}
+
+// untilAborted returns a context that also ends when this entry aborts the requests in flight.
+func (e *Entry) untilAborted(ctx context.Context) (context.Context, func()) {
+	if e.aborted == nil {
+		return ctx, func() {}
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(e.aborted, func() { cancel(context.Cause(e.aborted)) })
+	return ctx, func() {
+		stop()
+		cancel(nil)
+	}
+}
+
 // maxCutLines is the maximum number of log lines on requests that a stop aborts.
 const maxCutLines = 100
 
