peer: a request that a stopping node rejects is reported as not run

The sender took the reset for one of a request that may have run.

A remote reset with codeStopping before any byte of the response is now the kind NotRun, which WasNotSent accepts. The end of the request's context and a failed body keep their priority. The body may have been read, so a sender that retries must be able to replay it (entry does so only if it is).

--- a/peer/error.go
+++ b/peer/error.go
@@ -20,6 +20,8 @@
 const (
 	// NotSent means that no byte of the request was sent to the peer, so the request certainly did not run.
 	NotSent ErrorKind = iota
+	// NotRun means that the peer has rejected the request before it called its handler.
+	NotRun
 	// NoResponse means that the peer may have received bytes of the request, and that no response arrived.
 	NoResponse
 	// Truncated means that a response began and was not completed.
@@ -32,6 +34,8 @@
 	switch k {
 	case NotSent:
 		return "not sent"
+	case NotRun:
+		return "not run"
 	case NoResponse:
 		return "sent"
 	case Truncated:
@@ -54,21 +58,30 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
 
-// WasNotSent reports whether err proves that no byte of the request was sent.
+// WasNotSent reports whether err proves that no byte of the request reached the peer's handler. The body may have
+// been read.
 func WasNotSent(err error) bool {
 	var e *Error
-	return errors.As(err, &e) && e.Kind == NotSent
+	return errors.As(err, &e) && (e.Kind == NotSent || e.Kind == NotRun)
 }
 
-// Codes of stream resets and connection closes.
+// provesNotRun reports whether err, which ended a stream, proves that the peer has not called its handler.
+func provesNotRun(err error) bool {
+	var reset *quic.StreamError
+	return errors.As(err, &reset) && reset.Remote && reset.ErrorCode == codeStopping
+}
+
+// Codes of stream resets.
 const (
 	codeCanceled quic.StreamErrorCode = iota + 1
 	codeResponded
 	codeBodyFailed
 	codeProtocol
+	// codeStopping says that the handler is not called for the request of this stream.
 	codeStopping
 )
 
+// Codes of connection closes.
 const (
 	codeClosing quic.ApplicationErrorCode = iota + 1
 	codeRejected
--- a/peer/forward.go
+++ b/peer/forward.go
@@ -38,13 +38,13 @@
 	} else if !n.startTask(func() { x.sendBody(body) }) {
 		return nil, x.endWithError(NoResponse, errorClass.New("entry stops"))
 	}
-	header, err := readMessage[ResponseHeader](x.stream, frameResponse)
+	header, err := readMessage[ResponseHeader](x, frameResponse)
 	if err != nil {
 		return nil, x.endWithError(NoResponse, err)
 	}
 	n.markReceived(x.connection)
 	response := &Response{ResponseHeader: header}
-	response.Body = &responseBody{x: x, frames: bodyReader{r: x.stream}, response: response}
+	response.Body = &responseBody{x: x, frames: bodyReader{r: x}, response: response}
 	return response, nil
 }
 
@@ -56,6 +56,8 @@
 	stream        *quic.Stream
 	stopAfterFunc func() bool
 	once          sync.Once
+	// answered says that bytes of the response have arrived. It belongs to the goroutine that reads the response.
+	answered bool
 
 	mu         sync.Mutex
 	bodyErr    error
@@ -79,6 +81,13 @@
 	return x, nil
 }
 
+// Read reads the response.
+func (x *exchange) Read(p []byte) (int, error) {
+	n, err := x.stream.Read(p)
+	x.answered = x.answered || n > 0
+	return n, err
+}
+
 // reset aborts both directions of the stream. A direction that is already closed is left alone, since a reset
 // would discard what the peer has not received yet.
 func (x *exchange) reset(code quic.StreamErrorCode) {
@@ -110,7 +119,7 @@
 }
 
 // endWithError releases the exchange and returns its error. The end of ctx has priority over an error of the
-// body, and that over err.
+// body, and that over err: the peer may take a canceled request for one that needs no response.
 func (x *exchange) endWithError(kind ErrorKind, err error) *Error {
 	x.release(codeCanceled)
 	x.mu.Lock()
@@ -120,6 +129,8 @@
 		err = cause
 	} else if bodyErr != nil {
 		kind, err = BodyFailed, bodyErr
+	} else if kind == NoResponse && !x.answered && provesNotRun(err) {
+		kind = NotRun
 	}
 	return &Error{kind, x.to, err}
 }
@@ -183,8 +194,8 @@
 	ctx, cancel := context.WithTimeout(ctx, n.Timeouts.Fetch)
 	defer cancel()
 	var pair PairMessage
-	err := n.request(ctx, to, frameFetch, fetchRequest{After: after}, func(s *quic.Stream) error {
-		compressed, err := readMessage[compressedPair](s, framePair)
+	err := n.request(ctx, to, frameFetch, fetchRequest{After: after}, func(r io.Reader) error {
+		compressed, err := readMessage[compressedPair](r, framePair)
 		if err == nil {
 			pair, err = compressed.decompress()
 		}
@@ -199,15 +210,15 @@
 // CheckPaths asks a peer which targets accept connections from it. Errors are *Error.
 func (n *Node) CheckPaths(ctx context.Context, to fleet.Member, c PathCheck) (PathResult, error) {
 	var result PathResult
-	err := n.request(ctx, to, framePathCheck, c, func(s *quic.Stream) (err error) {
-		result, err = readMessage[PathResult](s, framePathResult)
+	err := n.request(ctx, to, framePathCheck, c, func(r io.Reader) (err error) {
+		result, err = readMessage[PathResult](r, framePathResult)
 		return err
 	})
 	return result, err
 }
 
 // request sends a message on a stream of its own and reads the response.
-func (n *Node) request(ctx context.Context, to fleet.Member, t frameType, message any, read func(*quic.Stream) error) error {
+func (n *Node) request(ctx context.Context, to fleet.Member, t frameType, message any, read func(io.Reader) error) error {
 	frame, err := encodeFrame(t, message)
 	if err != nil {
 		return &Error{NotSent, to.ID, err}
@@ -221,7 +232,7 @@
 		return x.endWithError(NoResponse, err)
 	}
 	x.closeBody(nil)
-	if err := read(x.stream); err != nil {
+	if err := read(x); err != nil {
 		return x.endWithError(NoResponse, err)
 	}
 	n.markReceived(x.connection)
