peer: Drain keeps responses that are on their way when a node stops

Callers got 502 for requests that had run: an entry closes its node as soon as no handler is at work, and the close of a QUIC connection drops what the peer has not acknowledged or not read yet. Nothing told the node when a sender had the response.

Node.Drain rejects new requests with codeStopping and returns when those accepted are over. A request is now over when its sender stops reading: senders of this and of earlier builds send STOP_SENDING as soon as they have read the end frame, or have given up, if they have not seen the end of the stream. So the receiver no longer closes its direction after the end frame; it waits for that signal, and closes then. The wait needs no timer: it ends with the sender's context or with the connection. Compared with a FIN that the sender holds back until it has the response, this also covers responses that come before the end of the request body, whose rest is stopped as before, and earlier builds as senders, and it leaves the sending side as it was. Acceptance and the count of open requests are one critical section, so a request is either counted by Drain or rejected.

A response without an end frame is still closed at once, since that is how the sender notices; its loss leaves the outcome unknown as before.

--- a/peer/drain_test.go
+++ b/peer/drain_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -51,12 +52,17 @@
 	return n
 }
 
-// connect opens the connection from one node to another, so that the next request is the first packet on it.
+// connect opens the connection from one node to another, and returns when no request is open on it.
 func connect(t testing.TB, from, to *Node) {
 	t.Helper()
 	if _, err := from.FetchPair(context.Background(), member(to), 7); err != nil {
 		t.Fatal(err)
 	}
+	waitFor(t, func() bool {
+		to.mu.Lock()
+		defer to.mu.Unlock()
+		return to.serving == 0
+	})
 }
 
 func waitFor(t testing.TB, condition func() bool) {
@@ -70,16 +76,27 @@
 
 // drainAndClose closes a node as a planned stop does.
 func drainAndClose(n *Node) error {
-	if d, ok := any(n).(interface{ Drain(context.Context) error }); ok {
-		ctx, cancel := context.WithTimeout(context.Background(), conditionTimeout)
-		defer cancel()
-		if err := d.Drain(ctx); err != nil {
-			return err
-		}
+	ctx, cancel := context.WithTimeout(context.Background(), conditionTimeout)
+	defer cancel()
+	if err := n.Drain(ctx); err != nil {
+		return err
 	}
 	return n.Close()
 }
 
+// drain drains a node in the background, and returns when the node rejects requests.
+func drain(ctx context.Context, t testing.TB, n *Node) <-chan error {
+	t.Helper()
+	drained := make(chan error, 1)
+	go func() { drained <- n.Drain(ctx) }()
+	waitFor(t, func() bool {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		return n.draining
+	})
+	return drained
+}
+
 // result is what the sender of a request got.
 type result struct {
 	body string
@@ -185,3 +202,136 @@
 	is.True(errors.As(got.err, &e))
 	is.True(WasNotSent(got.err)) // the handler was never called
 }
+
+// Guards against a drain that ends before the requests that the node has accepted, runs later ones, or silences the
+// node.
+func TestDrainFinishesAcceptedRequests(t *testing.T) {
+	is := is.New(t)
+	var calls atomic.Int64
+	started, release := make(chan struct{}, 2), make(chan struct{})
+	h := &testHandler{forward: func(ctx context.Context, f ForwardHeader, body io.Reader, w ResponseWriter) {
+		calls.Add(1)
+		started <- struct{}{}
+		<-release
+		echo(ctx, f, body, w)
+	}}
+	a, b := startNode(t, "a", &testHandler{}), startNode(t, "b", h)
+	accepted := forward(a, b, strings.NewReader("accepted"))
+	<-started
+	drained := drain(context.Background(), t, b)
+	rejected := <-forward(a, b, strings.NewReader("rejected"))
+	is.True(WasNotSent(rejected.err))
+	is.Equal(calls.Load(), int64(1))
+	_, err := a.FetchPair(context.Background(), member(b), 0)
+	is.True(WasNotSent(err))
+	a.SendHeartbeat(fleet.OutgoingHeartbeat{ID: "b", Address: b.LocalAddress(), Heartbeat: fleet.Heartbeat{From: "a"}})
+	is.Equal((<-h.heartbeats).From, fleet.EntryID("a"))
+	connect(t, b, a) // its own requests go on
+	select {
+	case err := <-drained:
+		t.Fatalf("drained during a request: %v", err)
+	default:
+	}
+	close(release)
+	got := <-accepted
+	is.NoErr(got.err)
+	is.Equal(got.body, "accepted")
+	is.NoErr(<-drained)
+	is.NoErr(b.Drain(context.Background()))
+}
+
+// Guards against a drain that ignores the end of its context or the close of the node.
+func TestDrainIsInterrupted(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		interrupt func(cancel context.CancelFunc, n *Node)
+		want      error
+	}{
+		{"context ends", func(cancel context.CancelFunc, _ *Node) { cancel() }, context.Canceled},
+		{"node is closed", func(_ context.CancelFunc, n *Node) { _ = n.Close() }, errStopping},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			started := make(chan struct{})
+			wait := func(ctx context.Context, _ ForwardHeader, _ io.Reader, _ ResponseWriter) {
+				close(started)
+				<-ctx.Done()
+			}
+			a, b := startNode(t, "a", &testHandler{}), startNode(t, "b", &testHandler{forward: wait})
+			results := forward(a, b, nil)
+			<-started
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			drained := drain(ctx, t, b)
+			c.interrupt(cancel, b)
+			is.True(errors.Is(<-drained, c.want))
+			is.NoErr(b.Close())
+			got := <-results
+			is.True(got.err != nil)
+			is.True(!WasNotSent(got.err)) // the handler was called
+		})
+	}
+}
+
+// Guards against requests that hold up a drain after their senders have given up, and against streams that are kept
+// for such senders.
+func TestDrainDoesNotWaitForSendersThatGaveUp(t *testing.T) {
+	respond := func(size int) func(context.Context, ForwardHeader, io.Reader, ResponseWriter) {
+		return func(_ context.Context, _ ForwardHeader, _ io.Reader, w ResponseWriter) {
+			_ = w.WriteHeader(ResponseHeader{Status: 200, ContentLength: -1})
+			_, _ = w.Write(make([]byte, size))
+			_ = w.Finish(nil)
+		}
+	}
+	closeBody := func(_ context.CancelFunc, response *Response) { _ = response.Body.Close() }
+	cancelRequest := func(cancel context.CancelFunc, _ *Response) { cancel() }
+	for _, c := range []struct {
+		name   string
+		size   int
+		giveUp func(cancel context.CancelFunc, response *Response)
+	}{
+		{"large response, body closed", 2 * maxStreamWindow, closeBody},
+		{"large response, request canceled", 2 * maxStreamWindow, cancelRequest},
+		{"empty response, body closed", 0, closeBody},
+		{"empty response, request canceled", 0, cancelRequest},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			a, b := startNode(t, "a", &testHandler{}), startNode(t, "b", &testHandler{forward: respond(c.size)})
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			r, w := io.Pipe()
+			defer func() { _ = w.Close() }()
+			response, err := a.Forward(ctx, member(b), ForwardHeader{To: "b"}, r)
+			is.NoErr(err)
+			c.giveUp(cancel, response)
+			drainCtx, stop := context.WithTimeout(context.Background(), conditionTimeout)
+			defer stop()
+			is.NoErr(b.Drain(drainCtx))
+		})
+	}
+}
+
+// Guards against a drain that waits for the receipt of a response that the handler didn't finish or didn't begin.
+func TestDrainDoesNotWaitForTruncatedResponses(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		forward func(context.Context, ForwardHeader, io.Reader, ResponseWriter)
+	}{
+		{"no response", func(context.Context, ForwardHeader, io.Reader, ResponseWriter) {}},
+		{"no end", func(_ context.Context, _ ForwardHeader, _ io.Reader, w ResponseWriter) {
+			_ = w.WriteHeader(ResponseHeader{Status: 200, ContentLength: 10})
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			a, b := startNode(t, "a", &testHandler{}), startNode(t, "b", &testHandler{forward: c.forward})
+			results := forward(a, b, nil)
+			waitFor(t, func() bool { return b.Counters.ForwardsReceived.Load() == 1 })
+			is.NoErr(drainAndClose(b))
+			got := <-results
+			is.True(got.err != nil)
+			is.True(!WasNotSent(got.err)) // the handler was called
+		})
+	}
+}
--- a/peer/node.go
+++ b/peer/node.go
@@ -109,6 +109,12 @@
 	mu     sync.Mutex
 	closed bool
 	links  map[fleet.EntryID]*link
+	// draining says that requests of peers are rejected.
+	draining bool
+	// serving counts the requests of peers that were accepted and are not over.
+	serving int
+	// drained is closed when draining is set and serving is 0, unless Close came first.
+	drained chan struct{}
 }
 
 // Start opens the socket, accepts connections of peers in the background, and returns.
@@ -139,6 +145,7 @@
 		return errorClass.Wrap(err)
 	}
 	n.links = make(map[fleet.EntryID]*link)
+	n.drained = make(chan struct{})
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.tasks.Go(n.accept)
 	return nil
@@ -165,6 +172,36 @@
 // LocalAddress returns the address that the socket is bound to.
 func (n *Node) LocalAddress() string { return n.socket.LocalAddr().String() }
 
+// Drain rejects the requests of peers that arrive from now on, without calling the handler. It returns nil when
+// those that arrived before are over: their handlers have returned, and their senders have received the complete
+// response or have given up. Heartbeats and the requests of this node go on. It returns an error if ctx ends or the
+// node is closed before that. The node goes on to reject requests in all cases. Drain may be called several times.
+func (n *Node) Drain(ctx context.Context) error {
+	n.mu.Lock()
+	if !n.draining {
+		n.draining = true
+		n.signalIfDrained()
+	}
+	n.mu.Unlock()
+	select {
+	case <-n.drained:
+		return nil
+	case <-n.ctx.Done():
+		return errStopping
+	case <-ctx.Done():
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		return errorClass.New("%d requests of peers are not over: %w", n.serving, context.Cause(ctx))
+	}
+}
+
+// signalIfDrained closes n.drained when the last request is over. n.mu must be held.
+func (n *Node) signalIfDrained() {
+	if n.draining && !n.closed && n.serving == 0 {
+		close(n.drained)
+	}
+}
+
 // Close resets all requests, closes all connections and waits until all handlers have returned.
 func (n *Node) Close() error {
 	n.mu.Lock()
@@ -205,6 +242,27 @@
 	}
 }
 
+// startServing calls serve in a goroutine for a request of a peer, and counts the request until it is over. It returns
+// false if the node rejects requests. That is decided together with the count, so Drain misses no request.
+func (n *Node) startServing(c *connection, serve func()) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.closed || n.draining {
+		return false
+	}
+	n.serving++
+	c.streams.Add(1)
+	n.tasks.Go(func() {
+		serve()
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		c.streams.Add(-1)
+		n.serving--
+		n.signalIfDrained()
+	})
+	return true
+}
+
 // startTask starts a goroutine that Close waits for. It returns false if the node is closed.
 func (n *Node) startTask(f func()) bool {
 	n.mu.Lock()
--- a/peer/serve.go
+++ b/peer/serve.go
@@ -23,21 +23,15 @@
 		if err != nil {
 			return
 		}
-		c.streams.Add(1)
 		n.markReceived(c)
-		serve := func() {
-			defer c.streams.Add(-1)
-			n.serve(id, s)
-		}
-		if !n.startTask(serve) {
+		if !n.startServing(c, func() { n.serve(id, s) }) {
 			s.CancelRead(codeStopping)
 			s.CancelWrite(codeStopping)
-			c.streams.Add(-1)
 		}
 	}
 }
 
-// serve serves one request.
+// serve serves one request. It returns when the sender has received the response or has given up.
 func (n *Node) serve(id fleet.EntryID, s *quic.Stream) {
 	t, size, err := readFrameHeader(s)
 	if err != nil {
@@ -101,7 +95,16 @@
 	if _, err := s.Write(frame); err != nil {
 		return errorClass.Wrap(err)
 	}
-	return errorClass.Wrap(s.Close())
+	awaitReceipt(s)
+	return nil
+}
+
+// awaitReceipt waits until the sender of a request stops reading, which it does when it has received the end of the
+// response or has given up, or until the connection ends. It then closes the stream. Closing it earlier would end its
+// context, which tells when the sender stops.
+func awaitReceipt(s *quic.Stream) {
+	<-s.Context().Done()
+	_ = s.Close()
 }
 
 // errStopping is the cause of the end of requests that the Close of a Node aborts.
@@ -171,7 +174,7 @@
 	return written, nil
 }
 
-// Finish sends the end frame with the trailer and closes the stream.
+// Finish sends the end frame with the trailer.
 func (w *responseWriter) Finish(trailer http.Header) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -186,21 +189,22 @@
 		}
 	}
 	w.finished = true
-	if _, err := w.stream.Write(frame); err != nil {
-		return errorClass.Wrap(err)
-	}
-	return errorClass.Wrap(w.stream.Close())
+	_, err := w.stream.Write(frame)
+	return errorClass.Wrap(err)
 }
 
-// close closes what the handler left open.
+// close closes the stream when the sender has received the response.
 func (w *responseWriter) close() {
 	w.mu.Lock()
-	defer w.mu.Unlock()
-	if !w.finished {
-		w.finished = true
-		// Closing without an end frame tells the sender that the response is truncated. A reset would discard
-		// what is already written.
-		_ = w.stream.Close()
-	}
+	finished := w.finished
+	w.finished = true
+	w.mu.Unlock()
 	w.stream.CancelRead(codeResponded)
+	if finished {
+		awaitReceipt(w.stream)
+		return
+	}
+	// Closing without an end frame tells the sender that the response is truncated. A reset would discard what is
+	// already written.
+	_ = w.stream.Close()
 }
