--- a/entry/callerconn.go
+++ b/entry/callerconn.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/bilberrywood/bilberrywood/table"
@@ -26,6 +27,8 @@
 	net.Listener
 	// limits returns the operators' limits.
 	limits func() table.CallerLimits
+	// lingering counts the connections that are still read after Close.
+	lingering *atomic.Int64
 }
 
 // Accept implements net.Listener.
@@ -34,7 +37,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &callerConn{Conn: c, limits: l.limits}, nil
+	return &callerConn{Conn: c, limits: l.limits, lingering: l.lingering}, nil
 }
 
 // callerConn is a connection of a caller. While a handler runs, net/http waits for one byte, which may be the end of the
@@ -44,6 +47,8 @@
 	net.Conn
 	// limits returns the operators' limits; nil means that there are none.
 	limits func() table.CallerLimits
+	// lingering counts the connections that are still read after Close.
+	lingering *atomic.Int64
 
 	mu sync.Mutex
 	// readDeadline is the one that the server has set.
@@ -257,7 +262,9 @@
 	if !linger || c.CloseWrite() != nil || c.Conn.SetReadDeadline(end) != nil {
 		return c.Conn.Close()
 	}
+	c.lingering.Add(1)
 	go func() {
+		defer c.lingering.Add(-1)
 		_, _ = io.Copy(io.Discard, c.Conn) // the responses are sent; nothing depends on what is read
 		_ = c.Conn.Close()
 	}()
--- a/entry/callerconn_test.go
+++ b/entry/callerconn_test.go
@@ -18,7 +18,7 @@
 func TestReadAheadIsBounded(t *testing.T) {
 	is := is.New(t)
 	caller, entryEnd := net.Pipe()
-	c := &callerConn{Conn: entryEnd}
+	c := &callerConn{Conn: entryEnd, lingering: new(atomic.Int64)}
 	sent := make([]byte, 4*maxReadAhead)
 	for i := range sent {
 		sent[i] = byte(i * 7)
@@ -51,7 +51,7 @@
 	is := is.New(t)
 	caller, entryEnd := net.Pipe()
 	defer caller.Close()
-	c := &callerConn{Conn: entryEnd}
+	c := &callerConn{Conn: entryEnd, lingering: new(atomic.Int64)}
 	go func() { _, _ = io.WriteString(caller, "ab") }()
 	one := make([]byte, 1)
 	_, err := c.Read(one)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -53,9 +53,11 @@
 	targetClient  *target.Client
 	node          *peer.Node
 	// sendHeartbeat is node.SendHeartbeat, except in tests.
-	sendHeartbeat  func(fleet.OutgoingHeartbeat)
-	source         Source
-	inFlight       inFlight
+	sendHeartbeat func(fleet.OutgoingHeartbeat)
+	source        Source
+	inFlight      inFlight
+	// lingering counts the connections of callers that are still read after their last response.
+	lingering      atomic.Int64
 	addressClock   addressClock
 	counters       counters
 	callerServer   *http.Server
@@ -288,7 +290,7 @@
 			return Error.Wrap(err)
 		}
 		if ep.server == e.callerServer {
-			listener = callerListener{Listener: listener, limits: e.callerLimits}
+			listener = callerListener{Listener: listener, limits: e.callerLimits, lingering: &e.lingering}
 		}
 		e.background.Go(func() {
 			// Serve always returns an error; after Shutdown it is ErrServerClosed.
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -80,7 +80,8 @@
 	err := e.callerServer.Shutdown(ctx)
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
-	for e.inFlight.count() > 0 && ctx.Err() == nil {
+	// The exit of the process would reset the connections that linger.
+	for (e.inFlight.count() > 0 || e.lingering.Load() > 0) && ctx.Err() == nil {
 		<-ticker.C
 	}
 	aborted := e.inFlight.all()
