--- a/entry/entry.go
+++ b/entry/entry.go
@@ -57,8 +57,10 @@
 	source        Source
 	inFlight      inFlight
 	// aborted ends when abort is called, which aborts the requests in flight.
-	aborted        context.Context
-	abort          context.CancelCauseFunc
+	aborted context.Context
+	abort   context.CancelCauseFunc
+	// lingering counts the connections of callers that are still read after their last response.
+	lingering      atomic.Int64
 	addressClock   addressClock
 	counters       counters
 	callerServer   *http.Server
@@ -292,7 +294,7 @@
 			return Error.Wrap(err)
 		}
 		if ep.server == e.callerServer {
-			listener = callerListener{Listener: listener, limits: e.callerLimits}
+			listener = callerListener{Listener: listener, limits: e.callerLimits, lingering: &e.lingering}
 		}
 		e.background.Go(func() {
 			// Serve always returns an error; after Shutdown it is ErrServerClosed.
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -97,8 +97,8 @@
 	event.Str("event", "stopped").Int("cutRequests", len(aborted)).Dur("took", time.Since(startedAt)).Msg("entry stopped")
 }
 
-// awaitRequests stops listening for callers and waits until no request is in flight. It returns an error if that takes
-// longer than the timeout.
+// awaitRequests stops listening for callers and waits until the requests in flight are over. It returns an error
+// if that takes longer than the timeout.
 func (e *Entry) awaitRequests(timeout time.Duration) error {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
@@ -108,7 +108,8 @@
 	}
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
-	for e.inFlight.count() > 0 {
+	// The exit of the process would reset the connections that linger.
+	for e.inFlight.count() > 0 || e.lingering.Load() > 0 {
 		select {
 		case <-ctx.Done():
 			return Error.Wrap(ctx.Err())
