entry: a stop takes no forwarded request that its node has not drained

When the time is over for which an entry has been advertised, it now closes both doors at once: the callers' listener, and the node, which rejects requests of peers as not run and waits until the senders of the others have their responses. Evidence: the tests of peer.Drain; go test ./entry ./platform.

--- a/entry/stop.go
+++ b/entry/stop.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/zeebo/errs"
+
 	"github.com/bilberrywood/bilberrywood/fleet"
 	"github.com/bilberrywood/bilberrywood/settings"
 )
@@ -97,13 +99,15 @@
 	event.Str("event", "stopped").Int("cutRequests", len(aborted)).Dur("took", time.Since(startedAt)).Msg("entry stopped")
 }
 
-// awaitRequests stops listening for callers and waits until the requests in flight are over. It returns an error
+// awaitRequests takes no more requests of callers and peers and waits until those in flight are over. It returns an error
 // if that takes longer than the timeout.
 func (e *Entry) awaitRequests(timeout time.Duration) error {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	// Shutdown waits for the requests of callers; forwarded ones are counted separately.
-	if err := e.callerServer.Shutdown(ctx); err != nil {
+	drained := make(chan error, 1)
+	go func() { drained <- e.node.Drain(ctx) }()
+	err := e.callerServer.Shutdown(ctx)
+	if err = errs.Combine(err, <-drained); err != nil {
 		return Error.Wrap(err)
 	}
 	ticker := time.NewTicker(tickInterval)
