peer: Close tells senders that their unanswered requests were not run

Callers got 502 with an unknown outcome for a request that was on its way, or waited to be accepted, when a stopping entry closed its peer connections. Close used one code for all connections, so the sender couldn't tell such a request from one that had run.

A connection on which no request is open, and on which no handler has returned without a complete response, is now closed with codeDrained. The code is chosen in the critical section that ends acceptance, so it holds for the streams in the accept queue and for those whose packets are still on their way. The sender maps codeDrained to NotRun if no byte of a response has arrived and the request's context hasn't ended: a canceled request is over for the receiver before the sender has noticed. After a complete Drain all connections but those with a truncated response get codeDrained; without a Drain it is decided by connection, too, which is stricter than one code for all and as true.

TestOutcomesAreKnownAfterDrain: 20 nodes drained and closed under eight senders; each request was answered in full or known not to have run.

--- a/peer/drain_test.go
+++ b/peer/drain_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -312,26 +314,133 @@
 	}
 }
 
-// Guards against a drain that waits for the receipt of a response that the handler didn't finish or didn't begin.
+// Guards against a drain that waits for the receipt of a response that the handler didn't finish or didn't begin, and
+// against taking such a request for not run when the end of its response is lost.
 func TestDrainDoesNotWaitForTruncatedResponses(t *testing.T) {
 	for _, c := range []struct {
 		name    string
-		forward func(context.Context, ForwardHeader, io.Reader, ResponseWriter)
+		respond func(ResponseWriter)
 	}{
-		{"no response", func(context.Context, ForwardHeader, io.Reader, ResponseWriter) {}},
-		{"no end", func(_ context.Context, _ ForwardHeader, _ io.Reader, w ResponseWriter) {
-			_ = w.WriteHeader(ResponseHeader{Status: 200, ContentLength: 10})
-		}},
+		{"no response", func(ResponseWriter) {}},
+		{"no end", func(w ResponseWriter) { _ = w.WriteHeader(ResponseHeader{Status: 200, ContentLength: 10}) }},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			a, b := startNode(t, "a", &testHandler{}), startNode(t, "b", &testHandler{forward: c.forward})
+			socket := &lossySocket{}
+			truncate := func(_ context.Context, _ ForwardHeader, _ io.Reader, w ResponseWriter) {
+				socket.toDrop.Store(1 << 30)
+				c.respond(w)
+			}
+			a := startNode(t, "a", &testHandler{})
+			b := startLossyNode(t, "b", &testHandler{forward: truncate}, socket)
+			connect(t, a, b)
 			results := forward(a, b, nil)
 			waitFor(t, func() bool { return b.Counters.ForwardsReceived.Load() == 1 })
-			is.NoErr(drainAndClose(b))
+			ctx, cancel := context.WithTimeout(context.Background(), conditionTimeout)
+			defer cancel()
+			is.NoErr(b.Drain(ctx))
+			socket.toDrop.Store(0)
+			is.NoErr(b.Close())
 			got := <-results
 			is.True(got.err != nil)
 			is.True(!WasNotSent(got.err)) // the handler was called
 		})
 	}
 }
+
+// outcome is how a request ended at its sender, and whether the handler of the receiver was called for it.
+type outcome struct {
+	err    error
+	called bool
+}
+
+// outcomesAroundStop sends requests without a pause while stop stops a node. It returns the first error of each sender.
+// Responses that are not an echo of their request fail the test.
+func outcomesAroundStop(t *testing.T, socket *lossySocket, stop func(*Node) error) []outcome {
+	const senders = 8
+	var calls sync.Map
+	a := startNode(t, "a", &testHandler{})
+	b := startLossyNode(t, "b", &testHandler{forward: func(ctx context.Context, f ForwardHeader, body io.Reader, w ResponseWriter) {
+		calls.Store(f.URI, true)
+		echo(ctx, f, body, w)
+	}}, socket)
+	connect(t, a, b)
+	outcomes := make(chan outcome, senders)
+	var answered atomic.Int64
+	for sender := range senders {
+		go func() {
+			for i := 0; ; i++ {
+				uri := fmt.Sprintf("/%d/%d", sender, i)
+				got, err := io.ReadAll(&forwarded{from: a, to: b, uri: uri})
+				if err != nil {
+					_, called := calls.Load(uri)
+					outcomes <- outcome{err, called}
+					return
+				}
+				if string(got) != uri {
+					t.Errorf("response %q to %q", got, uri)
+				}
+				answered.Add(1)
+			}
+		}()
+	}
+	waitFor(t, func() bool { return answered.Load() > senders })
+	if err := stop(b); err != nil {
+		t.Error(err)
+	}
+	var all []outcome
+	for range senders {
+		all = append(all, <-outcomes)
+	}
+	return all
+}
+
+// forwarded reads the response to a request, whose body is its URI.
+type forwarded struct {
+	from, to *Node
+	uri      string
+	response *Response
+}
+
+func (f *forwarded) Read(p []byte) (int, error) {
+	if f.response == nil {
+		h := ForwardHeader{To: f.to.ID, URI: f.uri}
+		response, err := f.from.Forward(context.Background(), member(f.to), h, strings.NewReader(f.uri))
+		if err != nil {
+			return 0, err
+		}
+		f.response = response
+	}
+	return f.response.Body.Read(p)
+}
+
+// Guards against false reports on requests that arrive while a node drains and closes: each is either answered in
+// full, or no handler was called and its sender knows it.
+func TestOutcomesAreKnownAfterDrain(t *testing.T) {
+	for range 20 {
+		for _, o := range outcomesAroundStop(t, &lossySocket{}, drainAndClose) {
+			is := is.New(t)
+			is.True(!o.called)
+			is.True(WasNotSent(o.err))
+		}
+	}
+}
+
+// Guards against taking requests for not run whose handler was called, when a node is closed without a drain, also
+// when its last packets are lost.
+func TestRequestsBrokenOffByCloseCountAsSent(t *testing.T) {
+	for lost := range int64(8) {
+		t.Run(fmt.Sprintf("lost=%d", lost), func(t *testing.T) {
+			t.Parallel()
+			socket := &lossySocket{}
+			outcomes := outcomesAroundStop(t, socket, func(b *Node) error {
+				socket.toDrop.Store(lost)
+				return b.Close()
+			})
+			for _, o := range outcomes {
+				is := is.New(t)
+				is.True(!o.called || !WasNotSent(o.err))
+			}
+		})
+	}
+}
--- a/peer/error.go
+++ b/peer/error.go
@@ -68,7 +68,11 @@
 // provesNotRun reports whether err, which ended a stream, proves that the peer has not called its handler.
 func provesNotRun(err error) bool {
 	var reset *quic.StreamError
-	return errors.As(err, &reset) && reset.Remote && reset.ErrorCode == codeStopping
+	if errors.As(err, &reset) {
+		return reset.Remote && reset.ErrorCode == codeStopping
+	}
+	var closed *quic.ApplicationError
+	return errors.As(err, &closed) && closed.Remote && closed.ErrorCode == codeDrained
 }
 
 // Codes of stream resets.
@@ -86,4 +90,7 @@
 	codeClosing quic.ApplicationErrorCode = iota + 1
 	codeRejected
 	codeSuperseded
+	// codeDrained says that the end that closes the connection has called no handler for those requests whose senders
+	// still wait for a response on it.
+	codeDrained
 )
--- a/peer/link.go
+++ b/peer/link.go
@@ -35,6 +35,20 @@
 	// receivedAt is when a heartbeat, a request or a response last arrived, in nanoseconds since
 	// Node.startedAt.
 	receivedAt atomic.Int64
+	// serving counts the requests of the peer that were accepted and are not over. Guarded by Node.mu.
+	serving int
+	// unconfirmed says that a handler was called for a request whose sender may still wait for the response. Guarded
+	// by Node.mu.
+	unconfirmed bool
+}
+
+// closeCode returns the code with which to close a connection on which no further request is accepted. Node.mu must
+// be held.
+func (c *connection) closeCode() quic.ApplicationErrorCode {
+	if c.serving == 0 && !c.unconfirmed {
+		return codeDrained
+	}
+	return codeClosing
 }
 
 // markReceived notes that a message arrived on the connection.
@@ -87,7 +101,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.closed {
-		_ = c.CloseWithError(codeClosing, "entry stops")
+		_ = c.CloseWithError(c.closeCode(), "entry stops")
 		return false
 	}
 	n.markReceived(c)
--- a/peer/node.go
+++ b/peer/node.go
@@ -202,7 +202,9 @@
 	}
 }
 
-// Close resets all requests, closes all connections and waits until all handlers have returned.
+// Close resets all requests, closes all connections and waits until all handlers have returned. Senders on
+// connections without open requests learn that none of their requests without a response was run. After a Drain that
+// returned nil, these are all connections but those on which a handler has returned without a complete response.
 func (n *Node) Close() error {
 	n.mu.Lock()
 	if n.closed || n.listener == nil {
@@ -210,15 +212,17 @@
 		return nil
 	}
 	n.closed = true
-	var connections []*connection
+	codes := make(map[*connection]quic.ApplicationErrorCode)
 	for _, l := range n.links {
-		connections = append(connections, l.connections...)
+		for _, c := range l.connections {
+			codes[c] = c.closeCode()
+		}
 	}
 	n.mu.Unlock()
 	n.cancel()
 	_ = n.listener.Close()
-	for _, c := range connections {
-		_ = c.CloseWithError(codeClosing, "entry stops")
+	for c, code := range codes {
+		_ = c.CloseWithError(code, "entry stops")
 	}
 	n.tasks.Wait()
 	err := n.transport.Close()
@@ -242,21 +246,24 @@
 	}
 }
 
-// startServing calls serve in a goroutine for a request of a peer, and counts the request until it is over. It returns
-// false if the node rejects requests. That is decided together with the count, so Drain misses no request.
-func (n *Node) startServing(c *connection, serve func()) bool {
+// startServing serves a request of a peer in a goroutine, and counts it until it is over. It returns false if the node
+// rejects requests. That is decided together with the counts, so Drain and Close miss no request.
+func (n *Node) startServing(id fleet.EntryID, c *connection, s *quic.Stream) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.closed || n.draining {
 		return false
 	}
 	n.serving++
+	c.serving++
 	c.streams.Add(1)
 	n.tasks.Go(func() {
-		serve()
+		handled := n.serve(id, s)
 		n.mu.Lock()
 		defer n.mu.Unlock()
+		c.unconfirmed = c.unconfirmed || handled && !senderStopped(s)
 		c.streams.Add(-1)
+		c.serving--
 		n.serving--
 		n.signalIfDrained()
 	})
--- a/peer/serve.go
+++ b/peer/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"sync"
 
@@ -24,24 +25,25 @@
 			return
 		}
 		n.markReceived(c)
-		if !n.startServing(c, func() { n.serve(id, s) }) {
+		if !n.startServing(id, c, s) {
 			s.CancelRead(codeStopping)
 			s.CancelWrite(codeStopping)
 		}
 	}
 }
 
-// serve serves one request. It returns when the sender has received the response or has given up.
-func (n *Node) serve(id fleet.EntryID, s *quic.Stream) {
+// serve serves one request. It returns when the sender has received the response or has given up. It returns false if
+// it has not called the handler.
+func (n *Node) serve(id fleet.EntryID, s *quic.Stream) bool {
 	t, size, err := readFrameHeader(s)
 	if err != nil {
 		n.rejectStream(id, s, err)
-		return
+		return false
 	}
 	payload, err := readPayload(s, size)
 	if err != nil {
 		n.rejectStream(id, s, err)
-		return
+		return false
 	}
 	switch t {
 	case frameForward:
@@ -56,6 +58,7 @@
 	if err != nil {
 		n.rejectStream(id, s, err)
 	}
+	return true
 }
 
 // rejectStream logs why a request failed and resets its stream.
@@ -99,6 +102,12 @@
 	return nil
 }
 
+// senderStopped reports whether the sender of a request has stopped reading before the stream was closed.
+func senderStopped(s *quic.Stream) bool {
+	var reset *quic.StreamError
+	return errors.As(context.Cause(s.Context()), &reset) && reset.Remote
+}
+
 // awaitReceipt waits until the sender of a request stops reading, which it does when it has received the end of the
 // response or has given up, or until the connection ends. It then closes the stream. Closing it earlier would end its
 // context, which tells when the sender stops.
