peer: closing a superseded connection breaks off no request unnoticed

The same class as in a planned stop, found by reading: when two entries have two connections, the entry that opened the one that isn't preferred closes it once no request has been open on it in two checks 1 s apart. The peer goes by the messages that it has received itself, so it may prefer that connection, and a request that the close overtook had an unknown outcome, although no handler was called. At the closing end a request chose the connection some time before it was counted there, and the close was decided in between without a lock.

The check and the end of acceptance are now one critical section, in which closeSuperseded retires the connection; connectForRequest counts a request when it chooses the connection. The connection is closed with codeDrained under the conditions of Close.

Measured: with codeSuperseded in place of codeDrained, the code before, TestRequestOvertakenByCloseOfSupersededConnectionProvesNotRun fails; without the count of chosen requests or of responses on their way TestSupersededConnectionInUseIsNotClosed (3 of 3 runs each). Both pass in 10 of 10 with -race. No case in a run of real processes is known.

--- a/peer/forward.go
+++ b/peer/forward.go
@@ -50,6 +50,7 @@
 
 // exchange is the sender's side of one request, which has its own stream.
 type exchange struct {
+	node          *Node
 	to            fleet.EntryID
 	ctx           context.Context
 	connection    *connection
@@ -70,13 +71,12 @@
 	if err != nil {
 		return nil, &Error{NotSent, to.ID, err}
 	}
-	c.streams.Add(1)
 	s, err := c.OpenStreamSync(ctx)
 	if err != nil {
-		c.streams.Add(-1)
+		n.endRequest(c)
 		return nil, &Error{NotSent, to.ID, err}
 	}
-	x := &exchange{to: to.ID, ctx: ctx, connection: c, stream: s}
+	x := &exchange{node: n, to: to.ID, ctx: ctx, connection: c, stream: s}
 	x.stopAfterFunc = context.AfterFunc(ctx, func() { x.reset(codeCanceled) })
 	return x, nil
 }
@@ -114,7 +114,7 @@
 	x.once.Do(func() {
 		x.stopAfterFunc()
 		x.reset(code)
-		x.connection.streams.Add(-1)
+		x.node.endRequest(x.connection)
 	})
 }
 
--- a/peer/link.go
+++ b/peer/link.go
@@ -30,25 +30,29 @@
 	*quic.Conn
 	// dialer is the entry that opened the connection.
 	dialer fleet.EntryID
-	// streams counts the open request streams.
-	streams atomic.Int64
 	// receivedAt is when a heartbeat, a request or a response last arrived, in nanoseconds since
 	// Node.startedAt.
 	receivedAt atomic.Int64
-	// serving counts the requests of the peer that were accepted and are not over. Guarded by Node.mu.
+
+	// The fields below are guarded by Node.mu.
+
+	// sending counts the open requests of this entry, from the choice of the connection on.
+	sending int
+	// serving counts the requests of the peer that were accepted and are not over.
 	serving int
-	// unconfirmed says that a handler was called for a request whose sender may still wait for the response. Guarded
-	// by Node.mu.
+	// unconfirmed says that a handler was called for a request whose sender may still wait for the response.
 	unconfirmed bool
+	// retired says that no further request is sent or accepted on the connection.
+	retired bool
 }
 
-// closeCode returns the code with which to close a connection on which no further request is accepted. Node.mu must
-// be held.
-func (c *connection) closeCode() quic.ApplicationErrorCode {
+// closeCode returns the code with which to close a connection on which no further request is accepted: codeDrained if
+// that is true, else otherwise. Node.mu must be held.
+func (c *connection) closeCode(otherwise quic.ApplicationErrorCode) quic.ApplicationErrorCode {
 	if c.serving == 0 && !c.unconfirmed {
 		return codeDrained
 	}
-	return codeClosing
+	return otherwise
 }
 
 // markReceived notes that a message arrived on the connection.
@@ -73,7 +77,7 @@
 	var preferred *connection
 	preferredRecent := false
 	for _, c := range l.connections {
-		if c.Context().Err() != nil {
+		if c.retired || c.Context().Err() != nil {
 			continue
 		}
 		recent := n.receivedRecently(c)
@@ -101,7 +105,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.closed {
-		_ = c.CloseWithError(c.closeCode(), "entry stops")
+		_ = c.CloseWithError(c.closeCode(codeClosing), "entry stops")
 		return false
 	}
 	n.markReceived(c)
@@ -118,41 +122,57 @@
 // supersededCheckInterval is how often an end checks whether its connection is still the preferred one.
 const supersededCheckInterval = time.Second
 
-// superviseConnection removes a connection from its link when it has ended. If this entry opened the
-// connection, it closes it when two checks in a row find that another one is preferred and that no request
-// stream is open on it.
+// superviseConnection removes a connection from its link when it has ended. It closes the connection when two checks in
+// a row find it superseded.
 func (n *Node) superviseConnection(l *link, c *connection) {
 	ticker := time.NewTicker(supersededCheckInterval)
 	defer ticker.Stop()
-	unusedChecks := 0
+	supersededBefore := false
 	for c.Context().Err() == nil {
 		select {
 		case <-c.Context().Done():
 		case <-ticker.C:
 			n.mu.Lock()
-			superseded := n.preferredConnection(l) != c
+			superseded := n.superseded(l, c)
 			n.mu.Unlock()
-			if !superseded || c.dialer != n.ID || c.streams.Load() > 0 {
-				unusedChecks = 0
-				continue
-			}
-			if unusedChecks++; unusedChecks > 1 {
-				_ = c.CloseWithError(codeSuperseded, "another connection is in use")
+			if superseded && supersededBefore {
+				n.closeSuperseded(l, c)
 			}
+			supersededBefore = superseded
 		}
 	}
 	n.mu.Lock()
 	l.connections = slices.DeleteFunc(l.connections, func(o *connection) bool { return o == c })
+	open := c.sending + c.serving
 	n.mu.Unlock()
 	line := n.Log.Debug()
-	open := c.streams.Load()
 	if open > 0 {
 		line = n.Log.Warn()
 	}
-	line.Str("event", "peerDisconnected").Str("peer", string(l.id)).Int64("requests", open).AnErr("cause", context.Cause(c.Context())).
+	line.Str("event", "peerDisconnected").Str("peer", string(l.id)).Int("requests", open).AnErr("cause", context.Cause(c.Context())).
 		Msg("connection with a peer ended")
 }
 
+// superseded reports whether this entry should close a connection: it has opened it, another one is preferred, and no
+// request is open on it. n.mu must be held.
+func (n *Node) superseded(l *link, c *connection) bool {
+	return c.dialer == n.ID && c.sending == 0 && c.serving == 0 && n.preferredConnection(l) != c
+}
+
+// closeSuperseded closes a connection if it is still superseded. The peer may prefer it, and learns that requests which
+// the close overtakes were not run.
+func (n *Node) closeSuperseded(l *link, c *connection) {
+	n.mu.Lock()
+	if !n.superseded(l, c) {
+		n.mu.Unlock()
+		return
+	}
+	c.retired = true
+	code := c.closeCode(codeSuperseded)
+	n.mu.Unlock()
+	_ = c.CloseWithError(code, "another connection is in use")
+}
+
 // startDial opens a connection in the background, unless an attempt is pending. n.mu must be held.
 func (n *Node) startDial(l *link) *pendingDial {
 	if l.pendingDial != nil {
@@ -189,7 +209,8 @@
 	return connection, nil
 }
 
-// connectForRequest returns a connection on which a message arrived recently, and opens one if there is none.
+// connectForRequest returns a connection on which a message arrived recently, and opens one if there is none. The
+// caller must call endRequest for it.
 func (n *Node) connectForRequest(ctx context.Context, id fleet.EntryID, address string) (*connection, error) {
 	n.mu.Lock()
 	if n.closed {
@@ -201,6 +222,7 @@
 		l.address = address
 	}
 	if c := n.preferredConnection(l); c != nil && n.receivedRecently(c) {
+		c.sending++
 		n.mu.Unlock()
 		return c, nil
 	}
@@ -208,8 +230,24 @@
 	n.mu.Unlock()
 	select {
 	case <-d.done:
-		return d.connection, d.err
 	case <-ctx.Done():
 		return nil, context.Cause(ctx)
 	}
+	if d.err != nil {
+		return nil, d.err
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if d.connection.retired {
+		return nil, errorClass.New("another connection is in use")
+	}
+	d.connection.sending++
+	return d.connection, nil
+}
+
+// endRequest ends the use of a connection that connectForRequest returned.
+func (n *Node) endRequest(c *connection) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	c.sending--
 }
--- a/peer/node.go
+++ b/peer/node.go
@@ -215,7 +215,7 @@
 	codes := make(map[*connection]quic.ApplicationErrorCode)
 	for _, l := range n.links {
 		for _, c := range l.connections {
-			codes[c] = c.closeCode()
+			codes[c] = c.closeCode(codeClosing)
 		}
 	}
 	n.mu.Unlock()
@@ -251,18 +251,16 @@
 func (n *Node) startServing(id fleet.EntryID, c *connection, s *quic.Stream) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.closed || n.draining {
+	if n.closed || n.draining || c.retired {
 		return false
 	}
 	n.serving++
 	c.serving++
-	c.streams.Add(1)
 	n.tasks.Go(func() {
 		handled := n.serve(id, s)
 		n.mu.Lock()
 		defer n.mu.Unlock()
 		c.unconfirmed = c.unconfirmed || handled && !senderStopped(s)
-		c.streams.Add(-1)
 		c.serving--
 		n.serving--
 		n.signalIfDrained()
