peer: Close also ends connections that wait to be accepted

Close stopped the accept loop by its context, so the loop left connections in the listener's queue at random. Their senders waited until the connection timed out, 2 s, and reported an unknown outcome. Connections in handshake are refused by the listener (CONNECTION_REFUSED), which the sender reported as unknown, too.

The accept loop now ends with the listener, which first hands out what waits, and addConnection closes these with codeDrained. A refused connection was never passed on by the listener, so it proves that no handler was called.

--- a/peer/drain_test.go
+++ b/peer/drain_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/quic-go/quic-go"
 
 	"github.com/bilberrywood/bilberrywood/fleet"
 )
@@ -348,6 +349,31 @@
 	}
 }
 
+// Guards against connections that Close leaves open because they were not accepted yet: their senders wait until the
+// connection times out, and don't learn that no handler was called.
+func TestCloseEndsConnectionsThatAreNotAcceptedYet(t *testing.T) {
+	is := is.New(t)
+	b := startNode(t, "b", &testHandler{forward: echo})
+	b.mu.Lock() // the first connection can't be added, the others are not accepted
+	var results []<-chan result
+	for range 6 {
+		a := startNode(t, "a", &testHandler{})
+		results = append(results, forward(a, b, nil))
+		waitFor(t, func() bool { return a.Counters.ForwardsSent.Load() == 1 })
+	}
+	closed := make(chan error, 1)
+	go func() { closed <- b.Close() }()
+	b.mu.Unlock()
+	is.NoErr(<-closed)
+	for _, r := range results {
+		got := <-r
+		var end *quic.ApplicationError // of the request that was being served
+		if got.err != nil && !WasNotSent(got.err) && !errors.As(got.err, &end) {
+			t.Error(got.err)
+		}
+	}
+}
+
 // outcome is how a request ended at its sender, and whether the handler of the receiver was called for it.
 type outcome struct {
 	err    error
--- a/peer/error.go
+++ b/peer/error.go
@@ -72,7 +72,12 @@
 		return reset.Remote && reset.ErrorCode == codeStopping
 	}
 	var closed *quic.ApplicationError
-	return errors.As(err, &closed) && closed.Remote && closed.ErrorCode == codeDrained
+	if errors.As(err, &closed) {
+		return closed.Remote && closed.ErrorCode == codeDrained
+	}
+	// A listener refuses only connections that it has not passed on. The sender may take one for open by then.
+	var refused *quic.TransportError
+	return errors.As(err, &refused) && refused.Remote && refused.ErrorCode == quic.ConnectionRefused
 }
 
 // Codes of stream resets.
--- a/peer/node.go
+++ b/peer/node.go
@@ -230,10 +230,11 @@
 	return errorClass.Wrap(err)
 }
 
-// accept accepts the connections that peers open.
+// accept accepts the connections that peers open until the listener is closed. Those that wait by then are accepted, too,
+// so that addConnection closes them.
 func (n *Node) accept() {
 	for {
-		c, err := n.listener.Accept(n.ctx)
+		c, err := n.listener.Accept(context.Background())
 		if err != nil {
 			return
 		}
