--- a/peer/node.go
+++ b/peer/node.go
@@ -173,9 +173,10 @@
 func (n *Node) LocalAddress() string { return n.socket.LocalAddr().String() }
 
 // Drain rejects the requests of peers that arrive from now on, without calling the handler. It returns nil when
-// those that arrived before are over: their handlers have returned, and their senders have received the complete
-// response or have given up. Heartbeats and the requests of this node go on. It returns an error if ctx ends or the
-// node is closed before that. The node goes on to reject requests in all cases. Drain may be called several times.
+// those accepted before are over: their handlers have returned, and their senders have received the complete response
+// or have given up. The loss of a peer is noticed after Timeouts.Idle. Heartbeats and the requests of this node go on.
+// It returns an error if ctx ends or the node is closed before that. The node goes on to reject requests in all cases.
+// Drain may be called several times, after Start.
 func (n *Node) Drain(ctx context.Context) error {
 	n.mu.Lock()
 	if !n.draining {
--- a/peer/serve.go
+++ b/peer/serve.go
@@ -202,7 +202,7 @@
 	return errorClass.Wrap(err)
 }
 
-// close closes the stream when the sender has received the response.
+// close closes the stream when the sender has received the response or has given up.
 func (w *responseWriter) close() {
 	w.mu.Lock()
 	finished := w.finished
