--- a/entry/callerconn.go
+++ b/entry/callerconn.go
@@ -14,8 +14,8 @@
 const (
 	// maxReadAhead is how many bytes of further requests are read while a response is pending.
 	maxReadAhead = 64 << 10
-	// lingerTime is how long a connection with unread requests is read after its last response. Closing it at once would
-	// reset it, and the caller might lose the response.
+	// lingerTime is how long a connection is read after its last response. The kernel resets a closed connection on which
+	// bytes are unread or arrive, and the caller might lose the response.
 	lingerTime = 500 * time.Millisecond
 )
 
@@ -59,12 +59,19 @@
 	readErr error
 	// pipelined says that a request has arrived before the response to an earlier one.
 	pipelined bool
+	// writtenAt is the time of the last write.
+	writtenAt time.Time
 	// lingerUntil is until when Close reads on because the caller is still sending a body; zero if it is not.
 	lingerUntil time.Time
+	// closed says that Close was called.
+	closed bool
 	// done is closed when the goroutine that reads ahead has ended; nil if there is none.
 	done chan struct{}
 	// onGone is called when the caller has left; nil if no request is running.
 	onGone func()
+
+	// reading is held while Read reads from Conn.
+	reading sync.Mutex
 }
 
 type callerConnKey struct{}
@@ -127,7 +134,7 @@
 	c.stopReadingAhead()
 	n, err := c.readBuffered(p)
 	if n == 0 && err == nil {
-		n, err = c.Conn.Read(p)
+		n, err = c.readConn(p)
 	}
 	if n == 1 && len(p) == 1 {
 		// A single byte is what net/http waits for while a handler runs.
@@ -136,10 +143,42 @@
 	return n, err
 }
 
+// readConn reads bytes that were not read ahead. What arrives after Close is dropped.
+func (c *callerConn) readConn(p []byte) (int, error) {
+	c.reading.Lock()
+	defer c.reading.Unlock()
+	if c.isClosed() {
+		return 0, net.ErrClosed
+	}
+	n, err := c.Conn.Read(p)
+	if c.isClosed() {
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+func (c *callerConn) isClosed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closed
+}
+
+// Write implements net.Conn.
+func (c *callerConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writtenAt = time.Now()
+	return n, err
+}
+
 // readBuffered returns bytes that were read ahead.
 func (c *callerConn) readBuffered(p []byte) (int, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.closed {
+		return 0, net.ErrClosed
+	}
 	if c.readErr != nil {
 		return 0, c.readErr
 	}
@@ -154,7 +193,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.pipelined = true
-	if c.done != nil || c.readErr != nil {
+	if c.done != nil || c.readErr != nil || c.closed {
 		return
 	}
 	c.done = make(chan struct{})
@@ -201,7 +240,9 @@
 	defer c.mu.Unlock()
 	if c.done == done {
 		c.done = nil
-		_ = c.Conn.SetReadDeadline(c.readDeadline)
+		if !c.closed {
+			_ = c.Conn.SetReadDeadline(c.readDeadline)
+		}
 	}
 }
 
@@ -211,7 +252,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.readDeadline = t
-	if c.done != nil {
+	if c.done != nil || c.closed {
 		return nil
 	}
 	return c.Conn.SetReadDeadline(t)
@@ -247,26 +288,45 @@
 	return nil
 }
 
-// Close implements net.Conn. If requests or a part of a body may be unread, it ends the sending direction and reads on in
-// the background, so that the last response arrives.
+// Close implements net.Conn. If the last response may not have arrived yet, it ends the sending direction and reads on in
+// the background.
 func (c *callerConn) Close() error {
-	c.stopReadingAhead()
 	c.mu.Lock()
-	end := c.lingerUntil
-	if c.pipelined {
-		end = time.Now().Add(lingerTime)
+	if c.closed {
+		c.mu.Unlock()
+		return nil
+	}
+	c.closed = true
+	now, end := time.Now(), c.lingerUntil
+	if c.pipelined || now.Sub(c.writtenAt) < lingerTime {
+		end = latest(end, now.Add(lingerTime))
+	}
+	linger := end.After(now) && c.readErr == nil
+	if linger {
+		c.lingering.Add(1)
 	}
-	linger := !end.IsZero() && c.readErr == nil
-	c.pipelined, c.lingerUntil = false, time.Time{}
 	c.mu.Unlock()
-	if !linger || c.CloseWrite() != nil || c.Conn.SetReadDeadline(end) != nil {
+	c.stopReadingAhead()
+	if !linger {
 		return c.Conn.Close()
 	}
-	c.lingering.Add(1)
-	go func() {
-		defer c.lingering.Add(-1)
-		_, _ = io.Copy(io.Discard, c.Conn) // the responses are sent; nothing depends on what is read
-		_ = c.Conn.Close()
-	}()
+	// The expired deadline ends a pending Read of the server.
+	if c.CloseWrite() != nil || c.Conn.SetReadDeadline(longAgo) != nil {
+		c.lingering.Add(-1)
+		return c.Conn.Close()
+	}
+	go c.linger(end)
 	return nil
 }
+
+// linger reads until the caller has closed the connection, at most until a time, and closes it.
+func (c *callerConn) linger(end time.Time) {
+	defer c.lingering.Add(-1)
+	c.reading.Lock()
+	err := c.Conn.SetReadDeadline(end)
+	c.reading.Unlock()
+	if err == nil {
+		_, _ = io.Copy(io.Discard, c.Conn) // the responses are sent; nothing depends on what is read
+	}
+	_ = c.Conn.Close()
+}
