entry: the line of a stop tells how many connections linger

A stop that waits for callers who still send, or for an unused new connection, ended with an error and cutRequests 0, and nothing told why. Measured: go test -run 'Stop|Linger' ./entry.

--- a/entry/stop.go
+++ b/entry/stop.go
@@ -96,7 +96,7 @@
 	if len(aborted) > 0 || err != nil {
 		event = e.Log.Error().Err(err)
 	}
-	event.Str("event", "stopped").Int("cutRequests", len(aborted)).Dur("took", time.Since(startedAt)).Msg("entry stopped")
+	event.Str("event", "stopped").Int("cutRequests", len(aborted)).Int64("lingeringConnections", e.lingering.Load()).Dur("took", time.Since(startedAt)).Msg("entry stopped")
 }
 
 // awaitRequests takes no more requests of callers and peers and waits until those in flight are over. It returns an error
