--- a/entry/handler.go
+++ b/entry/handler.go
@@ -77,6 +77,9 @@
 
 // refuseCaller sends a refusal, or aborts a response that has started.
 func (e *Entry) refuseCaller(r *http.Request, x *exchange, writer *callerWriter, refused *refusal) {
+	if e.faults.sayNotRun {
+		refused.outcome = notice.OutcomeNotRun
+	}
 	e.callerProtocol().adapt(refused)
 	e.refuse(x, refused, writer.started)
 	if writer.started {
