entry: the abort at the stop limit starts no new work

Requests that waited at a stopping entry when the others were aborted got the freed slots, were sent to a target and cut at once: callers got 502 unknown in place of a true 503, also for requests that may not be repeated. And a waiting forwarded request often got another reason than leaving, so that its sender passed the refusal on instead of running it elsewhere. Cause: the contexts end one by one. The check before the first byte now looks at the abort itself, and a refusal after it has the reason leaving.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -256,6 +256,9 @@
 
 // beforeWrite is the last check before the first byte of a request is sent.
 func (e *Entry) beforeWrite(x *exchange) error {
+	if e.isAborted() {
+		return errStopLimit
+	}
 	e.updateSuspension()
 	if !time.Now().Before(e.deadline(x)) {
 		return target.ErrDeadline
--- a/entry/place.go
+++ b/entry/place.go
@@ -76,15 +76,22 @@
 		select {
 		case d := <-decisions:
 			refused, done := p.execute(ctx, d)
-			if done {
-				return refused
+			if !done {
+				continue
 			}
+			if refused != nil && e.isAborted() {
+				refused.reason, refused.retryAfter = reasonLeaving, leavingRetryAfter
+			}
+			return refused
 		case <-ctx.Done():
 			cell.cancel(id, decisions)
-			if context.Cause(ctx) == errStopLimit {
-				return p.finishWithLastOutcome(reasonLeaving)
+			if p.lastFailure != nil {
+				return p.finishWithLastOutcome(reasonDeadlinePassed)
+			}
+			if e.isAborted() {
+				return p.refuse(reasonLeaving, leavingRetryAfter)
 			}
-			return p.finishWithLastOutcome(reasonDeadlinePassed)
+			return p.refuse(reasonDeadlinePassed, 0)
 		}
 	}
 }
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -123,6 +123,9 @@
 	return nil
 }
 
+// isAborted reports whether this entry has aborted the requests in flight. No request is sent to a target from then on.
+func (e *Entry) isAborted() bool { return e.aborted != nil && e.aborted.Err() != nil }
+
 // untilAborted returns a context that also ends when this entry aborts the requests in flight.
 func (e *Entry) untilAborted(ctx context.Context) (context.Context, func()) {
 	if e.aborted == nil {
--- a/entry/stop_test.go
+++ b/entry/stop_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -184,3 +185,45 @@
 	is.Equal(response.StatusCode, http.StatusOK)
 	is.Equal(response.Header.Get(headerEntry), string(e.Settings.ID))
 }
+
+// Guards against requests that wait at a stopping entry and are sent to a target when the requests in flight are aborted, and
+// against refusals that the sender of a forwarded request passes on instead of running it elsewhere.
+func TestAbortStartsNoRequest(t *testing.T) {
+	const atTarget, waiting = 100, 20 // the target has 100 slots
+	is := is.New(t)
+	began := make(chan struct{}, atTarget+waiting)
+	target := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		began <- struct{}{}
+		<-r.Context().Done()
+	}))
+	defer target.Close()
+	e := newServingEntry(t, 1, strings.TrimPrefix(target.URL, "http://"))
+	key := fleet.CellKey{Pool: "pool-0000"}
+	h := forwardedRequest(e.Settings.ID, key)
+	h.RemainingMs = 8000
+	responses := make(chan *httptest.ResponseRecorder, atTarget+waiting)
+	for range atTarget + waiting {
+		go func() {
+			w := httptest.NewRecorder()
+			e.Forward(context.Background(), h, strings.NewReader(""), newCallerWriter(w, httptest.NewRequest(http.MethodPost, "/", nil)))
+			responses <- w
+		}()
+	}
+	ticking, stopTicks := context.WithCancel(t.Context())
+	var ticks sync.WaitGroup
+	ticks.Go(func() { runEvery(ticking, tickInterval, e.tick) })
+	for range atTarget {
+		<-began
+	}
+	for e.inFlight.count() < atTarget+waiting {
+		time.Sleep(time.Millisecond)
+	}
+	e.abort(errStopLimit)
+	for range atTarget + waiting {
+		w := <-responses
+		is.Equal(w.Header().Get(headerReason), string(reasonLeaving))
+	}
+	stopTicks()
+	ticks.Wait()
+	is.Equal(len(began), 0)
+}
