entry: a stopping entry admits no request that it aborts before the deadline

Cause: admission compared deadlines with the limit, and the abort comes abortMargin earlier. Both use the time of the abort now. Evidence: found by the review of this issue; TestAdmittedRequestIsNotAborted fails before and passes.

--- a/entry/stop.go
+++ b/entry/stop.go
@@ -74,7 +74,7 @@
 func (e *Entry) stop() {
 	startedAt := time.Now()
 	limit := settings.Millis(e.Settings.StopLimitMs)
-	e.stopAt.Store(int64(e.sinceStart() + limit))
+	e.stopAt.Store(int64(e.sinceStart() + limit - abortMargin))
 	e.setState(fleet.StateLeaving)
 	advertisedFor := settings.Millis(e.Settings.GoneMs + e.Settings.AnswerValidMs)
 	if len(e.fleet.view().Members) > 1 && !e.faults.skipAnswerWait {
--- a/entry/stop_test.go
+++ b/entry/stop_test.go
@@ -227,3 +227,32 @@
 	ticks.Wait()
 	is.Equal(len(began), 0)
 }
+
+// Guards against a stop that breaks off a request which it has admitted because the deadline lies before its end.
+func TestAdmittedRequestIsNotAborted(t *testing.T) {
+	is := is.New(t)
+	e := newServingEntry(t, 1, "")
+	e.Settings.StopLimitMs, e.Settings.GoneMs, e.Settings.AnswerValidMs = 2000, 100, 100
+	e.node = &peer.Node{ID: e.Settings.ID, Address: "127.0.0.1:0", Handler: e}
+	is.NoErr(e.node.Start())
+	t.Cleanup(func() { _ = e.node.Close() })
+	e.callerServer = &http.Server{}
+	e.fleet.receive(e.sinceStart(), fleet.Heartbeat{
+		From: "kb-02", Incarnation: 1, Sequence: 1, State: fleet.StateServing, Full: true, ReceiverIncarnation: e.dedup.Incarnation,
+	})
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		e.stop()
+	}()
+	for fleet.State(e.state.Load()) != fleet.StateLeaving || e.stopAt.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	x := &exchange{deadline: e.startTime.Add(time.Duration(e.stopAt.Load()) - 10*time.Millisecond)}
+	is.Equal(e.refuseIfLeaving(x), nil)
+	end := e.inFlight.begin(x)
+	<-e.aborted.Done()
+	is.True(time.Until(e.deadline(x)) <= 0)
+	end()
+	<-stopped
+}
