entry: refusals of a path are not passed on while the request can run here

A relay whose owner drains, or that has no link with it, refuses a request as not run with ownerUnreachable, and the entry that took the request passed that on though it could place it; so it did with the 502 of a relay that ends, for idempotent requests without a limit of attempts. On the other side an ID's bound entry that refuses as leaving had its true notRun changed to unknown. Cause: only leaving was recognized, and in both modes. The refusals of a path are now recognized together, for requests that may run elsewhere only.

--- a/entry/forward.go
+++ b/entry/forward.go
@@ -36,9 +36,8 @@
 	return max(0, left.Milliseconds())
 }
 
-// forward forwards a request to a peer and passes its response on. A refusal with reasonOwnerUnreachable means
-// that no response came; its outcome tells whether the request may have been sent. One with reasonLeaving means that
-// the peer or the relay stops and has not run the request.
+// forward forwards a request to a peer and passes its response on. A refusal with reasonOwnerUnreachable or reasonLeaving
+// means that the peer or a relay could not be reached, or stops; its outcome tells whether the request may have run.
 func (e *Entry) forward(ctx context.Context, x *exchange, to fleet.Member, mode peer.ForwardMode) *refusal {
 	x.attempts++
 	h := x.ForwardHeader
@@ -61,9 +60,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	e.logForward(x, to, response.Header.Get(headerOutcome))
-	if isLeavingRefusal(response) {
-		refused := notRunRefusal(http.StatusServiceUnavailable, reasonLeaving, "entry "+response.Header.Get(headerEntry)+" stops")
-		refused.retryAfter = leavingRetryAfter
+	if refused := unservedRefusal(response); refused != nil && mode == peer.ForwardPlace {
 		return refused
 	}
 	if a := response.Announcement; a != nil {
@@ -72,9 +69,23 @@
 	return copyResponse(x.responseWriter, response)
 }
 
-// isLeavingRefusal reports whether a peer has refused a request because it stops. Other entries can run it.
-func isLeavingRefusal(r *peer.Response) bool {
-	return r.Header.Get(headerReason) == string(reasonLeaving) && r.Header.Get(headerOutcome) == notice.OutcomeNotRun
+// unservedRefusal returns the refusal of a request that a peer could neither run nor pass on, because the peer stops or
+// the next one is unreachable; nil for any other response. Another entry may run the request, unless it may have run.
+func unservedRefusal(r *peer.Response) *refusal {
+	reason := pool.Reason(r.Header.Get(headerReason))
+	if reason != reasonLeaving && reason != reasonOwnerUnreachable {
+		return nil
+	}
+	detail := "refused by entry " + r.Header.Get(headerEntry)
+	switch r.Header.Get(headerOutcome) {
+	case notice.OutcomeNotRun:
+		refused := notRunRefusal(http.StatusServiceUnavailable, reason, detail)
+		refused.retryAfter = leavingRetryAfter
+		return refused
+	case notice.OutcomeUnknown:
+		return unknownRefusal(reason, detail)
+	}
+	return nil
 }
 
 // copyResponse copies a peer's response to the caller.
--- a/entry/stop_test.go
+++ b/entry/stop_test.go
@@ -18,7 +18,9 @@
 	"github.com/rs/zerolog"
 
 	"github.com/bilberrywood/bilberrywood/fleet"
+	"github.com/bilberrywood/bilberrywood/notice"
 	"github.com/bilberrywood/bilberrywood/peer"
+	"github.com/bilberrywood/bilberrywood/pool"
 	"github.com/bilberrywood/bilberrywood/table"
 )
 
@@ -149,28 +151,32 @@
 	}
 }
 
-// leavingOwner refuses forwarded requests because it stops.
-type leavingOwner struct{ newOwner }
+// refusingOwner refuses forwarded requests.
+type refusingOwner struct {
+	newOwner
+	refused *refusal
+}
 
-func (o *leavingOwner) Forward(_ context.Context, _ peer.ForwardHeader, _ io.Reader, w peer.ResponseWriter) {
-	_ = notRunRefusal(http.StatusServiceUnavailable, reasonLeaving, "").write("127.0.0.1:12", w)
+func (o *refusingOwner) Forward(_ context.Context, _ peer.ForwardHeader, _ io.Reader, w peer.ResponseWriter) {
+	_ = o.refused.write("127.0.0.1:12", w)
 }
 
-// Guards against callers that get the refusal of a stopping entry which their request was forwarded to. The request
-// has not run, and the entry that took it can run it.
-func TestRefusalOfStoppingOwnerIsNotPassedOn(t *testing.T) {
+// newEntryWithRefusingOwner returns an entry whose owner of all cells refuses forwarded requests, and the entry's server for
+// callers.
+func newEntryWithRefusingOwner(t *testing.T, refused *refusal) (*Entry, *httptest.Server) {
+	t.Helper()
 	is := is.New(t)
-	owner := &peer.Node{ID: "127.0.0.1:12", Address: "127.0.0.1:0", Handler: &leavingOwner{}}
+	owner := &peer.Node{ID: "127.0.0.1:12", Address: "127.0.0.1:0", Handler: &refusingOwner{refused: refused}}
 	is.NoErr(owner.Start())
 	t.Cleanup(func() { _ = owner.Close() })
 	target := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
-	defer target.Close()
+	t.Cleanup(target.Close)
 	e := newServingEntry(t, 1, strings.TrimPrefix(target.URL, "http://"))
 	e.node = &peer.Node{ID: e.Settings.ID, Address: "127.0.0.1:0", Handler: e}
 	is.NoErr(e.node.Start())
 	t.Cleanup(func() { _ = e.node.Close() })
 	server := httptest.NewServer(e.callerRoutes())
-	defer server.Close()
+	t.Cleanup(server.Close)
 	e.fleet.receive(e.sinceStart(), fleet.Heartbeat{
 		From: owner.ID, Incarnation: 1, Sequence: 1, State: fleet.StateServing, Full: true, FailureDomain: "donau-ost", Capacity: 9,
 		PeerAddress: owner.LocalAddress(), CallerAddress: "127.0.0.1:11", ReceiverIncarnation: e.dedup.Incarnation,
@@ -179,11 +185,51 @@
 	first, ok := e.owner(fleet.CellKey{Pool: "pool-0000"})
 	is.True(ok)
 	is.Equal(first.ID, owner.ID)
-	response, err := http.Get(server.URL + "/pool-0000/x")
+	return e, server
+}
+
+// Guards against callers that get the refusal of a stopping owner, or of a relay that can't reach the owner, although the
+// entry that took the request can run it.
+func TestRefusalOfStoppingOwnerIsNotPassedOn(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		refused *refusal
+		served  bool
+	}{
+		{"owner stops", notRunRefusal(http.StatusServiceUnavailable, reasonLeaving, ""), true},
+		{"relay has no link", notRunRefusal(http.StatusServiceUnavailable, reasonOwnerUnreachable, ""), true},
+		{"relay ends, idempotent", unknownRefusal(reasonOwnerUnreachable, ""), true},
+		{"owner is busy", notRunRefusal(http.StatusServiceUnavailable, pool.ReasonQueueFull, ""), false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			e, server := newEntryWithRefusingOwner(t, c.refused)
+			response, err := http.Get(server.URL + "/pool-0000/x")
+			is.NoErr(err)
+			is.NoErr(response.Body.Close())
+			if !c.served {
+				is.Equal(response.StatusCode, c.refused.status)
+				return
+			}
+			is.Equal(response.StatusCode, http.StatusOK)
+			is.Equal(response.Header.Get(headerEntry), string(e.Settings.ID))
+		})
+	}
+}
+
+// Guards against an unknown outcome of a request that the stopping entry which its ID is bound to reports as not run.
+func TestRefusalOfBoundEntryIsPassedOn(t *testing.T) {
+	is := is.New(t)
+	e, server := newEntryWithRefusingOwner(t, notRunRefusal(http.StatusServiceUnavailable, reasonLeaving, ""))
+	m, ok := e.member("127.0.0.1:12")
+	is.True(ok)
+	r, err := http.NewRequest(http.MethodPost, server.URL+"/pool-0000/x", nil)
+	is.NoErr(err)
+	r.Header.Set(headerID, notice.ID{Entry: m.ID, Incarnation: m.Incarnation, Random: "abcdefgh"}.String())
+	response, err := http.DefaultClient.Do(r)
 	is.NoErr(err)
 	is.NoErr(response.Body.Close())
-	is.Equal(response.StatusCode, http.StatusOK)
-	is.Equal(response.Header.Get(headerEntry), string(e.Settings.ID))
+	is.Equal(response.Header.Get(headerOutcome), "notRun")
 }
 
 // Guards against requests that wait at a stopping entry and are sent to a target when the requests in flight are aborted, and
