entry: the abort at the stop limit reaches requests with an ID

Their run doesn't depend on the caller's connection, so the abort passed them by, and their callers got a closed connection at the limit. Evidence: found by the review of this issue; TestAbortReachesRequestsWithID fails before (no response in 3 s) and passes.

--- a/entry/bind.go
+++ b/entry/bind.go
@@ -99,7 +99,9 @@
 		return earlyRefusal
 	}
 	if x.buffered != nil {
-		ctx = context.WithoutCancel(ctx)
+		var release func()
+		ctx, release = e.untilAborted(context.WithoutCancel(ctx))
+		defer release()
 	}
 	ctx, cancel := context.WithDeadline(ctx, x.deadline)
 	defer cancel()
--- a/entry/stop_test.go
+++ b/entry/stop_test.go
@@ -302,3 +302,32 @@
 	end()
 	<-stopped
 }
+
+// Guards against requests with an ID that get no answer at the stop limit: their run doesn't depend on the caller's
+// connection.
+func TestAbortReachesRequestsWithID(t *testing.T) {
+	is := is.New(t)
+	began := make(chan struct{})
+	target := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		close(began)
+		<-r.Context().Done()
+	}))
+	defer target.Close()
+	e := newServingEntry(t, 1, strings.TrimPrefix(target.URL, "http://"))
+	server := httptest.NewServer(e.callerRoutes())
+	defer server.Close()
+	binding := e.dedup.Binding(e.sinceStart())
+	r, err := http.NewRequest(http.MethodPost, server.URL+"/pool-0000/x", nil)
+	is.NoErr(err)
+	r.Header.Set(headerID, notice.ID{Entry: binding.Entry, Incarnation: binding.Incarnation, Epoch: binding.Epoch, Random: "abcdefgh"}.String())
+	go func() {
+		<-began
+		e.abort(errStopLimit)
+	}()
+	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second) // less than the time-out of the route
+	defer cancel()
+	response, err := http.DefaultClient.Do(r.WithContext(ctx))
+	is.NoErr(err)
+	is.NoErr(response.Body.Close())
+	is.Equal(response.Header.Get(headerReason), string(reasonLeaving))
+}
