entry: a stop drains its node when no request is in flight

During an upgrade, entries of the build before choose a stopping entry of this build as relay. It rejected their requests from 3.5 s after its SIGTERM, which they don't know as not run: their callers got 502. Until its last request is over it now admits those that end in time and refuses the others as not run, which earlier builds pass on as a true 503; the drain comes last. A relay that is used all the time comes to its end nevertheless, since it refuses what would outlast it.

--- a/entry/stop.go
+++ b/entry/stop.go
@@ -8,8 +8,6 @@
 	"sync"
 	"time"
 
-	"github.com/zeebo/errs"
-
 	"github.com/bilberrywood/bilberrywood/fleet"
 	"github.com/bilberrywood/bilberrywood/settings"
 )
@@ -99,15 +97,13 @@
 	event.Str("event", "stopped").Int("cutRequests", len(aborted)).Int64("lingeringConnections", e.lingering.Load()).Dur("took", time.Since(startedAt)).Msg("entry stopped")
 }
 
-// awaitRequests takes no more requests of callers and peers and waits until those in flight are over. It returns an error
-// if that takes longer than the timeout.
+// awaitRequests stops listening for callers, waits until the requests in flight are over and drains the node. It returns an
+// error if that takes longer than the timeout. Until the node drains, the requests of peers are admitted like those of
+// callers, so that senders of earlier builds, which don't know its rejections, get true refusals.
 func (e *Entry) awaitRequests(timeout time.Duration) error {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	drained := make(chan error, 1)
-	go func() { drained <- e.node.Drain(ctx) }()
-	err := e.callerServer.Shutdown(ctx)
-	if err = errs.Combine(err, <-drained); err != nil {
+	if err := e.callerServer.Shutdown(ctx); err != nil {
 		return Error.Wrap(err)
 	}
 	ticker := time.NewTicker(tickInterval)
@@ -120,7 +116,7 @@
 		case <-ticker.C:
 		}
 	}
-	return nil
+	return Error.Wrap(e.node.Drain(ctx))
 }
 
 // isAborted reports whether this entry has aborted the requests in flight. No request is sent to a target from then on.
