entry: refusals of forwarded requests have the form that callers understand

Callers of an entry that is not the owner got 504, which promises nothing, for requests that had not run, and Retry-After delays rounded up to whole seconds, so that requests which may not be repeated were lost and others came back late. Cause: a refusal by the owner was passed on as it was, and only an entry's own refusals were adapted to the callers' protocol. The entry that refuses adapts it now. Evidence: TestForwardedRefusalHasCallersForm failed before (504) and passes.

--- a/entry/forward.go
+++ b/entry/forward.go
@@ -150,6 +150,8 @@
 	if cause := context.Cause(ctx); cause != nil {
 		refused.detail += ": " + cause.Error()
 	}
+	// The sender passes a refusal on to the caller as it is.
+	e.callerProtocol().adapt(refused)
 	e.refuse(x, refused, started.started)
 	if !started.started {
 		// An error means that the peer is gone, so nobody reads the refusal.
