entry: the line of a cut request reads nothing that its handler writes

requestCut had the time to the deadline, which the handler of the request sets without a lock: a data race by reading. The line goes without it.

--- a/entry/stop.go
+++ b/entry/stop.go
@@ -65,10 +65,11 @@
 // errStopLimit is the cause of the end of requests that a stopping entry aborts.
 var errStopLimit = Error.New("the stop limit has passed")
 
-// stop leaves the fleet without aborting requests. Other entries may direct callers here until they hear that
+// stop leaves the fleet. Other entries may direct callers here until they hear that
 // this entry leaves, or until it counts as gone if they can't hear it. Their address responses stay valid for
 // AnswerValidMs after that, so the entry serves until then, but for at most StopLimitMs. Requests in flight then
-// get the rest of StopLimitMs to end, and at least 1 s. A request that may take longer is refused when it comes.
+// get the rest of StopLimitMs to end, and at least 1 s, less abortMargin; what is left then is aborted. A request that may
+// take longer is refused when it comes.
 func (e *Entry) stop() {
 	startedAt := time.Now()
 	limit := settings.Millis(e.Settings.StopLimitMs)
@@ -94,7 +95,8 @@
 	if len(aborted) > 0 || err != nil {
 		event = e.Log.Error().Err(err)
 	}
-	event.Str("event", "stopped").Int("cutRequests", len(aborted)).Int64("lingeringConnections", e.lingering.Load()).Dur("took", time.Since(startedAt)).Msg("entry stopped")
+	event.Str("event", "stopped").Int("cutRequests", len(aborted)).Int64("lingeringConnections", e.lingering.Load()).
+		Dur("took", time.Since(startedAt)).Msg("entry stopped")
 }
 
 // awaitRequests stops listening for callers, waits until the requests in flight are over and drains the node. It returns an
@@ -146,7 +148,6 @@
 		Str("requestId", x.requestID).
 		Str("destination", string(x.To)).
 		Int64("sinceArrivalMs", time.Since(x.arrivedAt).Milliseconds()).
-		Int64("remainingMs", time.Until(e.deadline(x)).Milliseconds()).
 		Msg("the stop limit has passed while the request is in flight")
 }
 
