entry: a hangup during the start doesn't end the process

Cause: the signal was caught only after the settings had been read. It is caught first now, and the settings are reloaded when the entry exists. What remains is the time until the Go runtime runs main.

--- a/cmd/entry/main.go
+++ b/cmd/entry/main.go
@@ -34,6 +34,9 @@
 }
 
 func main() {
+	// A hangup that arrives during the start waits until the entry can reload its settings.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	var o options
 	if _, err := flags.Parse(&o); err != nil {
 		if flags.WroteHelp(err) {
@@ -41,13 +44,13 @@
 		}
 		os.Exit(exitUsage)
 	}
-	if err := run(o); err != nil {
+	if err := run(o, hangups); err != nil {
 		fmt.Fprintln(os.Stderr, "entry:", err)
 		os.Exit(exitFailed)
 	}
 }
 
-func run(o options) error {
+func run(o options, hangups <-chan os.Signal) error {
 	path := o.Settings
 	if path == "" && o.Platform {
 		path = os.Getenv(platform.SettingsFileEnv)
@@ -83,8 +86,6 @@
 	if o.Platform {
 		platform.Attach(e)
 	}
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
 	go func() {
 		for range hangups {
 			reload(e, path)
