--- a/entry/cells.go
+++ b/entry/cells.go
@@ -284,6 +284,13 @@
 	c.withCell(func(now pool.Time, cell *pool.Cell) { cell.Signal(now, t, s) })
 }
 
+// owned reports whether this entry owns the cell, alone or not.
+func (c *cellRunner) owned() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ownership != fleet.NotOwner
+}
+
 // idle reports whether the cell got no request for d and none is pending.
 func (c *cellRunner) idle(d time.Duration) bool {
 	c.mu.Lock()
--- a/entry/cellset.go
+++ b/entry/cellset.go
@@ -283,7 +283,7 @@
 	}
 	o.Ended, o.Failed = v.OutcomesElsewhere(c.key.Pool)
 	for _, other := range cells {
-		if other != c && other.key.Pool == c.key.Pool && other.ownership != fleet.NotOwner {
+		if other != c && other.key.Pool == c.key.Pool && other.owned() {
 			o.Ended += other.outcomes.Ended
 			o.Failed += other.outcomes.Failed
 		}
@@ -293,7 +293,7 @@
 
 // dropIfUnused removes a cell that this entry neither owns nor uses.
 func (s *cellSet) dropIfUnused(c *servedCell) {
-	if c.ownership != fleet.NotOwner || !c.idle(cellIdleTimeout) {
+	if c.owned() || !c.idle(cellIdleTimeout) {
 		return
 	}
 	s.mu.Lock()
--- a/entry/shards_test.go
+++ b/entry/shards_test.go
@@ -124,3 +124,26 @@
 	is.Equal(queue, p.Policy.QueueLimit)
 	is.True(burst <= p.Policy.RetryBurst)
 }
+
+// Guards against a data race between a tick, which reads the ownership of every cell of a pool, and new tables, which set
+// it. The race detector reports it.
+func TestTickDuringNewTables(t *testing.T) {
+	is := is.New(t)
+	e := newShardedEntry(t)
+	active := e.tables.current()
+	for index := range 2 {
+		_, ok := e.cells.getOrCreate(fleet.CellKey{Pool: "mengen-buch", Index: index})
+		is.True(ok)
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for range 100 {
+			e.cells.apply(active)
+		}
+	}()
+	for range 100 {
+		e.cells.tick(active, e.fleet.view())
+	}
+	<-done
+}
