--- a/entry/handler.go
+++ b/entry/handler.go
@@ -20,9 +20,9 @@
 func (e *Entry) serve(c echo.Context) error {
 	r := c.Request()
 	writer := newCallerWriter(c.Response(), r)
-	ctx, release := untilCallerLeaves(r.Context(), writer.delivered)
+	callerCtx, release := untilCallerLeaves(r.Context(), writer.delivered)
 	defer release()
-	if r.Context().Err() != nil || ctx.Err() != nil {
+	if r.Context().Err() != nil || callerCtx.Err() != nil {
 		// The caller has left behind an earlier request on the connection.
 		panic(http.ErrAbortHandler)
 	}
@@ -31,7 +31,7 @@
 	_ = writer.controller.EnableFullDuplex()
 	x := e.callerExchange(r, writer)
 	defer e.inFlight.begin(x)()
-	ctx, releaseAbort := e.untilAborted(ctx)
+	ctx, releaseAbort := e.untilAborted(callerCtx)
 	defer releaseAbort()
 	if fleet.State(e.state.Load()) == fleet.StateLeaving {
 		c.Response().Header().Set("Connection", "close")
@@ -39,6 +39,12 @@
 	refused := e.handle(ctx, x, r)
 	x.stream.revoke()
 	if refused != nil {
+		// A run of a buffered request with an ID is not canceled.
+		canceled := callerCtx.Err() != nil && (x.id == nil || x.buffered == nil)
+		if canceled && !e.isAborted() {
+			refused.attributeToCaller()
+			writer.w.Header().Set("Connection", "close")
+		}
 		e.refuseCaller(r, x, writer, refused)
 		return nil
 	}
--- a/entry/handler_test.go
+++ b/entry/handler_test.go
@@ -172,3 +172,32 @@
 		}
 	}
 }
+
+// Guards against the caller's absence as the reason of a refusal of a request with an ID, which goes on without its caller.
+func TestHalfClosingCallerWithID(t *testing.T) {
+	is := is.New(t)
+	target := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-r.Context().Done()
+	}))
+	defer target.Close()
+	e := newServingEntry(t, 1, strings.TrimPrefix(target.URL, "http://"))
+	server := httptest.NewServer(e.callerRoutes())
+	defer server.Close()
+	conn, err := net.Dial("tcp", strings.TrimPrefix(server.URL, "http://"))
+	is.NoErr(err)
+	defer conn.Close()
+	is.NoErr(conn.SetDeadline(time.Now().Add(5 * time.Second)))
+	const deadline = 200 * time.Millisecond
+	id := notice.ID{Entry: "kb-01", Incarnation: e.dedup.Incarnation, Random: "abcdefgh"}.String()
+	sentAt := time.Now()
+	_, err = fmt.Fprintf(conn, "POST /pool-0000/x HTTP/1.1\r\nHost: x\r\n%s: %s\r\n%s: %d\r\nContent-Length: 3\r\n\r\nabc",
+		headerID, id, headerDeadline, deadline.Milliseconds())
+	is.NoErr(err)
+	is.NoErr(conn.(*net.TCPConn).CloseWrite())
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	is.NoErr(err)
+	is.True(time.Since(sentAt) >= deadline)
+	is.Equal(response.Header.Get(headerOutcome), notice.OutcomeUnknown)
+	is.True(response.Header.Get(headerReason) != string(reasonCallerGone))
+}
--- a/entry/refusal.go
+++ b/entry/refusal.go
@@ -74,6 +74,21 @@
 	return &refusal{status: http.StatusBadGateway, outcome: notice.OutcomeUnknown, reason: reason, detail: detail}
 }
 
+// attributeToCaller gives a refusal of a request that was canceled because its caller has left that reason. The cancellation
+// looks like a passed deadline or a failed attempt to what it ends. A caller that has only ended its sending direction
+// reads the refusal.
+func (r *refusal) attributeToCaller() {
+	if r.status < http.StatusInternalServerError {
+		return
+	}
+	r.reason = reasonCallerGone
+	if r.outcome == notice.OutcomeNotRun {
+		r.status = http.StatusServiceUnavailable
+	} else {
+		r.status = http.StatusBadGateway
+	}
+}
+
 // refusalBody is the JSON body of a refusal.
 type refusalBody struct {
 	Outcome      string      `json:"outcome"`
