--- a/entry/callerconn.go
+++ b/entry/callerconn.go
@@ -1,9 +1,11 @@
 package entry
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -69,6 +71,10 @@
 	done chan struct{}
 	// onGone is called when the caller has left; nil if no request is running.
 	onGone func()
+	// lengths counts the lines that were read, of header or body, that may be Content-Length fields. expectedLengths is how
+	// many of them net/http has shown in requests.
+	lengths         lengthCounter
+	expectedLengths int
 
 	// reading is held while Read reads from Conn.
 	reading sync.Mutex
@@ -119,6 +125,57 @@
 	}
 }
 
+// hasConflictingFraming reports whether the head of a request with a chunked body may also have had a Content-Length, which
+// net/http removes. RFC 9112, section 6.1, requires that its connection is closed after the response. It is also true if a
+// body, or the head of a pipelined request that has been read, has a line that looks like one.
+func hasConflictingFraming(r *http.Request) bool {
+	c, ok := callerConnOf(r.Context())
+	if !ok {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.expectedLengths += len(r.Header["Content-Length"])
+	return len(r.TransferEncoding) > 0 && c.lengths.count > c.expectedLengths
+}
+
+// lengthPrefix begins a line with a Content-Length field, in lower case.
+const lengthPrefix = "\ncontent-length:"
+
+// lengthCounter counts how often lengthPrefix occurs in a stream, in any case.
+type lengthCounter struct {
+	count int
+	// matched is how many bytes of lengthPrefix the stream ends with.
+	matched int
+}
+
+func (l *lengthCounter) add(p []byte) {
+	for len(p) > 0 {
+		if l.matched == 0 {
+			i := bytes.IndexByte(p, '\n')
+			if i < 0 {
+				return
+			}
+			l.matched, p = 1, p[i+1:]
+			continue
+		}
+		b := p[0]
+		if 'A' <= b && b <= 'Z' {
+			b += 'a' - 'A'
+		}
+		if b != lengthPrefix[l.matched] {
+			// Only the first byte of the prefix is a line feed. The byte is looked at again.
+			l.matched = 0
+			continue
+		}
+		p = p[1:]
+		if l.matched++; l.matched == len(lengthPrefix) {
+			l.count++
+			l.matched = 0
+		}
+	}
+}
+
 // notify sets the function to call when the caller has left.
 func (c *callerConn) notify(onGone func()) {
 	c.mu.Lock()
@@ -136,6 +193,9 @@
 	if n == 0 && err == nil {
 		n, err = c.readConn(p)
 	}
+	c.mu.Lock()
+	c.lengths.add(p[:n])
+	c.mu.Unlock()
 	if n == 1 && len(p) == 1 {
 		// A single byte is what net/http waits for while a handler runs.
 		c.startReadingAhead()
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -33,7 +33,7 @@
 	defer e.inFlight.begin(x)()
 	ctx, releaseAbort := e.untilAborted(callerCtx)
 	defer releaseAbort()
-	if fleet.State(e.state.Load()) == fleet.StateLeaving {
+	if conflicting := hasConflictingFraming(r); conflicting || fleet.State(e.state.Load()) == fleet.StateLeaving {
 		c.Response().Header().Set("Connection", "close")
 	}
 	refused := e.handle(ctx, x, r)
