entry, pool: recognise poison requests whose bodies come in chunks

Cause: a body of unknown length that doesn't end with the first read has the fingerprint 0, which the detection leaves out.

--- a/entry/cells.go
+++ b/entry/cells.go
@@ -126,6 +126,13 @@
 	return r.ID, ch, true
 }
 
+// suspectsHead reports whether a request with the head recently lost its connection while its body wasn't known.
+func (c *cellRunner) suspectsHead(head pool.Fingerprint) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.cell.SuspectsHead(c.now(), head)
+}
+
 // unsentAttempt is an attempt that waits for a connection.
 type unsentAttempt struct {
 	end        context.CancelCauseFunc
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -45,8 +45,10 @@
 	abortBody func()
 	// buffered is the complete body if it is small enough to be sent again, else nil.
 	buffered []byte
-	// bodyPrefix has the first bytes of an unbuffered body of known length.
+	// bodyPrefix has the first bytes of an unbuffered body of known length, or of one that was read ahead.
 	bodyPrefix []byte
+	// ahead reads an unbuffered body ahead; nil if it has not been read ahead.
+	ahead *aheadBody
 	// stream leases an unbuffered body to attempts.
 	stream streamedBody
 	// attempts counts the attempts at targets and peers.
@@ -146,6 +148,14 @@
 // contentHash returns a hash of the request's content, which is the same for all its retries. It distinguishes
 // copies of a request from other requests with the same ID.
 func (x *exchange) contentHash() uint64 {
+	h := x.hashHead()
+	_, _ = h.Write(x.buffered)
+	_, _ = h.Write(x.bodyPrefix)
+	return h.Sum64()
+}
+
+// hashHead returns a hash of what identifies the request besides its body.
+func (x *exchange) hashHead() *xxhash.Digest {
 	h := xxhash.New()
 	// If the route matches all hosts, callers may send the name of whichever entry they connect to.
 	host := ""
@@ -157,9 +167,7 @@
 		_, _ = h.WriteString(part)
 		_, _ = h.Write([]byte{0})
 	}
-	_, _ = h.Write(x.buffered)
-	_, _ = h.Write(x.bodyPrefix)
-	return h.Sum64()
+	return h
 }
 
 // fingerprint identifies the content of a request for the detection of poison requests. It is 0 for an
@@ -171,3 +179,14 @@
 	}
 	return pool.Fingerprint(x.contentHash())
 }
+
+// headFingerprint identifies the request without its body if its fingerprint is 0, and is 0 otherwise.
+func (x *exchange) headFingerprint() pool.Fingerprint {
+	if x.fingerprint() != 0 {
+		return 0
+	}
+	h := x.hashHead()
+	// Without this, a request with an empty body would have the same hash.
+	_, _ = h.WriteString("head")
+	return pool.Fingerprint(h.Sum64())
+}
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -38,6 +38,10 @@
 	}
 	refused := e.handle(ctx, x, r)
 	x.stream.revoke()
+	if x.ahead != nil && x.ahead.stop() {
+		_ = writer.controller.SetReadDeadline(longAgo) // An error means that the connection is already closed.
+		<-x.ahead.done
+	}
 	if refused != nil {
 		e.refuseCaller(r, x, writer, refused)
 		return nil
@@ -225,13 +229,18 @@
 	}
 	x.body = &limitedBody{r: x.body, remaining: route.MaxBodyBytes}
 	if err := x.bufferBody(e.Settings.ReplayBytes); err != nil {
-		if errors.Is(err, errBodyTooLarge) {
-			return notRunRefusal(http.StatusRequestEntityTooLarge, reasonBodyTooLarge, err.Error())
-		}
-		return notRunRefusal(http.StatusBadRequest, reasonCallerGone, err.Error())
+		return bodyRefusal(err)
 	}
 	return nil
 }
 
+// bodyRefusal returns the refusal of a request whose body could not be read.
+func bodyRefusal(err error) *refusal {
+	if errors.Is(err, errBodyTooLarge) {
+		return notRunRefusal(http.StatusRequestEntityTooLarge, reasonBodyTooLarge, err.Error())
+	}
+	return notRunRefusal(http.StatusBadRequest, reasonCallerGone, err.Error())
+}
+
 // defaultTimeout is the deadline of requests without a route in the active tables.
 const defaultTimeout = 30 * time.Second
--- a/entry/place.go
+++ b/entry/place.go
@@ -62,9 +62,12 @@
 	if !ok {
 		return notRunRefusal(http.StatusServiceUnavailable, reasonCellClosed, "the pool is not in the tables in force")
 	}
+	if refused := e.readSuspectedBody(ctx, x, cell); refused != nil {
+		return refused
+	}
 	id, decisions, ok := cell.submit(pool.Request{
 		Route: x.Route, Account: x.Account, Idempotent: x.idempotent, Replayable: x.buffered != nil,
-		Objective: e.objective(x), Deadline: e.now() + pool.Time(time.Until(e.deadline(x))), Fingerprint: x.fingerprint(),
+		Objective: e.objective(x), Deadline: e.now() + pool.Time(time.Until(e.deadline(x))), Fingerprint: x.fingerprint(), Head: x.headFingerprint(),
 		Upload:      x.buffered == nil || x.route.Upload,
 		MaxAttempts: x.route.MaxAttempts,
 	})
--- a/pool/connection.go
+++ b/pool/connection.go
@@ -110,6 +110,7 @@
 	})
 	if o.Written {
 		s.lostAttempts = append(s.lostAttempts, lostAttempt{fingerprint: r.Fingerprint, at: now})
+		c.poison.recordHeadLoss(now, r.Head)
 		if c.poison.recordLoss(now, r.Fingerprint, t.id) {
 			c.poisonFound(now, r.Fingerprint, t)
 		}
--- a/pool/poison.go
+++ b/pool/poison.go
@@ -21,12 +21,17 @@
 	// poisonLossThreshold is the number of targets with a lost connection from which a request is poison
 	// although no crash was seen, as with targets that restart at once.
 	poisonLossThreshold = 3
+	// maxSuspectedHeads is the maximum number of suspected heads of a cell.
+	maxSuspectedHeads = 1024
 )
 
 // poisonTable holds the fingerprints of requests whose connections were lost while they ran, and of poison
 // requests that other entries found.
 type poisonTable struct {
 	rows rows[Fingerprint, poisonRow]
+	// heads has the end of the suspicion of heads whose request lost its connection before its body was known. They
+	// are never refused, since other requests have the same head.
+	heads rows[Fingerprint, Time]
 	// requireCrash says that lost connections without a crash don't make a request poison, because targets lose
 	// many connections for other reasons.
 	requireCrash bool
@@ -99,6 +104,15 @@
 	return len(row.crashes) >= poisonCrashThreshold && p.markPoison(now, row)
 }
 
+// recordHeadLoss records that a request whose body isn't known lost its connection. A head of 0 is ignored.
+func (p *poisonTable) recordHeadLoss(now Time, head Fingerprint) {
+	if head == 0 || p.heads.get(head) == nil && p.heads.len() >= maxSuspectedHeads {
+		return
+	}
+	until, _ := p.heads.add(head)
+	*until = now + Time(suspicionTime)
+}
+
 func (p *poisonTable) markPoison(now Time, row *poisonRow) bool {
 	if now < row.refusedUntil {
 		return false
@@ -119,10 +133,15 @@
 }
 
 func (p *poisonTable) expire(now Time) {
-	if p.rows.len() == 0 || now < p.nextSweep {
+	if p.rows.len()+p.heads.len() == 0 || now < p.nextSweep {
 		return
 	}
 	p.nextSweep = now + Time(time.Second)
+	for i := p.heads.len() - 1; i >= 0; i-- {
+		if r := p.heads.list[i]; now >= r.value {
+			p.heads.remove(r.key)
+		}
+	}
 	for i := p.rows.len() - 1; i >= 0; i-- {
 		r := p.rows.list[i]
 		if now >= r.value.suspectUntil && now >= r.value.refusedUntil {
@@ -131,6 +150,13 @@
 	}
 }
 
+// SuspectsHead reports whether a request with the head recently lost its connection while its body wasn't known. The
+// next ones are to be submitted with a fingerprint of their body, so that they take part in the detection.
+func (c *Cell) SuspectsHead(now Time, head Fingerprint) bool {
+	until := c.poison.heads.get(head)
+	return until != nil && now < *until
+}
+
 // PoisonFingerprints returns the fingerprints that this cell refuses by its own evidence, for other entries.
 func (c *Cell) PoisonFingerprints() []Fingerprint {
 	var fingerprints []Fingerprint
--- a/pool/types.go
+++ b/pool/types.go
@@ -62,6 +62,8 @@
 	Objective Time
 	// Fingerprint is 0 if the request takes no part in the detection of poison requests.
 	Fingerprint Fingerprint
+	// Head identifies the request without its body. It is set if Fingerprint is 0 because the body isn't known.
+	Head Fingerprint
 	// Upload marks a request whose service time depends on its body. Its service time is compared separately.
 	Upload bool
 	// MaxAttempts is the maximum number of attempts, within the cell's own limit; 0 means that limit.
