--- a/entry/readahead.go
+++ b/entry/readahead.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	// readAheadTime is how long a request waits for the start of its body, so that it can be recognised when it
+	// readAheadTime is how long a request waits for the start of its body, so that it can be recognized when it
 	// comes again. It is at most the part 1/readAheadDivisor of the time left.
 	readAheadTime    = 250 * time.Millisecond
 	readAheadDivisor = 3
