--- a/configuration/store_watcher.go
+++ b/configuration/store_watcher.go
@@ -22,6 +22,8 @@
 	Registration *table.Registration
 	// Deregistered is a target whose registration was removed.
 	Deregistered table.TargetID
+	// Notes say what could not be taken as the store has it although the change holds.
+	Notes []string
 	// Key is the key of the change, for logs. Err says why the change could not be decoded.
 	Key string
 	Err error
@@ -252,6 +254,9 @@
 			w.Registry.Deregister(c.Deregistered, now, now)
 		}
 	case c.Definition != nil:
+		for _, note := range c.Notes {
+			w.Log.Warn().Str("event", "definitionQuestionable").Str("key", c.Key).Str("note", note).Msg("part of the operators' definition is not taken as it stands")
+		}
 		applied := w.Registry.SetDefinition(*c.Definition)
 		w.Log.Info().Str("event", "definitionRead").Int64("version", c.Definition.Routes.Version).Stringer("revision", at).
 			Bool("applied", applied).Msg("read the operators' definition")
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"net/http"
 	"slices"
 	"strings"
 	"sync"
@@ -20,9 +19,16 @@
 // targetRequest builds the request to a target.
 func (e *Entry) targetRequest(x *exchange, to table.Target, cell *cellRunner, id pool.RequestID) *target.Request {
 	h := x.Header.Clone()
-	if x.Account != "" {
+	if x.Account != "" || x.accountsByToken {
 		// The token authenticates to the entry only; targets get the name of the account.
-		h.Del("Authorization")
+		h.Del(headerAuthorization)
+	}
+	if name := e.accountHeader(); name != "" && x.accountsByToken {
+		// Only the entry says which account a request belongs to.
+		h.Del(name)
+		if x.accountLabel != "" {
+			h.Set(name, x.accountLabel)
+		}
 	}
 	r := &target.Request{
 		Address: to.Address, Instance: string(to.ID), Method: x.Method, Path: x.TargetURI(), Host: x.Host, Header: h,
@@ -72,11 +78,3 @@
 	return header
 }
 
-// bearerToken returns the token of the Authorization header, or "" if there is none.
-func bearerToken(h http.Header) string {
-	token, ok := strings.CutPrefix(h.Get("Authorization"), "Bearer ")
-	if !ok {
-		return ""
-	}
-	return token
-}
--- a/entry/callerprotocol.go
+++ b/entry/callerprotocol.go
@@ -18,6 +18,8 @@
 	// RetriesOnlyNotRun is true if callers retry a non-idempotent request only after a response that says it
 	// did not run, or if they saw that it was not read. Request IDs bound to an entry are then not needed.
 	RetriesOnlyNotRun bool
+	// TokenScheme is the scheme of the Authorization field that carries the token of an account; empty means Bearer.
+	TokenScheme string
 	// Paths is how the paths of requests are compared with the prefixes of routes.
 	Paths table.PathMatching
 	// FractionalRetryAfter is true if callers accept fractions of seconds in Retry-After.
@@ -47,6 +49,7 @@
 // adapt changes the form of a refusal to what the callers understand. It does not change the outcome.
 func (p *CallerProtocol) adapt(refused *refusal) {
 	refused.fractionalRetryAfter = p.FractionalRetryAfter
+	refused.challenge = p.tokenScheme()
 	if p.NotRunStatus == 0 {
 		return
 	}
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -219,6 +219,9 @@
 	}
 	x.route = route
 	x.idempotent = route.IsIdempotent(x.Method)
+	if refused := e.admitForwardedAccount(x, active); refused != nil {
+		return refused
+	}
 	if err := x.bufferBody(e.Settings.ReplayBytes); err != nil {
 		return notRunRefusal(http.StatusBadRequest, reasonCallerGone, err.Error())
 	}
@@ -236,7 +239,7 @@
 	if active.pair.Paths != table.MatchLiteral {
 		return named, nil
 	}
-	match, err := active.router.Route(x.Method, x.Host, stripQuery(x.TargetURI()), x.Account, bearerToken(x.Header))
+	match, err := active.router.Route(x.Method, x.Host, stripQuery(x.TargetURI()), x.Account, e.callerProtocol().token(x.Header))
 	if err != nil {
 		return nil, routeRefusal(err)
 	}
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -216,14 +216,14 @@
 	if err != nil {
 		return notRunRefusal(http.StatusBadRequest, reasonBadRequest, err.Error())
 	}
-	match, err := active.router.Route(x.Method, x.Host, path, table.AccountName(h.Get(headerAccount)), bearerToken(h))
+	match, err := active.router.Route(x.Method, x.Host, path, table.AccountName(h.Get(headerAccount)), e.callerProtocol().token(h))
 	if err != nil {
 		return routeRefusal(err)
 	}
 	route := match.Route
 	x.route = route
 	x.Route, x.Revision = route.Name, active.pair.Revision
-	x.Account = match.Account
+	x.setAccount(active, match.Account, match.Token)
 	x.idempotent = match.Idempotent
 	x.pool = route.ChoosePool(rand.Float64())
 	x.deadline, err = requestDeadline(h.Get(e.callerProtocol().DeadlineHeader), now, route.TimeoutMs.Duration())
--- a/entry/observe.go
+++ b/entry/observe.go
@@ -177,7 +177,7 @@
 	table.RefusedNoRoute:   {http.StatusNotFound, "noRoute"},
 	table.RefusedMethod:    {http.StatusMethodNotAllowed, "methodNotAllowed"},
 	table.RefusedNoAccount: {http.StatusUnauthorized, "accountRequired"},
-	table.RefusedToken:     {http.StatusUnauthorized, "wrongToken"},
+	table.RefusedToken:     {http.StatusUnauthorized, reasonWrongToken},
 	table.RefusedAccount:   {http.StatusForbidden, "accountNotAllowed"},
 }
 
--- a/entry/refusal.go
+++ b/entry/refusal.go
@@ -56,6 +56,8 @@
 	retryAfter time.Duration
 	// fractionalRetryAfter means that the caller accepts fractions of seconds.
 	fractionalRetryAfter bool
+	// challenge is the scheme by which callers authenticate themselves (RFC 9110, section 15.5.2).
+	challenge string
 	// queue is the state of the queue of the cell that refused the request; zero for other refusals.
 	queue pool.QueueState
 }
@@ -120,6 +122,9 @@
 	if r.retryAfter > 0 {
 		h.Set("Retry-After", r.retryAfterText())
 	}
+	if r.status == http.StatusUnauthorized && r.challenge != "" {
+		h.Set("WWW-Authenticate", r.challenge)
+	}
 	if err := w.WriteHeader(peer.ResponseHeader{Status: r.status, Header: h, ContentLength: int64(len(body))}); err != nil {
 		return Error.Wrap(err)
 	}
--- a/peer/types.go
+++ b/peer/types.go
@@ -48,6 +48,9 @@
 	Revision table.Revision `cbor:"13,keyasint,omitempty"`
 	// RawURI replaces URI if it is not UTF-8, which earlier builds require of texts. URI is then escaped.
 	RawURI []byte `cbor:"14,keyasint,omitempty"`
+	// TokenDigest is the SHA-256 of the token by which the sender has identified Account; nil if tokens don't identify
+	// accounts in its tables, or the request has none. Header then lacks the token.
+	TokenDigest []byte `cbor:"15,keyasint,omitempty"`
 }
 
 // SetURI sets the target of the request.
--- a/pool/types.go
+++ b/pool/types.go
@@ -52,6 +52,8 @@
 	Route table.RouteName
 	// Account is the client account that the queue is fair between; empty for callers without an account.
 	Account table.AccountName
+	// Priority is the operators' priority; 0 is the highest. It counts in pools that schedule by priority.
+	Priority int
 	// Idempotent says that running the request twice does no harm.
 	Idempotent bool
 	// Replayable says that the body can be sent again: there is none, or it is small enough to be buffered.
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -84,6 +84,25 @@
 	// stored responses. The defaults are 200,000 and 16 MiB.
 	NoticeIDs   int `json:"noticeIds,omitempty"`
 	AnswerBytes int `json:"answerBytes,omitempty"`
+	// Contracts names the parts of the platform's rules that are in force, for its adapter.
+	Contracts []string `json:"contracts,omitempty"`
+	// Quota is how far accounts may exceed their quotas, summed over all entries.
+	Quota QuotaTolerance `json:"quota,omitzero"`
+}
+
+// QuotaTolerance bounds how many requests of an account may run. In any window of WindowSeconds there may be at most
+// (rate * WindowSeconds + burst) * (1 + Excess) + Slack. The defaults are 5 s, 0.25 and 20.
+type QuotaTolerance struct {
+	WindowSeconds float64 `json:"windowSeconds,omitempty"`
+	Excess        float64 `json:"excess,omitempty"`
+	Slack         float64 `json:"slack,omitempty"`
+}
+
+func (q *QuotaTolerance) check() error {
+	if q.WindowSeconds <= 0 || q.Excess < 0 || q.Slack < 0 {
+		return errs.New("quota: need a window above 0 s, and an excess and a slack of at least 0")
+	}
+	return nil
 }
 
 // Seed is a peer that is listed in the settings.
@@ -126,6 +145,9 @@
 	RampMs int64 `json:"rampMs,omitempty"`
 	// MaxBodyBytes is the maximum size of a request body. The default is 64 MiB.
 	MaxBodyBytes int64 `json:"maxBodyBytes,omitempty"`
+	// Scheduling and CostAware are the fields of table.Policy.
+	Scheduling table.Scheduling `json:"scheduling,omitempty"`
+	CostAware  bool             `json:"costAware,omitempty"`
 }
 
 // RetryLimit is the limit that the operators of the targets set for the whole fleet. In any 10 s the
@@ -236,6 +258,7 @@
 		e.LogLevel = "info"
 	}
 	e.PoolDefaults.setDefaults()
+	setDefault(&e.Quota, QuotaTolerance{WindowSeconds: 5, Excess: 0.25, Slack: 20})
 	setDefault(&e.SourceGoneMs, 2_000)
 	if e.Node == "" {
 		e.Node = string(e.ID)
@@ -289,6 +312,7 @@
 	g.Add(e.TLS.check())
 	g.Add(e.PoolDefaults.check())
 	g.Add(e.VM.check())
+	g.Add(e.Quota.check())
 	if !slices.Contains(logLevels, e.LogLevel) {
 		g.Add(errs.New("logLevel: %q is not one of %v", e.LogLevel, logLevels))
 	}
--- a/table/check.go
+++ b/table/check.go
@@ -29,6 +29,8 @@
 	MaxAttempts           = 100
 	MaxPriority           = 100
 	maxVersion            = 1 << 62
+	maxLabelLength        = 1_000
+	MaxRatePerSecond      = 1e9
 )
 
 // Check returns every rule that the two tables break, each by itself or both together. A nil table is
@@ -72,11 +74,12 @@
 	targetsList
 	methodsList
 	splitList
+	tokensList
 )
 
 var listNames = [...]string{
 	routesList: "routes", accountsList: "accounts", poolsList: "pools", targetsList: "targets", methodsList: "methods",
-	splitList: "split",
+	splitList: "split", tokensList: "tokensSha256",
 }
 
 func rowLocation(list listID, index int) location { return location{list: list, index: int32(index)} }
--- a/table/check_pools.go
+++ b/table/check_pools.go
@@ -64,6 +64,9 @@
 	checkRange(c, at, "policy/spellMs", int64(p.SpellMs), 0, MaxMillis)
 	checkRange(c, at, "policy/retryBurst", p.RetryBurst, 0, maxQueueLimit)
 	checkRange(c, at, "policy/rampMs", int64(p.RampMs), 0, MaxMillis)
+	if p.Scheduling != ScheduleRetryable && p.Scheduling != SchedulePriority {
+		c.addProblem(at, "policy/scheduling", "scheduling %q is neither empty nor %q", p.Scheduling, SchedulePriority)
+	}
 }
 
 func (c *checker) checkTargets(pool location, targets []Target, addresses map[netip.AddrPort]location) {
--- a/table/check_routes.go
+++ b/table/check_routes.go
@@ -6,16 +6,7 @@
 	c.file = RoutesKey
 	checkRange(c, location{}, "version", t.Version, 0, maxVersion)
 	c.checkRoutePools(t, pools)
-	accounts := make(map[AccountName]location, len(t.Accounts))
-	for i := range t.Accounts {
-		a := &t.Accounts[i]
-		at := rowLocation(accountsList, i)
-		checkName(c, at, "name", a.Name)
-		checkUnique(c, accounts, a.Name, at, "name")
-		if !isSHA256(a.TokenSHA256) {
-			c.addProblem(at, "tokenSha256", "tokenSha256 is not a SHA-256 in 64 lower-case hex digits")
-		}
-	}
+	accounts := c.checkAccounts(t)
 	names := make(map[RouteName]location, len(t.Routes))
 	prefixes := make(map[hostPrefix]location, len(t.Routes))
 	for i := range t.Routes {
@@ -39,6 +30,52 @@
 	}
 }
 
+// checkAccounts reports invalid accounts and returns the location of each account.
+func (c *checker) checkAccounts(t *Routes) map[AccountName]location {
+	accounts := make(map[AccountName]location, len(t.Accounts))
+	tokens := make(map[string]location, len(t.Accounts))
+	for i := range t.Accounts {
+		a := &t.Accounts[i]
+		at := rowLocation(accountsList, i)
+		checkName(c, at, "name", a.Name)
+		checkUnique(c, accounts, a.Name, at, "name")
+		c.checkTokens(at, a, t.AccountsByToken, tokens)
+		checkRange(c, at, "label", len(a.Label), 0, maxLabelLength)
+		if a.Priority != nil {
+			checkRange(c, at, "priority", *a.Priority, 0, MaxPriority)
+		}
+		checkRange(c, at, "ratePerSecond", a.RatePerSecond, 0, MaxRatePerSecond)
+		checkRange(c, at, "burst", a.Burst, 0, MaxRatePerSecond)
+	}
+	return accounts
+}
+
+// checkTokens reports digests of tokens that are none, and tokens that identify several accounts.
+func (c *checker) checkTokens(at location, a *AccountRow, byToken bool, tokens map[string]location) {
+	if !byToken {
+		if !isSHA256(a.TokenSHA256) {
+			c.addProblem(at, "tokenSha256", "tokenSha256 is not a SHA-256 in 64 lower-case hex digits")
+		}
+		if len(a.Tokens) > 0 {
+			c.addProblem(at, "tokensSha256", "an account has several tokens only if accountsByToken is set")
+		}
+		return
+	}
+	if a.TokenSHA256 != "" {
+		c.addProblem(at, "tokenSha256", "tokensSha256 replaces tokenSha256 if accountsByToken is set")
+	}
+	for i, digest := range a.Tokens {
+		if !isSHA256(digest) {
+			c.addProblem(at.child(tokensList, i), "", "this is not a SHA-256 in 64 lower-case hex digits")
+			continue
+		}
+		if _, repeated := tokens[digest]; repeated {
+			c.addProblem(at.child(tokensList, i), "", "the token is listed twice")
+		}
+		tokens[digest] = at
+	}
+}
+
 // checkRoutePools reports routes to pools that don't exist.
 func (c *checker) checkRoutePools(t *Routes, pools *Pools) {
 	if pools == nil {
--- a/table/router.go
+++ b/table/router.go
@@ -1,9 +1,6 @@
 package table
 
 import (
-	"crypto/sha256"
-	"crypto/subtle"
-	"encoding/hex"
 	"slices"
 	"strings"
 	"sync"
@@ -19,6 +16,8 @@
 	accounts map[AccountName]uint32
 	// grants holds the allowed accounts of each route that is restricted to some accounts.
 	grants map[grant]struct{}
+	// tokens has the account of each token, where tokens identify accounts.
+	tokens map[TokenDigest]uint32
 	// hasHostRoutes says that at least one route is limited to a host.
 	hasHostRoutes bool
 	// maxSlashes is the number of slashes of the longest prefix with a slash at its end. Longer paths are
@@ -38,6 +37,8 @@
 	Route *Route
 	// Account is the verified account. It is empty if the caller gave none.
 	Account AccountName
+	// Token identifies the token that verified the account; zero unless tokens identify accounts.
+	Token TokenDigest
 	// Idempotent says that the request may be executed twice: its method is GET or HEAD, or the route is
 	// idempotent. On a route that is marked as non-idempotent it is false.
 	Idempotent bool
@@ -58,6 +59,9 @@
 	for i := range pair.Routes.Accounts {
 		r.accounts[pair.Routes.Accounts[i].Name] = uint32(i)
 	}
+	if pair.Routes.AccountsByToken {
+		r.tokens = tokensOf(pair.Routes.Accounts)
+	}
 	for i := range pair.Routes.Routes {
 		route := &pair.Routes.Routes[i]
 		prefix := pair.Paths.normalizePrefix(route.PathPrefix)
@@ -84,7 +88,8 @@
 }
 
 // Route returns the route for a request with the given method, host and path, which is decoded unless paths are
-// compared literally. If the caller gave an account, Route verifies its bearer token. The error is of type *Refusal.
+// compared literally. It verifies the token if the caller gave an account, or if tokens identify accounts; then account is
+// ignored. The error is of type *Refusal.
 func (r *Router) Route(method, host, path string, account AccountName, token string) (Match, error) {
 	i, err := r.find(host, path)
 	if err != nil {
@@ -94,14 +99,11 @@
 	if len(route.Methods) > 0 && !slices.Contains(route.Methods, method) {
 		return Match{}, &Refusal{Reason: RefusedMethod, Route: route.Name, Methods: route.Methods}
 	}
-	if err := r.authorize(i, route, account, token); err != nil {
+	match := Match{Route: route, Idempotent: route.IsIdempotent(method)}
+	if match.Account, match.Token, err = r.authorize(i, route, credentials{account, token}); err != nil {
 		return Match{}, err
 	}
-	return Match{
-		Route:      route,
-		Account:    account,
-		Idempotent: route.IsIdempotent(method),
-	}, nil
+	return match, nil
 }
 
 // IsIdempotent reports whether a request with the method may be executed twice.
@@ -227,47 +229,6 @@
 	}
 }
 
-// authorize checks the account against the routes table. A given account is verified on every route,
-// even if the route allows all callers, because fairness between accounts relies on it.
-func (r *Router) authorize(index uint32, route *Route, account AccountName, token string) error {
-	if account == "" && len(route.Accounts) == 0 {
-		return nil
-	}
-	if account == "" {
-		return &Refusal{Reason: RefusedNoAccount, Route: route.Name}
-	}
-	a, ok := r.authenticate(account, token)
-	if !ok {
-		return &Refusal{Reason: RefusedToken, Route: route.Name, Account: account}
-	}
-	if len(route.Accounts) == 0 {
-		return nil
-	}
-	if _, ok := r.grants[grant{index, a}]; !ok {
-		return &Refusal{Reason: RefusedAccount, Route: route.Name, Account: account}
-	}
-	return nil
-}
-
-// placeholderDigest is compared with if the account is unknown, so that the time taken does not reveal
-// which accounts exist.
-var placeholderDigest = strings.Repeat("-", sha256HexLength)
-
-// authenticate reports whether token belongs to the account. The time it takes does not depend on the
-// token's content.
-func (r *Router) authenticate(account AccountName, token string) (index uint32, ok bool) {
-	sum := sha256.Sum256([]byte(token))
-	var digest [sha256HexLength]byte
-	hex.Encode(digest[:], sum[:])
-	expected := placeholderDigest
-	index, known := r.accounts[account]
-	if known {
-		expected = r.pair.Routes.Accounts[index].TokenSHA256
-	}
-	equal := subtle.ConstantTimeCompare(digest[:], []byte(expected)) == 1
-	return index, known && equal
-}
-
 // throughSlash returns path up to and including its nth slash, or all of it if it has fewer.
 func throughSlash(path string, n int) string {
 	for i := range len(path) {
--- a/table/schema.go
+++ b/table/schema.go
@@ -64,6 +64,7 @@
 		},
 		rowsField("routes", true, func(t *Routes) *[]Route { return &t.Routes }, decodeRoute),
 		rowsField("accounts", false, func(t *Routes) *[]AccountRow { return &t.Accounts }, decodeAccount),
+		boolField("accountsByToken", func(t *Routes) *bool { return &t.AccountsByToken }),
 	}
 	routeSchema = []field[Route]{
 		stringField("name", true, func(r *Route) *RouteName { return &r.Name }),
@@ -75,6 +76,7 @@
 		boolField("idempotent", func(r *Route) *bool { return &r.Idempotent }),
 		boolField("nonIdempotent", func(r *Route) *bool { return &r.NonIdempotent }),
 		boolField("upload", func(r *Route) *bool { return &r.Upload }),
+		boolField("public", func(r *Route) *bool { return &r.Public }),
 		intField("maxAttempts", false, func(r *Route) *int { return &r.MaxAttempts }),
 		intField("priority", false, func(r *Route) *int { return &r.Priority }),
 		intField("objectiveMs", false, func(r *Route) *Millis { return &r.ObjectiveMs }),
@@ -94,10 +96,27 @@
 	accountSchema = []field[AccountRow]{
 		stringField("name", true, func(a *AccountRow) *AccountName { return &a.Name }),
 		{
-			name: "tokenSha256", required: true,
-			set: func(d *decoder, v *hujson.Value, a *AccountRow) { decodeSubstring(d, v, &a.TokenSHA256) },
-			get: func(a *AccountRow) any { return redactedDigest(a.TokenSHA256) },
+			name: "tokenSha256",
+			set:  func(d *decoder, v *hujson.Value, a *AccountRow) { decodeSubstring(d, v, &a.TokenSHA256) },
+			get:  func(a *AccountRow) any { return redactedDigest(a.TokenSHA256) },
 		},
+		tokensField,
+		stringField("label", false, func(a *AccountRow) *string { return &a.Label }),
+		{
+			name: "priority",
+			set: func(d *decoder, v *hujson.Value, a *AccountRow) {
+				a.Priority = new(int)
+				decodeInt(d, v, a.Priority)
+			},
+			get: func(a *AccountRow) any {
+				if a.Priority == nil {
+					return nil
+				}
+				return *a.Priority
+			},
+		},
+		floatField("ratePerSecond", false, func(a *AccountRow) *float64 { return &a.RatePerSecond }),
+		floatField("burst", false, func(a *AccountRow) *float64 { return &a.Burst }),
 	}
 	poolsSchema = []field[Pools]{
 		intField("fleetGroups", true, func(t *Pools) *int { return &t.FleetGroups }),
@@ -133,6 +152,8 @@
 		intField("spellMs", false, func(p *Policy) *Millis { return &p.SpellMs }),
 		floatField("retryBurst", false, func(p *Policy) *float64 { return &p.RetryBurst }),
 		intField("rampMs", false, func(p *Policy) *Millis { return &p.RampMs }),
+		stringField("scheduling", false, func(p *Policy) *Scheduling { return &p.Scheduling }),
+		boolField("costAware", func(p *Policy) *bool { return &p.CostAware }),
 	}
 	targetSchema = []field[Target]{
 		stringField("id", true, func(t *Target) *TargetID { return &t.ID }),
@@ -155,6 +176,19 @@
 	return f
 }()
 
+// tokensField decodes the digests of an account's tokens. Diff shows only their first digits.
+var tokensField = func() field[AccountRow] {
+	f := rowsField("tokensSha256", false, func(a *AccountRow) *[]string { return &a.Tokens }, decodeSubstring[string])
+	f.get = func(a *AccountRow) any {
+		digests := make([]redactedDigest, len(a.Tokens))
+		for i, t := range a.Tokens {
+			digests[i] = redactedDigest(t)
+		}
+		return digests
+	}
+	return f
+}()
+
 func decodeWeightedPool(d *decoder, v *hujson.Value, s *WeightedPool) {
 	decodeObject(d, v, weightedPoolSchema, s)
 }
--- a/table/types.go
+++ b/table/types.go
@@ -32,6 +32,9 @@
 	Routes []Route `json:"routes"`
 	// Accounts has unique names.
 	Accounts []AccountRow `json:"accounts,omitempty"`
+	// AccountsByToken says that a token alone identifies its account, and that requests on all routes but the public
+	// ones need one.
+	AccountsByToken bool `json:"accountsByToken,omitempty"`
 }
 
 // Route is one row of the routes table.
@@ -57,10 +60,12 @@
 	NonIdempotent bool `json:"nonIdempotent,omitempty"`
 	// Upload marks requests with large bodies.
 	Upload bool `json:"upload,omitempty"`
+	// Public says that requests need no account although the accounts of the tables are identified by tokens.
+	Public bool `json:"public,omitempty"`
 	// MaxAttempts is the maximum number of targets that one request is sent to; 0 means that the route sets no limit.
 	MaxAttempts int `json:"maxAttempts,omitempty"`
-	// Priority is the operators' priority of the route; 0 is the highest. Target selection ignores it:
-	// queued requests are ordered by whether they are retryable, and by deadline.
+	// Priority is the operators' priority of the route; 0 is the highest. Pools with SchedulePriority serve queued
+	// requests by it; the others by whether they are retryable, and by deadline.
 	Priority int `json:"priority,omitempty"`
 	// ObjectiveMs is the response time objective of the route; 0 means none. Target selection ignores
 	// it.
@@ -95,8 +100,28 @@
 // AccountRow is one client account.
 type AccountRow struct {
 	Name AccountName `json:"name"`
-	// TokenSHA256 is the SHA-256 of the account's bearer token in lower-case hex digits.
-	TokenSHA256 string `json:"tokenSha256"`
+	// TokenSHA256 is the SHA-256 of the account's token in lower-case hex digits. It is empty if Tokens is set or the
+	// account has no token, which AccountsByToken requires.
+	TokenSHA256 string `json:"tokenSha256,omitempty"`
+	// Tokens are the SHA-256 of the account's tokens in lower-case hex digits. They are set only with AccountsByToken,
+	// and differ from those of all other accounts.
+	Tokens []string `json:"tokensSha256,omitempty"`
+	// Label is the name that targets are told, if it can't be a Name; empty means Name.
+	Label string `json:"label,omitempty"`
+	// Priority, if it is set, takes precedence over the priority of the route; 0 is the highest.
+	Priority *int `json:"priority,omitempty"`
+	// RatePerSecond and Burst are the account's quota over all entries: the requests per second that may run, and how
+	// many more at once. A rate of 0 means that there is no quota.
+	RatePerSecond float64 `json:"ratePerSecond,omitempty"`
+	Burst         float64 `json:"burst,omitempty"`
+}
+
+// DisplayName is the name of the account that targets are told.
+func (a *AccountRow) DisplayName() string {
+	if a.Label != "" {
+		return a.Label
+	}
+	return string(a.Name)
 }
 
 // Pools is the pools table. It holds the targets of each pool.
@@ -157,8 +182,23 @@
 	// RampMs is the length of the slow start, in which a new or restored target reaches all of its
 	// slots. 0 means 2,000.
 	RampMs Millis `json:"rampMs,omitempty"`
+	// Scheduling is the order in which queued requests get slots.
+	Scheduling Scheduling `json:"scheduling,omitempty"`
+	// CostAware says that targets are chosen by the expected completion of a request, from its likely cost and the work
+	// that each target still has to do, instead of by the number of requests in flight.
+	CostAware bool `json:"costAware,omitempty"`
 }
 
+// Scheduling is the order in which the queued requests of a pool get slots.
+type Scheduling string
+
+const (
+	// ScheduleRetryable serves requests that can't be retried before the others, by deadline.
+	ScheduleRetryable Scheduling = ""
+	// SchedulePriority serves requests by the priority of their account and route, and shares slot time between accounts.
+	SchedulePriority Scheduling = "priority"
+)
+
 // Target is one back-end server of a pool.
 type Target struct {
 	ID TargetID `json:"id"`
--- a/target/header.go
+++ b/target/header.go
@@ -56,6 +56,8 @@
 	// InstanceHeader names the target that the request is meant for. If another target has taken
 	// over the address, it refuses the request without running it.
 	InstanceHeader string
+	// AccountHeader of a request names the client account that it belongs to. Callers can't set it.
+	AccountHeader string
 	// RateLimitHeader of a response holds the requests per second that the target accepts from all entries
 	// together.
 	RateLimitHeader string
