--- a/entry/cells.go
+++ b/entry/cells.go
@@ -286,6 +286,13 @@
 	return c.cell.SpareSlots(c.now()) <= 0
 }
 
+// servesSoon reports whether a request that comes now gets a slot soon; see pool.Cell.ServesSoon.
+func (c *cellRunner) servesSoon(r *pool.Request) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.cell.ServesSoon(c.now(), r)
+}
+
 // signal passes on what a target's own endpoints report.
 func (c *cellRunner) signal(t table.TargetID, s pool.Signal) {
 	c.withCell(func(now pool.Time, cell *pool.Cell) { cell.Signal(now, t, s) })
--- a/entry/place.go
+++ b/entry/place.go
@@ -21,7 +21,10 @@
 // route runs the request in a cell of its pool, at this entry if it owns the cell and at the owner otherwise.
 // It returns nil, or a refusal that has not been sent yet.
 func (e *Entry) route(ctx context.Context, x *exchange, active *activeTables) *refusal {
-	key := e.spillover(active, e.pickCell(active, x.pool))
+	key := e.pickCell(active, x.pool)
+	if !e.servesSoon(key, x) {
+		key = e.spillover(active, key)
+	}
 	owner, ok := e.owner(key)
 	if !ok || owner.ID == e.Settings.ID {
 		return e.placeOrPassOn(ctx, x, key)
