--- a/entry/account.go
+++ b/entry/account.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/textproto"
 	"strings"
 
 	"github.com/bilberrywood/bilberrywood/pool"
@@ -36,62 +37,78 @@
 	return p.TokenScheme
 }
 
-// setAccount notes the account of a request that passed the router, as the tables describe it. Where tokens identify
-// accounts, the token goes no further than this entry.
-func (x *exchange) setAccount(active *activeTables, account table.AccountName, token table.TokenDigest) {
-	x.Account = account
-	x.accountsByToken = active.pair.Routes.AccountsByToken
-	if x.accountsByToken {
-		x.Header.Del(headerAuthorization)
-		x.TokenDigest = nil
-		if account != "" {
-			x.TokenDigest = token[:]
-		}
+// match routes a request by its path in the form that routes are compared with. A request whose token another entry has
+// taken out is identified by the digest.
+func (e *Entry) match(x *exchange, active *activeTables, path string) (table.Match, error) {
+	if x.CheckedRevision != 0 {
+		return active.router.RouteToken(x.Method, x.Host, path, x.forwardedToken())
 	}
-	x.accountLabel = string(account)
-	if a := active.router.Account(account); a != nil {
-		x.accountLabel = a.DisplayName()
+	return active.router.Route(x.Method, x.Host, path, table.AccountName(x.Header.Get(headerAccount)), e.callerProtocol().token(x.Header))
+}
+
+// forwardedToken returns the digest that the sender of a forwarded request gave; zero if it gave none.
+func (x *exchange) forwardedToken() (token table.TokenDigest) {
+	if len(x.TokenDigest) == len(token) {
+		copy(token[:], x.TokenDigest)
 	}
-	x.priority = active.router.Priority(x.route, account)
+	return token
 }
 
-// admitForwardedAccount checks the account of a forwarded request by the tables of this entry. The sender has checked it by
-// its own, which may be older, so that they still have a token that was taken away, or newer. A sender that knows no
-// tokens, because its build or its tables are older, has left the Authorization field in the header.
-func (e *Entry) admitForwardedAccount(x *exchange, active *activeTables) *refusal {
+// setAccount notes the account of a request that passed the router. Where tokens identify accounts, the token goes no
+// further than this entry. The field for targets is set here, not by the owner, because the owner may be of an earlier
+// build or have older tables, and would pass on what the caller sent.
+func (e *Entry) setAccount(x *exchange, active *activeTables, account table.AccountName, token table.TokenDigest) {
+	x.Account = account
+	x.priority = active.router.Priority(x.route, account)
 	if !active.pair.Routes.AccountsByToken {
-		x.setAccount(active, x.Account, table.TokenDigest{})
-		return nil
+		return
+	}
+	x.CheckedRevision, x.TokenDigest = active.pair.Revision, nil
+	if account != "" {
+		x.TokenDigest = token[:]
 	}
-	if len(x.TokenDigest) == 0 {
-		return e.admitUncheckedAccount(x, active)
+	// A Connection field could name the account's field, so that it would be taken out on the way.
+	target.DropHopByHop(x.Header)
+	name := e.accountHeader()
+	for field := range x.Header {
+		if sameField(field, headerAuthorization) || sameField(field, name) {
+			delete(x.Header, field)
+		}
 	}
-	var token table.TokenDigest
-	copy(token[:], x.TokenDigest)
-	a := active.router.AccountOfToken(token)
-	if (a == nil || a.Name != x.Account) && x.Revision <= active.pair.Revision {
-		return routeRefusal(&table.Refusal{Reason: table.RefusedToken, Route: x.Route})
+	if a := active.router.Account(account); a != nil && name != "" {
+		x.Header.Set(name, a.DisplayName())
 	}
-	x.setAccount(active, x.Account, token)
-	return nil
 }
 
-// admitUncheckedAccount identifies the account of a forwarded request whose sender has found none.
-func (e *Entry) admitUncheckedAccount(x *exchange, active *activeTables) *refusal {
-	given := e.callerProtocol().token(x.Header)
-	token := table.DigestToken(given)
-	a := active.router.AccountOfToken(token)
-	switch {
-	case a != nil:
-		x.setAccount(active, a.Name, token)
-		return nil
-	case x.route.Public:
-		x.setAccount(active, "", table.TokenDigest{})
+// sameField reports whether a target could take a field for the one with the canonical name. Some programs take an
+// underscore for a hyphen.
+func sameField(field, name string) bool {
+	return textproto.CanonicalMIMEHeaderKey(strings.ReplaceAll(field, "_", "-")) == name
+}
+
+// admitForwardedAccount identifies the account of a forwarded request by the tables of this entry, if those are as new as
+// the ones of the sender: the sender may still have a token that was taken away or moved to another account. A sender of
+// an earlier build has left the Authorization field in the header.
+func (e *Entry) admitForwardedAccount(x *exchange, active *activeTables) *refusal {
+	if !active.pair.Routes.AccountsByToken || x.CheckedRevision > active.pair.Revision {
+		x.priority = active.router.Priority(x.route, x.Account)
 		return nil
-	case given == "":
-		return routeRefusal(&table.Refusal{Reason: table.RefusedNoAccount, Route: x.Route})
 	}
-	return routeRefusal(&table.Refusal{Reason: table.RefusedToken, Route: x.Route})
+	token := x.forwardedToken()
+	if x.CheckedRevision == 0 {
+		given := e.callerProtocol().token(x.Header)
+		if given == "" && x.Account != "" {
+			// A relay of an earlier build passes on the account without the digest. The caller may try another way.
+			return notRunRefusal(http.StatusServiceUnavailable, reasonOwnerUnreachable, "a relay has left out the digest of the token")
+		}
+		token = table.DigestToken(given)
+	}
+	account, err := active.router.AuthorizeToken(x.route, token)
+	if err != nil {
+		return routeRefusal(err)
+	}
+	e.setAccount(x, active, account, token)
+	return nil
 }
 
 // accountHeader is the field by which targets are told the account of a request; empty if they are not.
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -19,17 +19,10 @@
 // targetRequest builds the request to a target.
 func (e *Entry) targetRequest(x *exchange, to table.Target, cell *cellRunner, id pool.RequestID) *target.Request {
 	h := x.Header.Clone()
-	if x.Account != "" || x.accountsByToken {
+	if x.Account != "" {
 		// The token authenticates to the entry only; targets get the name of the account.
 		h.Del(headerAuthorization)
 	}
-	if name := e.accountHeader(); name != "" && x.accountsByToken {
-		// Only the entry says which account a request belongs to.
-		h.Del(name)
-		if x.accountLabel != "" {
-			h.Set(name, x.accountLabel)
-		}
-	}
 	r := &target.Request{
 		Address: to.Address, Instance: string(to.ID), Method: x.Method, Path: x.TargetURI(), Host: x.Host, Header: h,
 		ContentLength: x.ContentLength, Idempotent: x.idempotent, Deadline: e.deadline(x),
@@ -77,4 +70,3 @@
 	}
 	return header
 }
-
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -30,10 +30,6 @@
 	pool table.PoolName
 	// id is set for requests that may run at most once.
 	id *notice.ID
-	// accountsByToken says that tokens identify accounts in the tables by which the request was admitted. accountLabel is
-	// the name of its account that targets are told; empty if it has none.
-	accountsByToken bool
-	accountLabel    string
 	// priority is the operators' priority of the account or the route; 0 is the highest.
 	priority int
 	// idempotent means that running the request twice does no harm.
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -216,20 +216,20 @@
 	if err != nil {
 		return notRunRefusal(http.StatusBadRequest, reasonBadRequest, err.Error())
 	}
-	match, err := active.router.Route(x.Method, x.Host, path, table.AccountName(h.Get(headerAccount)), e.callerProtocol().token(h))
+	match, err := e.match(x, active, path)
 	if err != nil {
 		return routeRefusal(err)
 	}
 	route := match.Route
 	x.route = route
 	x.Route, x.Revision = route.Name, active.pair.Revision
-	x.setAccount(active, match.Account, match.Token)
-	x.idempotent = match.Idempotent
+	x.Account, x.idempotent = match.Account, match.Idempotent
 	x.pool = route.ChoosePool(rand.Float64())
 	x.deadline, err = requestDeadline(h.Get(e.callerProtocol().DeadlineHeader), now, route.TimeoutMs.Duration())
 	if err != nil {
 		return notRunRefusal(http.StatusBadRequest, reasonBadRequest, err.Error())
 	}
+	e.setAccount(x, active, match.Account, match.Token)
 	if x.ContentLength > route.MaxBodyBytes {
 		return notRunRefusal(http.StatusRequestEntityTooLarge, reasonBodyTooLarge, "the body is longer than the route allows")
 	}
--- a/entry/refusal.go
+++ b/entry/refusal.go
@@ -11,6 +11,7 @@
 	"github.com/bilberrywood/bilberrywood/notice"
 	"github.com/bilberrywood/bilberrywood/peer"
 	"github.com/bilberrywood/bilberrywood/pool"
+	"github.com/bilberrywood/bilberrywood/target"
 )
 
 // Error is the class of all errors of this package.
@@ -22,7 +23,7 @@
 	headerOutcome  = "Bilberrywood-Outcome"
 	headerReason   = "Bilberrywood-Reason"
 	headerDeadline = "Bilberrywood-Deadline-Ms"
-	headerAccount  = "Bilberrywood-Account"
+	headerAccount  = target.HeaderAccount
 	headerEntry    = "Bilberrywood-Entry"
 )
 
--- a/peer/types.go
+++ b/peer/types.go
@@ -48,9 +48,12 @@
 	Revision table.Revision `cbor:"13,keyasint,omitempty"`
 	// RawURI replaces URI if it is not UTF-8, which earlier builds require of texts. URI is then escaped.
 	RawURI []byte `cbor:"14,keyasint,omitempty"`
-	// TokenDigest is the SHA-256 of the token by which the sender has identified Account; nil if tokens don't identify
-	// accounts in its tables, or the request has none. Header then lacks the token.
+	// TokenDigest is the SHA-256 of the token that identifies Account; nil if CheckedRevision is 0 or the request has no
+	// account.
 	TokenDigest []byte `cbor:"15,keyasint,omitempty"`
+	// CheckedRevision names the tables by which an entry has identified Account by its token. Header then lacks the token,
+	// and has the field that names the account to targets if there is one. 0 means that no entry has looked for a token.
+	CheckedRevision table.Revision `cbor:"16,keyasint,omitempty"`
 }
 
 // SetURI sets the target of the request.
--- a/table/credentials.go
+++ b/table/credentials.go
@@ -9,9 +9,17 @@
 
 // credentials are what a caller gives to prove which account it belongs to. The zero value means none.
 type credentials struct {
-	// account is ignored where tokens identify accounts.
+	// account and token are ignored where tokens identify accounts, and digest is where they don't.
 	account AccountName
 	token   string
+	digest  TokenDigest
+}
+
+func (r *Router) credentials(account AccountName, token string) credentials {
+	if r.pair.Routes.AccountsByToken {
+		return credentials{digest: DigestToken(token)}
+	}
+	return credentials{account: account, token: token}
 }
 
 // TokenDigest is the SHA-256 of a token. The zero value means that there is none. Entries exchange and compare tokens only
@@ -72,43 +80,50 @@
 // authorize checks the credentials against the routes table and returns the verified account. Given credentials are
 // verified on every route, even if the route allows all callers, because fairness between accounts relies on it. Only
 // public routes, for which callers need no account, ignore a token that is unknown.
-func (r *Router) authorize(index uint32, route *Route, given credentials) (AccountName, TokenDigest, error) {
-	a, token, err := r.identify(route, given)
+func (r *Router) authorize(route *Route, given credentials) (AccountName, TokenDigest, error) {
+	a, err := r.identify(route, given)
 	if err != nil || a == nil {
 		return "", TokenDigest{}, err
 	}
-	if len(route.Accounts) > 0 {
-		if _, ok := r.grants[grant{index, r.accounts[a.Name]}]; !ok {
-			return "", TokenDigest{}, &Refusal{Reason: RefusedAccount, Route: route.Name, Account: a.Name}
-		}
+	if len(route.Accounts) > 0 && !r.isGranted(route, a.Name) {
+		return "", TokenDigest{}, &Refusal{Reason: RefusedAccount, Route: route.Name, Account: a.Name}
 	}
-	return a.Name, token, nil
+	return a.Name, given.digest, nil
+}
+
+func (r *Router) isGranted(route *Route, account AccountName) bool {
+	_, ok := r.grants[grant{route.Name, r.accounts[account]}]
+	return ok
+}
+
+// AuthorizeToken returns the account of a request on the route whose token has the digest, where tokens identify accounts.
+// It is empty if the route needs none and none is proved. The error is of type *Refusal.
+func (r *Router) AuthorizeToken(route *Route, token TokenDigest) (AccountName, error) {
+	account, _, err := r.authorize(route, credentials{digest: token})
+	return account, err
 }
 
 // identify returns the account of the credentials; nil if the route needs none and none is proved.
-func (r *Router) identify(route *Route, given credentials) (*AccountRow, TokenDigest, error) {
+func (r *Router) identify(route *Route, given credentials) (*AccountRow, error) {
 	if r.pair.Routes.AccountsByToken {
-		digest := DigestToken(given.token)
-		a := r.AccountOfToken(digest)
+		a := r.AccountOfToken(given.digest)
 		switch {
-		case a != nil:
-			return a, digest, nil
-		case route.Public && len(route.Accounts) == 0:
-			return nil, TokenDigest{}, nil
-		case given.token == "":
-			return nil, TokenDigest{}, &Refusal{Reason: RefusedNoAccount, Route: route.Name}
+		case a != nil || route.Public && len(route.Accounts) == 0:
+			return a, nil
+		case given.digest == TokenDigest{}:
+			return nil, &Refusal{Reason: RefusedNoAccount, Route: route.Name}
 		}
-		return nil, TokenDigest{}, &Refusal{Reason: RefusedToken, Route: route.Name}
+		return nil, &Refusal{Reason: RefusedToken, Route: route.Name}
 	}
 	switch {
 	case given.account == "" && len(route.Accounts) == 0:
-		return nil, TokenDigest{}, nil
+		return nil, nil
 	case given.account == "":
-		return nil, TokenDigest{}, &Refusal{Reason: RefusedNoAccount, Route: route.Name}
+		return nil, &Refusal{Reason: RefusedNoAccount, Route: route.Name}
 	case !r.authenticate(given):
-		return nil, TokenDigest{}, &Refusal{Reason: RefusedToken, Route: route.Name, Account: given.account}
+		return nil, &Refusal{Reason: RefusedToken, Route: route.Name, Account: given.account}
 	}
-	return r.Account(given.account), TokenDigest{}, nil
+	return r.Account(given.account), nil
 }
 
 // placeholderDigest is compared with if the account is unknown, so that the time taken does not reveal
--- a/table/router.go
+++ b/table/router.go
@@ -28,8 +28,11 @@
 	poolsByHostOnce sync.Once
 }
 
-// grant allows an account to use a route. Both are row indexes.
-type grant struct{ route, account uint32 }
+// grant allows an account, given by its row index, to use a route.
+type grant struct {
+	route   RouteName
+	account uint32
+}
 
 // Match is the result of routing a request that is not refused.
 type Match struct {
@@ -69,7 +72,7 @@
 		r.hasHostRoutes = r.hasHostRoutes || route.Host != ""
 		r.maxSlashes = max(r.maxSlashes, strings.Count(withSlash(prefix), "/"))
 		for _, a := range route.Accounts {
-			r.grants[grant{uint32(i), r.accounts[a]}] = struct{}{}
+			r.grants[grant{route.Name, r.accounts[a]}] = struct{}{}
 		}
 	}
 	return r
@@ -91,6 +94,15 @@
 // compared literally. It verifies the token if the caller gave an account, or if tokens identify accounts; then account is
 // ignored. The error is of type *Refusal.
 func (r *Router) Route(method, host, path string, account AccountName, token string) (Match, error) {
+	return r.route(method, host, path, r.credentials(account, token))
+}
+
+// RouteToken is Route for a request of which only the digest of its token is known.
+func (r *Router) RouteToken(method, host, path string, token TokenDigest) (Match, error) {
+	return r.route(method, host, path, credentials{digest: token})
+}
+
+func (r *Router) route(method, host, path string, given credentials) (Match, error) {
 	i, err := r.find(host, path)
 	if err != nil {
 		return Match{}, err
@@ -100,7 +112,7 @@
 		return Match{}, &Refusal{Reason: RefusedMethod, Route: route.Name, Methods: route.Methods}
 	}
 	match := Match{Route: route, Idempotent: route.IsIdempotent(method)}
-	if match.Account, match.Token, err = r.authorize(i, route, credentials{account, token}); err != nil {
+	if match.Account, match.Token, err = r.authorize(route, given); err != nil {
 		return Match{}, err
 	}
 	return match, nil
--- a/target/attempt.go
+++ b/target/attempt.go
@@ -149,7 +149,7 @@
 		return a.classifyError(err)
 	}
 	if streamed {
-		a.writer = &bodyWriter{conn: a.conn, request: a.request, done: make(chan struct{})}
+		a.writer = &bodyWriter{conn: a.conn, protocol: a.client.Protocol, request: a.request, done: make(chan struct{})}
 		a.client.active.Go(a.writer.run)
 	}
 	return nil
--- a/target/header.go
+++ b/target/header.go
@@ -22,6 +22,8 @@
 	HeaderRateLimit = "Bilberrywood-Rate-Limit"
 	// HeaderID holds the request ID of a non-idempotent request.
 	HeaderID = "Bilberrywood-Id"
+	// HeaderAccount names the client account of a request.
+	HeaderAccount = "Bilberrywood-Account"
 	// HeaderNonce is chosen by a caller and echoed by targets, to detect misdelivered responses.
 	HeaderNonce = "Bilberrywood-Nonce"
 )
@@ -56,7 +58,8 @@
 	// InstanceHeader names the target that the request is meant for. If another target has taken
 	// over the address, it refuses the request without running it.
 	InstanceHeader string
-	// AccountHeader of a request names the client account that it belongs to. Callers can't set it.
+	// AccountHeader of a request names the client account that it belongs to. Callers can't set it where tokens identify
+	// accounts.
 	AccountHeader string
 	// RateLimitHeader of a response holds the requests per second that the target accepts from all entries
 	// together.
@@ -80,6 +83,7 @@
 var DefaultProtocol = Protocol{
 	DeadlineHeader:  HeaderDeadline,
 	NonceHeader:     HeaderNonce,
+	AccountHeader:   HeaderAccount,
 	RateLimitHeader: HeaderRateLimit,
 	Classify: func(status int, h http.Header) ResponseClass {
 		if isShed(status, h) {
@@ -90,6 +94,10 @@
 	IsDraining: isDraining,
 }
 
+// credentialFields are the fields that say on whose behalf a request is made. Those of a trailer are not passed on, since
+// the entry decided before it arrived (RFC 9110, section 6.5.1).
+func (p *Protocol) credentialFields() []string { return []string{"Authorization", p.AccountHeader} }
+
 // maxPeerDuration limits durations that a peer sends, so that a wrong value can't stop traffic for long.
 const maxPeerDuration = time.Hour
 
--- a/target/write.go
+++ b/target/write.go
@@ -52,7 +52,7 @@
 	if p.InstanceHeader != "" && r.Instance != "" {
 		appendHeaderField(b, p.InstanceHeader, r.Instance)
 	}
-	appendFraming(b, r)
+	appendFraming(b, p, r)
 	// Writing to a buffer does not fail. WriteSubset leaves out fields with invalid names and
 	// replaces line ends in values.
 	_ = r.Header.WriteSubset(b, excludedKeys(r.Header, p.DeadlineHeader, p.InstanceHeader))
@@ -91,11 +91,11 @@
 }
 
 // appendFraming writes the fields that define the length of the body.
-func appendFraming(b *bytes.Buffer, r *Request) {
+func appendFraming(b *bytes.Buffer, p *Protocol, r *Request) {
 	switch {
 	case r.hasBody() && r.ContentLength < 0:
 		appendHeaderField(b, "Transfer-Encoding", "chunked")
-		if names := trailerNames(r.Trailer); len(names) > 0 {
+		if names := trailerNames(p, r.Trailer); len(names) > 0 {
 			appendHeaderField(b, "Trailer", strings.Join(names, ", "))
 		}
 	case r.hasBody():
@@ -106,11 +106,11 @@
 }
 
 // trailerNames returns the sorted names of the fields that may be sent in a trailer.
-func trailerNames(trailer http.Header) []string {
+func trailerNames(p *Protocol, trailer http.Header) []string {
 	var names []string
 	for name := range trailer {
 		name = textproto.CanonicalMIMEHeaderKey(name)
-		if !excludedHeaders[name] && !strings.ContainsFunc(name, notToken) {
+		if !excludedHeaders[name] && !slices.Contains(p.credentialFields(), name) && !strings.ContainsFunc(name, notToken) {
 			names = append(names, name)
 		}
 	}
@@ -120,8 +120,9 @@
 
 // bodyWriter streams a request body to a connection. The response may arrive meanwhile.
 type bodyWriter struct {
-	conn    *conn
-	request *Request
+	conn     *conn
+	protocol *Protocol
+	request  *Request
 	// lastWriteStarted is set right before the last byte of the body is written.
 	lastWriteStarted atomic.Bool
 	done             chan struct{}
@@ -198,7 +199,7 @@
 		}
 	}
 	w.lastWriteStarted.Store(true)
-	_, w.connErr = w.conn.Write(lastChunk(w.request.Trailer))
+	_, w.connErr = w.conn.Write(lastChunk(w.protocol, w.request.Trailer))
 }
 
 // frameChunk writes the length of a chunk before and a line end after the n bytes at
@@ -212,11 +213,11 @@
 }
 
 // lastChunk returns the last chunk of a body with the trailer.
-func lastChunk(trailer http.Header) []byte {
+func lastChunk(p *Protocol, trailer http.Header) []byte {
 	var b bytes.Buffer
 	b.WriteString("0\r\n")
 	if len(trailer) > 0 {
-		_ = trailer.WriteSubset(&b, excludedKeys(trailer)) // writing to a buffer does not fail
+		_ = trailer.WriteSubset(&b, excludedKeys(trailer, p.credentialFields()...)) // writing to a buffer does not fail
 	}
 	b.WriteString("\r\n")
 	return b.Bytes()
