--- a/entry/account.go
+++ b/entry/account.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"net/textproto"
 	"strings"
 
 	"github.com/bilberrywood/bilberrywood/pool"
@@ -70,22 +69,13 @@
 	// A Connection field could name the account's field, so that it would be taken out on the way.
 	target.DropHopByHop(x.Header)
 	name := e.accountHeader()
-	for field := range x.Header {
-		if sameField(field, headerAuthorization) || sameField(field, name) {
-			delete(x.Header, field)
-		}
-	}
+	x.Header.Del(headerAuthorization)
+	x.Header.Del(name)
 	if a := active.router.Account(account); a != nil && name != "" {
 		x.Header.Set(name, a.DisplayName())
 	}
 }
 
-// sameField reports whether a target could take a field for the one with the canonical name. Some programs take an
-// underscore for a hyphen.
-func sameField(field, name string) bool {
-	return textproto.CanonicalMIMEHeaderKey(strings.ReplaceAll(field, "_", "-")) == name
-}
-
 // admitForwardedAccount identifies the account of a forwarded request by the tables of this entry, if those are as new as
 // the ones of the sender: the sender may still have a token that was taken away or moved to another account. A sender of
 // an earlier build has left the Authorization field in the header.
