--- a/entry/account.go
+++ b/entry/account.go
@@ -59,11 +59,15 @@
 func (e *Entry) setAccount(x *exchange, active *activeTables, account table.AccountName, token table.TokenDigest) {
 	x.Account = account
 	x.priority = active.router.Priority(x.route, account)
-	if !active.pair.Routes.AccountsByToken {
+	switch {
+	case active.pair.Routes.AccountsByToken:
+	case e.callerProtocol().WithholdsTokens:
+		token = table.DigestToken(e.callerProtocol().token(x.Header))
+	default:
 		return
 	}
 	x.CheckedRevision, x.TokenDigest = active.pair.Revision, nil
-	if account != "" {
+	if (token != table.TokenDigest{}) {
 		x.TokenDigest = token[:]
 	}
 	// A Connection field could name the account's field, so that it would be taken out on the way.
@@ -80,9 +84,13 @@
 // the ones of the sender: the sender may still have a token that was taken away or moved to another account. A sender of
 // an earlier build has left the Authorization field in the header.
 func (e *Entry) admitForwardedAccount(x *exchange, active *activeTables) *refusal {
-	if !active.pair.Routes.AccountsByToken || x.CheckedRevision > active.pair.Revision {
+	switch {
+	case x.CheckedRevision > active.pair.Revision, x.CheckedRevision != 0 && !active.pair.Routes.AccountsByToken:
 		x.priority = active.router.Priority(x.route, x.Account)
 		return nil
+	case !active.pair.Routes.AccountsByToken:
+		e.setAccount(x, active, x.Account, table.TokenDigest{})
+		return nil
 	}
 	token := x.forwardedToken()
 	if x.CheckedRevision == 0 {
--- a/entry/callerprotocol.go
+++ b/entry/callerprotocol.go
@@ -20,6 +20,9 @@
 	RetriesOnlyNotRun bool
 	// TokenScheme is the scheme of the Authorization field that carries the token of an account; empty means Bearer.
 	TokenScheme string
+	// WithholdsTokens means that tokens and the field with the account go no further than the entry also where the tables
+	// in force identify no accounts by tokens: they may be older than the callers' tokens.
+	WithholdsTokens bool
 	// Paths is how the paths of requests are compared with the prefixes of routes.
 	Paths table.PathMatching
 	// FractionalRetryAfter is true if callers accept fractions of seconds in Retry-After.
--- a/peer/types.go
+++ b/peer/types.go
@@ -48,11 +48,11 @@
 	Revision table.Revision `cbor:"13,keyasint,omitempty"`
 	// RawURI replaces URI if it is not UTF-8, which earlier builds require of texts. URI is then escaped.
 	RawURI []byte `cbor:"14,keyasint,omitempty"`
-	// TokenDigest is the SHA-256 of the token that identifies Account; nil if CheckedRevision is 0 or the request has no
-	// account.
+	// TokenDigest is the SHA-256 of the request's token, which may be unknown; nil if CheckedRevision is 0 or there is none.
 	TokenDigest []byte `cbor:"15,keyasint,omitempty"`
-	// CheckedRevision names the tables by which an entry has identified Account by its token. Header then lacks the token,
-	// and has the field that names the account to targets if there is one. 0 means that no entry has looked for a token.
+	// CheckedRevision names the tables by which an entry has identified Account by its token, if they identify any. Header
+	// then lacks the token, and has the field that names the account to targets if there is one. 0 means that no entry has
+	// looked for a token.
 	CheckedRevision table.Revision `cbor:"16,keyasint,omitempty"`
 }
 
--- a/table/credentials.go
+++ b/table/credentials.go
@@ -83,7 +83,7 @@
 func (r *Router) authorize(route *Route, given credentials) (AccountName, TokenDigest, error) {
 	a, err := r.identify(route, given)
 	if err != nil || a == nil {
-		return "", TokenDigest{}, err
+		return "", given.digest, err
 	}
 	if len(route.Accounts) > 0 && !r.isGranted(route, a.Name) {
 		return "", TokenDigest{}, &Refusal{Reason: RefusedAccount, Route: route.Name, Account: a.Name}
--- a/table/router.go
+++ b/table/router.go
@@ -40,7 +40,8 @@
 	Route *Route
 	// Account is the verified account. It is empty if the caller gave none.
 	Account AccountName
-	// Token identifies the token that verified the account; zero unless tokens identify accounts.
+	// Token is the digest of the given token, which may be unknown if there is no Account; zero unless tokens identify
+	// accounts.
 	Token TokenDigest
 	// Idempotent says that the request may be executed twice: its method is GET or HEAD, or the route is
 	// idempotent. On a route that is marked as non-idempotent it is false.
