--- a/entry/entry.go
+++ b/entry/entry.go
@@ -49,6 +49,7 @@
 	tables        tableState
 	fleet         fleetState
 	cells         *cellSet
+	quota         *quotaState
 	announcements pool.Announcements
 	targetClient  *target.Client
 	node          *peer.Node
@@ -115,6 +116,7 @@
 		return Error.Wrap(err)
 	}
 	e.background.Go(func() { runEvery(work, tickInterval, e.tick) })
+	e.background.Go(func() { e.quota.run(work) })
 	if err := e.listen(); err != nil {
 		stopWork()
 		e.close()
@@ -162,6 +164,7 @@
 	e.fleet.membership = e.membership(incarnation)
 	e.fleet.update(0, func(*fleet.Membership) {})
 	e.cells = &cellSet{e: e, cells: make(map[fleet.CellKey]*servedCell)}
+	e.quota = newQuotaState(e)
 	e.targetClient = &target.Client{Protocol: e.TargetProtocol}
 	e.source = e.newSource()
 	e.node = &peer.Node{
@@ -169,6 +172,7 @@
 		TLS: peer.TLSFiles{CA: s.TLS.CA, Certificate: s.TLS.Certificate, Key: s.TLS.Key},
 	}
 	e.sendHeartbeat = e.node.SendHeartbeat
+	e.quota.requestQuota = e.node.RequestQuota
 }
 
 // responseTTL is how long responses are stored for retries with the same request ID.
@@ -229,6 +233,7 @@
 		e.cells.createOwned(active, v)
 		claims, poison := e.cells.tick(active, v)
 		e.monitorPaths()
+		e.quota.tick(active, v)
 		e.fleet.mu.Lock()
 		e.fleet.membership.SetClaims(claims)
 		e.fleet.membership.SetPoison(poison)
@@ -354,6 +359,7 @@
 	_ = e.callerServer.Close()
 	e.cells.close()
 	_ = e.targetClient.Close()
+	e.quota.close()
 	_ = e.node.Close()
 	e.background.Wait()
 }
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -63,6 +63,9 @@
 	if refused := unservedRefusal(response); refused != nil && mode == peer.ForwardPlace {
 		return refused
 	}
+	if mode == peer.ForwardPlace {
+		e.quota.observe(x.Account, response.Header)
+	}
 	if a := response.Announcement; a != nil {
 		e.announcements.Add(a.Target, pool.Announcement{Started: a.Started, Leaving: a.Leaving})
 	}
--- a/entry/handover_test.go
+++ b/entry/handover_test.go
@@ -39,6 +39,10 @@
 	return peer.PathResult{Reached: c.Targets}
 }
 
+func (o *newOwner) Quota(q peer.QuotaRequest) peer.QuotaResult {
+	return peer.QuotaResult{Grants: make([]peer.QuotaGrant, len(q.Accounts))}
+}
+
 func (o *newOwner) Forward(_ context.Context, _ peer.ForwardHeader, body io.Reader, w peer.ResponseWriter) {
 	_, _ = io.Copy(io.Discard, body)
 	o.mu.Lock()
--- a/entry/place.go
+++ b/entry/place.go
@@ -26,6 +26,9 @@
 	if !ok || owner.ID == e.Settings.ID {
 		return e.placeOrPassOn(ctx, x, key)
 	}
+	if refused := e.quota.throttled(x); refused != nil {
+		return refused
+	}
 	x.Cell = key
 	refused := e.forward(ctx, x, owner, peer.ForwardPlace)
 	if refused == nil || refused.reason != reasonOwnerUnreachable && refused.reason != reasonLeaving {
@@ -62,6 +65,19 @@
 	if !ok {
 		return notRunRefusal(http.StatusServiceUnavailable, reasonCellClosed, "the pool is not in the tables in force")
 	}
+	giveBack, refused := e.quota.acquire(ctx, x)
+	if refused != nil {
+		return refused
+	}
+	refused = e.placeInCell(ctx, x, cell)
+	if refused != nil && refused.outcome == notice.OutcomeNotRun {
+		giveBack()
+	}
+	return refused
+}
+
+// placeInCell runs the request at a target that the cell chooses.
+func (e *Entry) placeInCell(ctx context.Context, x *exchange, cell *cellRunner) *refusal {
 	if refused := e.readSuspectedBody(ctx, x, cell); refused != nil {
 		return refused
 	}
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -22,6 +22,8 @@
 	maxPairSize = 16 << 20
 	// maxPathCheckSize is the maximum size of a path check and of its result.
 	maxPathCheckSize = 4 << 10
+	// maxQuotaSize is the maximum size of a request for credit and of its result.
+	maxQuotaSize = 32 << 10
 	// frameHeaderSize is the size of a frame's type and length.
 	frameHeaderSize = 5
 )
@@ -40,6 +42,8 @@
 	framePair
 	framePathCheck
 	framePathResult
+	frameQuota
+	frameQuotaResult
 )
 
 // limit returns the maximum payload of a frame in bytes; 0 for an unknown type.
@@ -55,6 +59,8 @@
 		return maxPairSize
 	case framePathCheck, framePathResult:
 		return maxPathCheckSize
+	case frameQuota, frameQuotaResult:
+		return maxQuotaSize
 	}
 	return 0
 }
--- a/peer/node_test.go
+++ b/peer/node_test.go
@@ -44,6 +44,15 @@
 	}
 }
 
+// Quota grants one request less than is wanted.
+func (h *testHandler) Quota(q QuotaRequest) QuotaResult {
+	var r QuotaResult
+	for _, n := range q.Wanted {
+		r.Grants = append(r.Grants, QuotaGrant{Credit: n - 1, RetryMs: 7, NotOwner: n == 1})
+	}
+	return r
+}
+
 // CheckPaths reaches all targets but the first.
 func (h *testHandler) CheckPaths(_ context.Context, c PathCheck) PathResult {
 	return PathResult{Reached: c.Targets[1:]}
--- a/peer/serve.go
+++ b/peer/serve.go
@@ -52,6 +52,8 @@
 		err = n.serveFetch(s, payload)
 	case framePathCheck:
 		err = n.servePathCheck(s, payload)
+	case frameQuota:
+		err = n.serveQuota(s, payload)
 	default:
 		err = errorClass.New("stream begins with a frame of type %d", t)
 	}
--- a/peer/types.go
+++ b/peer/types.go
@@ -180,4 +180,6 @@
 	Pair(after table.Revision) PairMessage
 	// CheckPaths opens a connection to each target and returns when all have accepted or failed.
 	CheckPaths(ctx context.Context, c PathCheck) PathResult
+	// Quota returns a grant for each account.
+	Quota(q QuotaRequest) QuotaResult
 }
