--- a/entry/quota.go
+++ b/entry/quota.go
@@ -234,7 +234,7 @@
 	s.ledger.SetStanding(now, quota.Standing{Owned: owned, Links: links})
 	spenders := 0
 	if links[0].Self {
-		spenders = s.ledger.Known()
+		spenders = links[0].Known
 	}
 	shards, share := s.ledger.Standing()
 	s.spender.SetSpenders(now, spenders, s.ledger.Linked())
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -1,7 +1,6 @@
 package quota
 
 import (
-	"slices"
 	"time"
 
 	"github.com/bilberrywood/bilberrywood/fleet"
@@ -24,17 +23,13 @@
 	maxStandingAge = 500 * time.Millisecond
 	// joinDelay is how long an entry that has just joined hands out nothing for accounts that it gains: the previous
 	// owner learns of it from a heartbeat.
-	joinDelay = 500 * time.Millisecond
+	joinDelay = 200 * time.Millisecond
 	// resumeDelay is the same after this entry did not run, when the heartbeats that it finds may be old.
 	resumeDelay = time.Second
 	// joinPeriod is how long after the first standing an entry counts as just joined.
 	joinPeriod = 5 * time.Second
 )
 
-// knownMemory is how long an entry counts in LinkCount.Known after it was removed from it. The parts of a fleet that has
-// split must not count the others as gone one after the other.
-const knownMemory = 30 * time.Second
-
 // Standing is what an entry knows of its part in the fleet.
 type Standing struct {
 	// Owned has an element for each shard of the accounts: whether this entry owns it.
@@ -69,9 +64,7 @@
 	// ownedFrom has the time from which each shard is owned; notOwned if it is not.
 	ownedFrom []Time
 	share     float64
-	// known has the highest LinkCount.Known of each count since a time.
-	known   []remembered
-	started bool
+	started   bool
 	// startedAt is the time of the first standing, standingAt that of the last.
 	startedAt, standingAt Time
 	// delayUntil is the end of resumeDelay.
@@ -99,7 +92,7 @@
 
 // SetStanding is called several times within maxStandingAge.
 func (l *Ledger) SetStanding(now Time, s Standing) {
-	share := share(l.remember(now, s.Links))
+	share := share(s.Links)
 	if l.faults.noMajority {
 		share = 1
 	}
@@ -185,14 +178,6 @@
 // Linked reports whether this entry is linked with most of the fleet.
 func (l *Ledger) Linked() bool { return l.share == 1 }
 
-// Known returns the highest number of entries in the first count of links within knownMemory.
-func (l *Ledger) Known() int {
-	if len(l.known) == 0 {
-		return 0
-	}
-	return l.known[0].n
-}
-
 // Standing returns how many shards this entry owns and the part of the quotas that it may hand out.
 func (l *Ledger) Standing() (shards int, share float64) {
 	for _, from := range l.ownedFrom {
@@ -203,28 +188,6 @@
 	return shards, l.share
 }
 
-// remembered is the highest number in some time.
-type remembered struct {
-	n  int
-	at Time
-}
-
-// remember returns the counts with the highest numbers of known entries within knownMemory.
-func (l *Ledger) remember(now Time, links []fleet.LinkCount) []fleet.LinkCount {
-	if len(l.known) != len(links) {
-		l.known = make([]remembered, len(links))
-	}
-	remembering := slices.Clone(links)
-	for i := range remembering {
-		n, k := &remembering[i], &l.known[i]
-		if n.Known >= k.n || now-k.at > knownMemory {
-			*k = remembered{n.Known, now}
-		}
-		n.Known = k.n
-	}
-	return remembering
-}
-
 // sweepInterval is how often buckets that are full again are removed.
 const sweepInterval = 10 * time.Second
 
--- a/quota/tolerance.go
+++ b/quota/tolerance.go
@@ -25,22 +25,26 @@
 
 // CreditValidity is how long credit may be spent, from when it was asked for. Credit from just before a window counts
 // against the window.
-const CreditValidity = 300 * time.Millisecond
+const CreditValidity = 250 * time.Millisecond
 
 // ownerOverlap is how long two entries may both hand out credit for an account. That happens if the heartbeats of an
 // owner are lost while it receives those of its peers: it learns of it from their next heartbeat.
 const ownerOverlap = 500 * time.Millisecond
 
-// How the bound of a window is divided. The owner's credit gets ownerRateShare of the part that grows with the rate, and the
-// whole part of the burst. Of the slack, capacitySlack adds to the owner's burst and rateSlack to what it hands out in a
-// window. The rest is what entries without an owner may spend. More rate serves accounts with a low quota better than
-// more burst: their requests come in irregular intervals.
+// How the bound of a window is divided. What entries may spend without an owner is aloneRateShare of the part that grows
+// with the rate, and aloneSlack of the slack. The rest is the owner's.
 const (
-	ownerRateShare = 0.97
-	capacitySlack  = 0.30
-	rateSlack      = 0.35
-	aloneRateShare = 1 - ownerRateShare
-	aloneSlack     = 1 - capacitySlack - rateSlack
+	aloneRateShare = 0.03
+	aloneSlack     = 0.2
+)
+
+// The capacity of an owner's bucket lasts for at least minCapacityTime at the rate at which it is filled, and is at least
+// minCapacity requests. Rate serves more requests in a window than capacity does, and requests can wait. The burst is
+// admitted within burstTime.
+const (
+	minCapacityTime = 150 * time.Millisecond
+	minCapacity     = 4
+	burstTime       = 500 * time.Millisecond
 )
 
 // allowance describes a token bucket.
@@ -54,20 +58,22 @@
 	return allowance{perSecond: a.perSecond * share, capacity: a.capacity * share}
 }
 
-// rateBound is the part of the bound of a window that grows with the rate.
-func (t Tolerance) rateBound(l Limit) float64 {
-	return l.RatePerSecond * t.Window.Seconds() * (1 + t.Excess)
+// ownerless is what all entries together may spend in a window without the owner.
+func (t Tolerance) ownerless(l Limit) float64 {
+	return aloneRateShare*l.RatePerSecond*t.Window.Seconds()*(1+t.Excess) + aloneSlack*t.Slack
 }
 
 // owner returns the bucket of an account at its owner. What is spent in a window was granted within the window or
 // CreditValidity before it, by at most two owners, of which the second one started with nothing:
-// capacity + perSecond * (Window + CreditValidity + ownerOverlap) plus what alone allows is at most the bound.
+// capacity + perSecond * (Window + CreditValidity + ownerOverlap) + ownerless is the bound.
 func (t Tolerance) owner(l Limit) allowance {
+	bound := t.Bound(l) - t.ownerless(l)
 	span := (t.Window + CreditValidity + ownerOverlap).Seconds()
-	return allowance{
-		perSecond: (ownerRateShare*t.rateBound(l) + rateSlack*t.Slack) / span,
-		capacity:  l.Burst*(1+t.Excess) + capacitySlack*t.Slack,
+	perSecond := min(bound/(span+minCapacityTime.Seconds()), (bound-min(minCapacity, bound))/span)
+	if perSecond*burstTime.Seconds()+bound-span*perSecond < l.Burst {
+		perSecond = (bound - l.Burst) / (span - burstTime.Seconds())
 	}
+	return allowance{perSecond: perSecond, capacity: bound - span*perSecond}
 }
 
 // alone returns the bucket of an account at each of the spenders, from which it spends without the owner. In a window
@@ -76,7 +82,7 @@
 	if spenders < 1 {
 		return allowance{}
 	}
-	each := (aloneRateShare*t.rateBound(l) + aloneSlack*t.Slack) / float64(spenders)
+	each := t.ownerless(l) / float64(spenders)
 	if each < 1 {
 		return allowance{}
 	}
