quota, fleet: links with the seeds count for a new process

Cause: in a random play all processes were killed while the fleet was split; one half knew only the seeds, found itself a majority of them, and 53 requests ran in a window with a bound of 52.8. In a herd kill requests were refused before the owner had links with most entries.

Change: a process that no fleet list names counts its links with the seeds too, since all processes have the same.

--- a/entry/quota.go
+++ b/entry/quota.go
@@ -155,7 +155,7 @@
 }
 
 // maxQuotaWaitShare is the part of the remaining time that a request waits for credit at most, as a divisor.
-const maxQuotaWaitShare = 4
+const maxQuotaWaitShare = 2
 
 // wait waits for the verdict on a request; ok is false if ctx has ended before that.
 func (s *quotaState) wait(ctx context.Context, x *exchange, w *quota.Waiter) (v quota.Verdict, ok bool) {
--- a/fleet/membership.go
+++ b/fleet/membership.go
@@ -442,6 +442,11 @@
 	}
 }
 
+// isSeed reports whether the settings name an entry as a seed.
+func (m *Membership) isSeed(id EntryID) bool {
+	return slices.ContainsFunc(m.Seeds, func(s Seed) bool { return s.ID == id })
+}
+
 // AddSeeds adds peers that are named in the settings.
 func (m *Membership) AddSeeds(now time.Duration, seeds []Seed) {
 	m.initialize(now)
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -37,6 +37,7 @@
 	states          []memberState // parallel to Members
 	selfIndex       int
 	selfEligible    bool // this entry can own cells
+	listed          bool // this entry has had a fleet list that names it
 	canBeExclusive  bool // the conditions of exclusive ownership that don't depend on the cell are met
 	canEject        bool
 	faults          faults
@@ -51,6 +52,7 @@
 	heardAt        time.Duration
 	claims         []peerClaim
 	reader         bool
+	seed           bool
 }
 
 // View returns a snapshot at now.
@@ -68,6 +70,7 @@
 		shardDomains:    m.ShardDomains,
 		hubTopology:     m.hubTopology(),
 		faults:          m.faults,
+		listed:          m.hasList && m.selfEverListed,
 		selfEligible:    m.state == StateServing && !m.selfListedLeaving,
 	}
 	v.canBeExclusive = m.canBeExclusive(now) && !v.RecentlyPaused
@@ -123,7 +126,7 @@
 		Epoch:            m.epoch,
 		Digest:           m.tablesDigest,
 	})
-	v.states = append(v.states, memberState{hash: m.hash, eligible: v.selfEligible, reader: m.reader})
+	v.states = append(v.states, memberState{hash: m.hash, eligible: v.selfEligible, reader: m.reader, seed: m.isSeed(m.ID)})
 }
 
 func (v *View) addPeer(m *Membership, now time.Duration, p *peer, recentHubs []*peer) {
@@ -139,6 +142,7 @@
 		heardAt:        p.heardAt,
 		claims:         p.claims,
 		reader:         p.reader && recentlyHeard,
+		seed:           p.seed,
 	})
 	if !recentlyHeard {
 		return
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"slices"
 	"time"
 
 	"github.com/bilberrywood/bilberrywood/fleet"
@@ -21,8 +22,8 @@
 	// maxStandingAge is the age from which a standing isn't relied on. An entry that did not run for longer may have
 	// lost its accounts to another one meanwhile, which takes longer than this.
 	maxStandingAge = 500 * time.Millisecond
-	// joinDelay is how long an entry that has just joined hands out nothing for accounts that it gains: the previous
-	// owner learns of it from a heartbeat.
+	// joinDelay is how long an entry that has just joined hands out nothing for the first accounts that it gains: the
+	// previous owner learns of it from a heartbeat.
 	joinDelay = 200 * time.Millisecond
 	// resumeDelay is the same after this entry did not run, when the heartbeats that it finds may be old.
 	resumeDelay = time.Second
@@ -67,10 +68,10 @@
 	started   bool
 	// startedAt is the time of the first standing, standingAt that of the last.
 	startedAt, standingAt Time
-	// delayUntil is the end of resumeDelay.
-	delayUntil Time
-	sweptAt    Time
-	faults     ledgerFaults
+	// delayUntil is the end of resumeDelay, and grantFrom that of joinDelay; 0 if there was none yet.
+	delayUntil, grantFrom Time
+	sweptAt               Time
+	faults                ledgerFaults
 }
 
 // ledgerFaults switch off single rules, for tests that must then fail.
@@ -114,8 +115,8 @@
 	}
 	l.share, l.standingAt = share, now
 	from := max(now, l.delayUntil)
-	if now-l.startedAt < joinPeriod {
-		from = max(from, now+joinDelay)
+	if now-l.startedAt < joinPeriod && slices.Contains(s.Owned, true) && l.grantFrom == 0 && share > 0 {
+		l.grantFrom = now + joinDelay
 	}
 	for i, owned := range s.Owned {
 		switch {
@@ -134,7 +135,7 @@
 		return Grant{NotOwner: true}
 	}
 	from := l.ownedFrom[Shard(account, len(l.ownedFrom))]
-	if from == notOwned || now < from {
+	if from == notOwned || now < max(from, l.grantFrom) {
 		return Grant{NotOwner: true}
 	}
 	a := l.Tolerance.owner(limit).times(l.share)
--- a/quota/sim_test.go
+++ b/quota/sim_test.go
@@ -10,13 +10,15 @@
 )
 
 const (
-	simAccount   table.AccountName = "sese880"
-	simStep                        = 10 * time.Millisecond
-	simHeartbeat                   = 400 * time.Millisecond
-	simTick                        = 50 * time.Millisecond
-	simSuspect                     = 1500 * time.Millisecond
-	simRecent                      = simSuspect - simHeartbeat
-	simDelay                       = 1900 * time.Millisecond // a quarter of the time that a request has
+	simAccount     table.AccountName = "sese880"
+	simStep                          = 10 * time.Millisecond
+	simHeartbeat                     = 400 * time.Millisecond
+	simTick                          = 50 * time.Millisecond
+	simSuspect                       = 1500 * time.Millisecond
+	simSeeds                         = 3
+	simSeedsPeriod                   = time.Minute
+	simRecent                        = simSuspect - simHeartbeat
+	simDelay                         = 1900 * time.Millisecond // a quarter of the time that a request has
 )
 
 var simTolerance = Tolerance{Window: 5 * time.Second, Excess: 0.25, Slack: 20}
@@ -32,8 +34,9 @@
 	// hearsMe has what the last heartbeat of each peer said.
 	hearsMe []bool
 	// links has the links that each peer reported.
-	links   [][]bool
-	waiters []*Waiter
+	links     [][]bool
+	waiters   []*Waiter
+	startedAt Time
 	// inbox has what arrives while the process is frozen.
 	inbox []func()
 }
@@ -62,13 +65,14 @@
 	return s
 }
 
-// start starts the process of an entry, which knows three seeds.
+// start starts the process of an entry, which knows the seeds.
 func (s *sim) start(i int, limit Limit) {
 	n := len(s.nodes)
 	node := &simNode{limit: limit, knows: make([]bool, n), heardAt: make([]Time, n), hearsMe: make([]bool, n), links: make([][]bool, n)}
+	node.startedAt = s.now
 	node.ledger.Tolerance, node.spender.Tolerance, node.ledger.faults = simTolerance, simTolerance, s.faults
 	for j := range n {
-		node.knows[j] = j == i || j < 3
+		node.knows[j] = j == i || j < simSeeds
 		node.heardAt[j] = -time.Hour
 	}
 	s.nodes[i] = node
@@ -145,8 +149,14 @@
 
 func (s *sim) tick(i int) {
 	n := s.nodes[i]
-	count := fleet.LinkCount{Self: true}
+	count, seeds := fleet.LinkCount{Self: true}, fleet.LinkCount{}
 	for j := range s.nodes {
+		if j < simSeeds && s.now-n.startedAt < simSeedsPeriod {
+			seeds.Known++
+			if s.linked(i, j, simSuspect) {
+				seeds.Linked++
+			}
+		}
 		if n.knows[j] {
 			count.Known++
 			if s.linked(i, j, simRecent) {
@@ -154,7 +164,11 @@
 			}
 		}
 	}
-	n.ledger.SetStanding(s.now, Standing{Owned: []bool{s.owner(i) == i}, Links: []fleet.LinkCount{count}})
+	links := []fleet.LinkCount{count}
+	if seeds.Known > 0 {
+		links = append(links, seeds)
+	}
+	n.ledger.SetStanding(s.now, Standing{Owned: []bool{s.owner(i) == i}, Links: links})
 	n.spender.SetSpenders(s.now, count.Known, n.ledger.Linked())
 }
 
