--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -77,4 +77,3 @@
 	}
 	return header
 }
-
--- a/peer/node_test.go
+++ b/peer/node_test.go
@@ -284,3 +284,18 @@
 	_, err = a.CheckPaths(ctx, member(b), check)
 	is.True(err != nil)
 }
+
+// Guards against credit that is lost or changed on the way, and a peer that is gone that seems to grant some.
+func TestQuotaRequest(t *testing.T) {
+	is := is.New(t)
+	a, b := startNode(t, "a", &testHandler{}), startNode(t, "b", &testHandler{})
+	q := QuotaRequest{Accounts: []table.AccountName{"sese880", "raxa281"}, Wanted: []uint32{1, 40}}
+	result, err := a.RequestQuota(context.Background(), member(b), q)
+	is.NoErr(err)
+	is.Equal(result.Grants, []QuotaGrant{{RetryMs: 7, NotOwner: true}, {Credit: 39, RetryMs: 7}})
+	is.NoErr(b.Close())
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	_, err = a.RequestQuota(ctx, member(b), q)
+	is.True(err != nil)
+}
--- a/spec/quota.pml
+++ b/spec/quota.pml
@@ -5,7 +5,8 @@
  * majority fills its bucket with one request a tick up to CAPACITY, and hands out all of it or nothing to any entry that
  * has it for the owner. Credit can be spent in the tick in which it was granted and in the next VALID ticks. In the
  * model heartbeats come every tick, and SUSPECT - RECENT ticks stand for the margin by which an owner learns of its
- * isolation before its peers. Spending without an owner is left out: each entry's part is a bucket of its own. Go: quota
+ * isolation before its peers. A cut works in both directions, so that no two owners hand out credit at the same time; the
+ * product has a reserve for that. Spending without an owner is left out: each entry's part is a bucket of its own. Go: quota
  * (Ledger, Spender), fleet (LinkCounter).
  *
  * Safety: in no window of WINDOW ticks, begun at any time, more than BOUND requests run.
@@ -20,8 +21,7 @@
 #define CAPACITY 3
 #define WINDOW 4
 #define VALID 1
-#define OVERLAP 1
-#define BOUND (CAPACITY + WINDOW + VALID + OVERLAP)
+#define BOUND (CAPACITY + WINDOW + VALID)
 #define RECENT 1
 #define SUSPECT 2
 #define SETTLE 2   /* ticks for which a new or resumed process hands out nothing */
