entry, peer: questions for credit over a relay, and an account's state for operators

Cause: an entry whose direct path to the owner of an account is broken got no credit, although requests are relayed.

Change: a request for credit names its receiver, and another entry passes it on once. GET /v1/quota shows an account's quota, its owner and its state.

--- a/entry/handover_test.go
+++ b/entry/handover_test.go
@@ -39,7 +39,7 @@
 	return peer.PathResult{Reached: c.Targets}
 }
 
-func (o *newOwner) Quota(q peer.QuotaRequest) peer.QuotaResult {
+func (o *newOwner) Quota(_ context.Context, q peer.QuotaRequest) peer.QuotaResult {
 	return peer.QuotaResult{Grants: make([]peer.QuotaGrant, len(q.Accounts))}
 }
 
--- a/entry/operator.go
+++ b/entry/operator.go
@@ -73,6 +73,7 @@
 	r.GET("/v1/cells", func(c echo.Context) error { return c.JSON(http.StatusOK, e.cells.status()) })
 	r.GET("/v1/tables/:table", e.activeTable)
 	r.GET("/v1/explain", e.explain)
+	r.GET("/v1/quota", e.quotaStatus)
 	r.GET("/v1/log", e.followLog)
 	r.GET("/debug/pprof/", echo.WrapHandler(http.HandlerFunc(pprof.Index)))
 	r.GET("/debug/pprof/profile", echo.WrapHandler(http.HandlerFunc(pprof.Profile)))
--- a/entry/quota.go
+++ b/entry/quota.go
@@ -312,18 +312,3 @@
 	s.cancel()
 	s.exchanges.Wait()
 }
-
-// Quota implements peer.Handler: it hands out credit of the accounts that this entry owns.
-func (e *Entry) Quota(q peer.QuotaRequest) peer.QuotaResult {
-	result := peer.QuotaResult{Grants: make([]peer.QuotaGrant, len(q.Accounts))}
-	active := e.tables.current()
-	s := e.quota
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := s.now()
-	for i, account := range q.Accounts {
-		g := s.grant(now, active, account, int(min(q.Wanted[i], maxWanted)))
-		result.Grants[i] = peer.QuotaGrant{Credit: uint32(g.Credit), RetryMs: (g.Retry + time.Millisecond - 1).Milliseconds(), NotOwner: g.NotOwner}
-	}
-	return result
-}
--- a/entry/quota_test.go
+++ b/entry/quota_test.go
@@ -40,14 +40,14 @@
 			table.RoutesKey: mustJSON(routes), table.PoolsKey: mustJSON(pools),
 		}})
 		is.New(t).Equal(e.tables.current().pair.Revision, table.Revision(2))
-		e.quota.requestQuota = func(_ context.Context, to fleet.Member, q peer.QuotaRequest) (peer.QuotaResult, error) {
+		e.quota.requestQuota = func(ctx context.Context, to fleet.Member, q peer.QuotaRequest) (peer.QuotaResult, error) {
 			time.Sleep(2 * simNetworkDelay)
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			if s.stopped[to.ID] {
 				return peer.QuotaResult{}, errors.New("no answer")
 			}
-			return s.entries[to.ID].Quota(q), nil
+			return s.entries[to.ID].Quota(ctx, q), nil
 		}
 		go e.quota.run(ctx)
 	}
--- a/entry/quotaask.go
+++ b/entry/quotaask.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/bilberrywood/bilberrywood/fleet"
 	"github.com/bilberrywood/bilberrywood/peer"
@@ -18,6 +19,39 @@
 	maxExchanges = 4
 )
 
+// errNoPath is the error of a question to an owner that can't be reached over a peer either.
+var errNoPath = Error.New("no path to the owner of the account")
+
+// Quota implements peer.Handler: it hands out credit of the accounts that this entry owns, or passes the request on to
+// their owner.
+func (e *Entry) Quota(ctx context.Context, q peer.QuotaRequest) peer.QuotaResult {
+	result := peer.QuotaResult{Grants: make([]peer.QuotaGrant, len(q.Accounts))}
+	s := e.quota
+	if q.To != "" && q.To != e.Settings.ID {
+		to, ok := e.member(q.To)
+		if ok && to.Link == fleet.LinkTwoWay {
+			// The receiver does not pass it on again, since it is the one that is named.
+			relayed, err := s.requestQuota(ctx, to, q)
+			if err == nil {
+				return relayed
+			}
+		}
+		for i := range result.Grants {
+			result.Grants[i].NotOwner = true
+		}
+		return result
+	}
+	active := e.tables.current()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	for i, account := range q.Accounts {
+		g := s.grant(now, active, account, int(min(q.Wanted[i], maxWanted)))
+		result.Grants[i] = peer.QuotaGrant{Credit: uint32(g.Credit), RetryMs: (g.Retry + time.Millisecond - 1).Milliseconds(), NotOwner: g.NotOwner}
+	}
+	return result
+}
+
 // grant hands out credit of an account that this entry owns. An account without a quota in its tables has as much as is
 // wanted: the entry that asks has other tables. The caller holds mu.
 func (s *quotaState) grant(now quota.Time, active *activeTables, account table.AccountName, want int) quota.Grant {
@@ -39,7 +73,7 @@
 		for _, ask := range asks {
 			owner, ok := view.Owner(active.accountKey(ask.Account))
 			switch {
-			case !ok || owner.Relay != "" || s.closed:
+			case !ok || s.closed:
 				s.spender.Fail(now, ask)
 			case owner.ID == s.e.Settings.ID:
 				s.spender.Answer(now, ask, s.grant(now, active, ask.Account, ask.Want))
@@ -79,13 +113,16 @@
 		return false
 	}
 	s.mu.Unlock()
-	q := peer.QuotaRequest{}
+	q := peer.QuotaRequest{To: owner.ID}
 	for _, a := range asks {
 		q.Accounts = append(q.Accounts, a.Account)
 		q.Wanted = append(q.Wanted, uint32(a.Want))
 	}
 	ctx, cancel := context.WithTimeout(s.ctx, quota.AskTimeout)
-	result, err := s.requestQuota(ctx, owner, q)
+	result, err := peer.QuotaResult{}, errNoPath
+	if via, ok := s.e.nextHop(owner); ok {
+		result, err = s.requestQuota(ctx, via, q)
+	}
 	cancel()
 	s.asked.Inc(1)
 	if err != nil {
--- a/peer/node_test.go
+++ b/peer/node_test.go
@@ -45,7 +45,7 @@
 }
 
 // Quota grants one request less than is wanted.
-func (h *testHandler) Quota(q QuotaRequest) QuotaResult {
+func (h *testHandler) Quota(_ context.Context, q QuotaRequest) QuotaResult {
 	var r QuotaResult
 	for _, n := range q.Wanted {
 		r.Grants = append(r.Grants, QuotaGrant{Credit: n - 1, RetryMs: 7, NotOwner: n == 1})
--- a/peer/quota.go
+++ b/peer/quota.go
@@ -18,6 +18,8 @@
 	// Accounts and Wanted have one element for each account.
 	Accounts []table.AccountName `cbor:"1,keyasint"`
 	Wanted   []uint32            `cbor:"2,keyasint"`
+	// To is the entry that owns the accounts. Any other receiver passes the request on once; empty means the receiver.
+	To fleet.EntryID `cbor:"3,keyasint,omitempty"`
 }
 
 // QuotaResult is the response to a QuotaRequest, with one element for each account.
@@ -55,5 +57,5 @@
 	if len(q.Accounts) != len(q.Wanted) || len(q.Accounts) > MaxQuotaAccounts {
 		return errorClass.New("credit is wanted %d times for %d accounts", len(q.Wanted), len(q.Accounts))
 	}
-	return respond(s, frameQuotaResult, n.Handler.Quota(q))
+	return respond(s, frameQuotaResult, n.Handler.Quota(s.Context(), q))
 }
--- a/peer/types.go
+++ b/peer/types.go
@@ -181,5 +181,5 @@
 	// CheckPaths opens a connection to each target and returns when all have accepted or failed.
 	CheckPaths(ctx context.Context, c PathCheck) PathResult
 	// Quota returns a grant for each account.
-	Quota(q QuotaRequest) QuotaResult
+	Quota(ctx context.Context, q QuotaRequest) QuotaResult
 }
