--- a/peer/node_bench_test.go
+++ b/peer/node_bench_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/bilberrywood/bilberrywood/fleet"
+	"github.com/bilberrywood/bilberrywood/table"
 )
 
 // cpuTime returns the CPU time that this process has used, for the cost of both ends together.
@@ -107,3 +108,23 @@
 		})
 	}
 }
+
+// BenchmarkQuota is one exchange of credit for a number of accounts.
+func BenchmarkQuota(b *testing.B) {
+	for _, accounts := range []int{1, 16} {
+		b.Run(fmt.Sprintf("accounts=%d", accounts), func(b *testing.B) {
+			from, to := startNode(b, "a", &testHandler{}), startNode(b, "b", &testHandler{})
+			var q QuotaRequest
+			for i := range accounts {
+				q.Accounts, q.Wanted = append(q.Accounts, table.AccountName(fmt.Sprint("account-", i))), append(q.Wanted, 4)
+			}
+			cpuAtStart := cpuTime()
+			for b.Loop() {
+				if _, err := from.RequestQuota(context.Background(), member(to), q); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(cpuTime()-cpuAtStart)/float64(b.N), "cpu-ns/op")
+		})
+	}
+}
