target: a broken-off response without a length is not whole; a status must be proper

Cause: Linux reports a reset once. If the goroutine that writes the request body gets it, the reader sees the end of the stream, which ends a response without a length. net/http takes any three bytes that strconv.Atoi reads as a status; below 200 it was skipped as informational and its body was read as the next response, and 600 to 999 were passed on.

Change: at the end of a response without a length the attempt asks whether the writer has failed or the kernel has given up the connection. A status outside of 100 to 599, or an informational one that announces a body, fails the attempt.

--- a/target/attempt.go
+++ b/target/attempt.go
@@ -233,6 +233,8 @@
 			return nil, Error.Wrap(err)
 		}
 		switch {
+		case !properStatus(response):
+			return nil, ErrStatus
 		case response.StatusCode == http.StatusSwitchingProtocols:
 			return nil, ErrSwitchingProtocols
 		case response.StatusCode < http.StatusOK:
@@ -257,6 +259,19 @@
 	}
 }
 
+// maxStatus is the highest status of RFC 9110.
+const maxStatus = 599
+
+// properStatus reports whether the status is one of RFC 9110 and, if it is informational, the header announces no body.
+// net/http takes each status of three bytes that strconv.Atoi reads, "+20" and "000" as well.
+func properStatus(r *http.Response) bool {
+	if r.StatusCode < http.StatusContinue || r.StatusCode > maxStatus {
+		return false
+	}
+	length := r.Header.Get("Content-Length")
+	return r.StatusCode >= http.StatusOK || (length == "" || length == "0") && len(r.TransferEncoding) == 0
+}
+
 // misdelivered reports whether the target echoed the nonce of another request. A late response may
 // arrive between the check for unread bytes and the write; HTTP/1.1 has no other means to detect it.
 func (a *attempt) misdelivered(response http.Header) bool {
--- a/target/error.go
+++ b/target/error.go
@@ -24,6 +24,11 @@
 	// ErrUnframed means that the response has no length, so that its end can't be distinguished
 	// from a lost connection.
 	ErrUnframed = Error.New("response has neither a Content-Length nor chunked encoding")
+	// ErrBrokenOff means that the connection was reset or lost before it ended a response without a length.
+	ErrBrokenOff = Error.New("connection was broken off in a response without a length")
+	// ErrStatus means that the response has no proper status, or an informational one and a body, so that what follows
+	// belongs to no request.
+	ErrStatus = Error.New("response has no proper status")
 	// ErrHeaderTooLarge means that the response header exceeds Client.MaxResponseHeaderBytes.
 	ErrHeaderTooLarge = Error.New("response header is too large")
 	// ErrMisdelivered means that the response carries the nonce of another request.
--- a/target/export_test.go
+++ b/target/export_test.go
@@ -25,3 +25,6 @@
 	}
 	return true
 }
+
+// BodyEnded reports whether the request body is not being sent any more.
+func BodyEnded(r *Response) bool { return !r.Body.(*responseBody).attempt.sendingBody() }
--- a/target/header.go
+++ b/target/header.go
@@ -67,7 +67,8 @@
 	// ProbesOnDemand leaves out periodic probes, where the tables say which targets are draining.
 	ProbesOnDemand bool
 	// CloseDelimited allows responses without a length that end with their connection. If the
-	// connection is reset, such a response counts as truncated.
+	// connection is reset, such a response counts as truncated, also if a reset follows the target's end
+	// before that has been read.
 	CloseDelimited bool
 }
 
--- a/target/pathmonitor.go
+++ b/target/pathmonitor.go
@@ -70,18 +70,30 @@
 // stalled reports whether sent bytes or window probes are unacknowledged and the other kernel has
 // sent no acknowledgment for timeout.
 func (c *conn) stalled(timeout time.Duration) bool {
-	var info *unix.TCPInfo
-	var infoErr error
-	err := c.raw.Control(func(fd uintptr) {
-		info, infoErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-	})
-	if err != nil || infoErr != nil {
+	info, ok := c.tcpInfo()
+	if !ok {
 		return false
 	}
 	unacked := info.Retransmits > 0 || info.Probes > 0
 	return unacked && time.Duration(info.Last_ack_recv)*time.Millisecond >= timeout
 }
 
+// aborted reports whether the kernel has given up the connection, because of a reset or a timeout. A connection whose other
+// side has ended its sending direction is not aborted, unless a reset followed.
+func (c *conn) aborted() bool {
+	info, ok := c.tcpInfo()
+	return ok && info.State == unix.BPF_TCP_CLOSE
+}
+
+// tcpInfo returns what the kernel knows of the connection. ok is false if it is closed here.
+func (c *conn) tcpInfo() (info *unix.TCPInfo, ok bool) {
+	var infoErr error
+	err := c.raw.Control(func(fd uintptr) {
+		info, infoErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+	})
+	return info, err == nil && infoErr == nil
+}
+
 // setUserTimeout sets how long sent bytes may stay unacknowledged; 0 selects the kernel's default.
 func (c *conn) setUserTimeout(timeout time.Duration) error {
 	return setUserTimeout(c.raw, timeout)
--- a/target/response.go
+++ b/target/response.go
@@ -41,13 +41,33 @@
 // complete ends a response that was read to its end.
 func (b *responseBody) complete() {
 	b.err = io.EOF
-	DropHopByHop(b.httpResponse.Trailer)
-	b.response.Trailer = b.httpResponse.Trailer
 	b.endOnce.Do(func() {
 		a := b.attempt
 		sent := a.finishRequestBody(b.httpResponse.StatusCode)
+		if unframed(b.httpResponse) && a.brokenOff() {
+			b.err = a.classifyError(ErrBrokenOff)
+		}
 		a.release(sent && !b.httpResponse.Close && a.conn.reader.Buffered() == 0)
 	})
+	if b.err == io.EOF {
+		DropHopByHop(b.httpResponse.Trailer)
+		b.response.Trailer = b.httpResponse.Trailer
+	}
+}
+
+// brokenOff reports whether the connection was reset or lost, at the end of what was read from it. The kernel reports that
+// once: after the writer of the request body has got the error, the reader sees the same end as behind a whole response.
+func (a *attempt) brokenOff() bool {
+	if w := a.writer; w != nil {
+		select {
+		case <-w.done:
+			if w.connErr != nil {
+				return true
+			}
+		default:
+		}
+	}
+	return a.conn.aborted()
 }
 
 // Close implements io.Closer. It closes the connection unless the rest of the response is already
