entry, peer, pool: callers that read slowly hold little, and no slot beyond their deadline

Cause: a write to a caller had no end. A caller that did not read kept the slot of its target, and a place among the requests in flight, until it left. What a forwarded response had unread counted against the window of the connection between the two entries, 1 MiB at first, which grows only as it is read: eight such callers stopped all other responses of the connection. And the cell took the age of such an attempt for a sign that its target is slow or hangs.

Change: a write that a caller holds up ends at the deadline of its request. The window of a connection between entries is 16 MiB from the start, that of a stream 256 KiB at most. Of the callers that have read nothing of a forwarded response for 2 s, 32 are kept; beyond that, the one that has been stalled for longest is cut off. An attempt whose response has begun is no evidence by its age.

--- a/entry/callerconn.go
+++ b/entry/callerconn.go
@@ -31,6 +31,8 @@
 	limits func() table.CallerLimits
 	// lingering counts the connections that are still read after Close.
 	lingering *atomic.Int64
+	// stalled holds the callers that don't read forwarded responses; nil sets no limit.
+	stalled *stalledReaders
 }
 
 // Accept implements net.Listener.
@@ -39,7 +41,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &callerConn{Conn: c, limits: l.limits, lingering: l.lingering}, nil
+	return &callerConn{Conn: c, limits: l.limits, lingering: l.lingering, stalled: l.stalled}, nil
 }
 
 // callerConn is a connection of a caller. While a handler runs, net/http waits for one byte, which may be the end of the
@@ -51,6 +53,8 @@
 	limits func() table.CallerLimits
 	// lingering counts the connections that are still read after Close.
 	lingering *atomic.Int64
+	// stalled holds the callers that don't read forwarded responses; nil sets no limit.
+	stalled *stalledReaders
 
 	mu sync.Mutex
 	// readDeadline is the one that the server has set.
@@ -63,6 +67,12 @@
 	pipelined bool
 	// writtenAt is the time of the last write.
 	writtenAt time.Time
+	// writeCheckAt is when a write that is held up returns.
+	writeCheckAt time.Time
+	// responseDeadline is the deadline of the request that is being answered; zero if it has none.
+	responseDeadline time.Time
+	// forwarded says that the response comes from a peer.
+	forwarded bool
 	// lingerUntil is until when Close reads on because the caller is still sending a body; zero if it is not.
 	lingerUntil time.Time
 	// closed says that Close was called.
@@ -223,15 +233,6 @@
 	return c.closed
 }
 
-// Write implements net.Conn.
-func (c *callerConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.writtenAt = time.Now()
-	return n, err
-}
-
 // readBuffered returns bytes that were read ahead.
 func (c *callerConn) readBuffered(p []byte) (int, error) {
 	c.mu.Lock()
--- a/entry/cells.go
+++ b/entry/cells.go
@@ -187,6 +187,13 @@
 	}
 }
 
+// responseBegan reports that the response to the attempt of a request has begun.
+func (c *cellRunner) responseBegan(id pool.RequestID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cell.Responded(c.now(), id)
+}
+
 // finish reports the end of an attempt at a target.
 func (c *cellRunner) finish(id pool.RequestID, t table.TargetID, o pool.Outcome) {
 	c.withCell(func(now pool.Time, cell *pool.Cell) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -61,6 +61,7 @@
 	abort   context.CancelCauseFunc
 	// lingering counts the connections of callers that are still read after their last response.
 	lingering      atomic.Int64
+	stalled        stalledReaders
 	addressClock   addressClock
 	counters       counters
 	callerServer   *http.Server
@@ -297,7 +298,7 @@
 			return Error.Wrap(err)
 		}
 		if ep.server == e.callerServer {
-			listener = callerListener{Listener: listener, limits: e.callerLimits, lingering: &e.lingering}
+			listener = callerListener{Listener: listener, limits: e.callerLimits, lingering: &e.lingering, stalled: &e.stalled}
 		}
 		e.background.Go(func() {
 			// Serve always returns an error; after Shutdown it is ErrServerClosed.
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -21,6 +21,8 @@
 	peer.ForwardHeader
 	// caller is the address of the caller, or "entry" for a forwarded request; for logs.
 	caller string
+	// callerConn is the caller's connection; nil for a forwarded request.
+	callerConn *callerConn
 	// requestID is the caller's own ID of the request, for logs; empty if it sent none.
 	requestID string
 	route     *table.Route
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -66,6 +66,9 @@
 	if a := response.Announcement; a != nil {
 		e.announcements.Add(a.Target, pool.Announcement{Started: a.Started, Leaving: a.Leaving})
 	}
+	if x.callerConn != nil {
+		x.callerConn.setForwarded(true)
+	}
 	return copyResponse(x.responseWriter, response)
 }
 
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -75,6 +75,16 @@
 		body:            writer.body,
 		Trailer:         r.Trailer,
 	}
+	writer.deadline = func() time.Time {
+		if x.deadline.IsZero() {
+			return time.Time{}
+		}
+		return e.deadline(x)
+	}
+	if writer.conn != nil {
+		x.callerConn = writer.conn
+		x.callerConn.setForwarded(false)
+	}
 	x.SetURI(e.requestURI(r))
 	x.abortBody = func() {
 		if x.stream.revoke() {
--- a/entry/place.go
+++ b/entry/place.go
@@ -206,6 +206,7 @@
 	if err != nil {
 		return p.handleError(ctx, d, err, time.Since(startedAt), abandoned)
 	}
+	p.cell.responseBegan(p.id)
 	if response.RateLimitErr != nil {
 		p.e.logRateLimitIgnored(d.Target, response.RateLimitErr)
 	}
--- a/entry/responsewriter.go
+++ b/entry/responsewriter.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"time"
 
 	"github.com/bilberrywood/bilberrywood/peer"
 )
@@ -13,6 +14,10 @@
 type callerWriter struct {
 	w          http.ResponseWriter
 	controller *http.ResponseController
+	// conn is the caller's connection; nil if a test has none.
+	conn *callerConn
+	// deadline returns the deadline of the request; zero if it is not known yet.
+	deadline func() time.Time
 	// body is the body of the request.
 	body     *callerBody
 	started  bool
@@ -25,6 +30,7 @@
 func newCallerWriter(w http.ResponseWriter, r *http.Request) *callerWriter {
 	cw := &callerWriter{w: w, controller: http.NewResponseController(w), body: newCallerBody(r)}
 	cw.left.Store(-1)
+	cw.conn, _ = callerConnOf(r.Context())
 	return cw
 }
 
@@ -37,6 +43,9 @@
 // WriteHeader implements peer.ResponseWriter.
 func (cw *callerWriter) WriteHeader(response peer.ResponseHeader) error {
 	cw.started = true
+	if cw.conn != nil && cw.deadline != nil {
+		cw.conn.beginResponse(cw.deadline())
+	}
 	h := cw.w.Header()
 	for name, values := range response.Header {
 		h[name] = values
--- /dev/null
+++ b/entry/slowreader.go
@@ -0,0 +1,136 @@
+package entry
+
+import (
+	"errors"
+	"os"
+	"sync"
+	"time"
+)
+
+const (
+	// writeCheckInterval is the longest time after which a write that a caller holds up is looked at.
+	writeCheckInterval = 250 * time.Millisecond
+	// lateReadTime is how long after its deadline a caller may go on to read what has been received for it.
+	lateReadTime = time.Second
+	// stalledAfter is the time without a byte after which a caller counts as stalled. A lost packet, or a queue on a narrow
+	// link, holds a caller up for less.
+	stalledAfter = 2 * time.Second
+	// maxStalledForwards is how many stalled callers of forwarded responses are kept. Each may hold a stream's window, 256 KiB,
+	// of the 16 MiB window of a connection between entries: half of it remains for the other responses.
+	maxStalledForwards = 32
+)
+
+var (
+	// errCallerStalled means that a caller did not read its response up to its deadline.
+	errCallerStalled = Error.New("the caller did not read the response before its deadline")
+	// errTooManyStalled means that a response was ended because maxStalledForwards others are held up as well.
+	errTooManyStalled = Error.New("the caller does not read its response, and too many others don't either")
+)
+
+// stalledReaders holds the callers that have read nothing of a forwarded response for stalledAfter.
+type stalledReaders struct {
+	mu    sync.Mutex
+	since map[*callerConn]time.Time
+}
+
+// add counts a caller that has read nothing since a time. It reports whether the caller's response must end: more than
+// maxStalledForwards are held up, and no other one for longer.
+func (s *stalledReaders) add(c *callerConn, since time.Time) (end bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.since == nil {
+		s.since = make(map[*callerConn]time.Time)
+	}
+	s.since[c] = since
+	if len(s.since) <= maxStalledForwards {
+		return false
+	}
+	for _, other := range s.since {
+		if other.Before(since) {
+			return false
+		}
+	}
+	delete(s.since, c)
+	return true
+}
+
+func (s *stalledReaders) remove(c *callerConn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.since, c)
+}
+
+// beginResponse sets until when a caller may hold up the response that begins; zero for no limit.
+func (c *callerConn) beginResponse(deadline time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.responseDeadline = deadline
+}
+
+// setForwarded says whether the response comes from a peer, so that a caller that does not read it holds a part of the window
+// of the connection to the peer.
+func (c *callerConn) setForwarded(forwarded bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.forwarded = forwarded
+}
+
+// Write implements net.Conn. It ends when the caller has held up a response for too long.
+func (c *callerConn) Write(p []byte) (int, error) {
+	written, heldUpSince := 0, time.Time{}
+	if c.stalled != nil {
+		defer func() {
+			if !heldUpSince.IsZero() {
+				c.stalled.remove(c)
+			}
+		}()
+	}
+	for {
+		c.armWriteCheck()
+		n, err := c.Conn.Write(p[written:])
+		written += n
+		now := time.Now()
+		c.mu.Lock()
+		c.writtenAt = now
+		deadline, forwarded := c.responseDeadline, c.forwarded
+		c.mu.Unlock()
+		if !errors.Is(err, os.ErrDeadlineExceeded) || c.isClosed() {
+			return written, err
+		}
+		if n > 0 || heldUpSince.IsZero() {
+			heldUpSince = now
+		}
+		if err := c.mayHoldUp(now, heldUpSince, deadline, forwarded); err != nil {
+			return written, err
+		}
+	}
+}
+
+// armWriteCheck makes a write that is held up return within writeCheckInterval.
+func (c *callerConn) armWriteCheck() {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.writeCheckAt.Sub(now) < writeCheckInterval/2 {
+		c.writeCheckAt = now.Add(writeCheckInterval)
+		_ = c.Conn.SetWriteDeadline(c.writeCheckAt) // an error means that the connection is closed, which the write reports
+	}
+}
+
+// mayHoldUp returns an error if a caller that has read nothing since a time must not hold up its response any longer.
+func (c *callerConn) mayHoldUp(now, since, deadline time.Time, forwarded bool) error {
+	if !deadline.IsZero() && now.After(deadline) && (now.Sub(since) > 0 || now.Sub(deadline) > lateReadTime) {
+		return errCallerStalled
+	}
+	if c.stalled == nil || !forwarded {
+		return nil
+	}
+	if now.Sub(since) < stalledAfter {
+		c.stalled.remove(c)
+		return nil
+	}
+	if c.stalled.add(c, since) {
+		return errTooManyStalled
+	}
+	return nil
+}
--- a/peer/node.go
+++ b/peer/node.go
@@ -58,12 +58,13 @@
 }
 
 // Flow control windows in bytes. They limit the memory that a slow reader of bodies can occupy:
-// maxStreamWindow for each stream, maxConnectionWindow for each connection.
+// maxStreamWindow for each stream, connectionWindow for each connection. What streams hold unread also counts against the
+// window of their connection, which grows only as they are read: it must be large from the start, or a few slow readers
+// would stop all other responses of the connection.
 const (
-	initialStreamWindow     = 128 << 10
-	maxStreamWindow         = 512 << 10
-	initialConnectionWindow = 1 << 20
-	maxConnectionWindow     = 16 << 20
+	initialStreamWindow = 128 << 10
+	maxStreamWindow     = 256 << 10
+	connectionWindow    = 16 << 20
 	// maxStreams is the maximum number of requests of one connection that run at a time.
 	maxStreams = 4096
 )
@@ -158,8 +159,8 @@
 		KeepAlivePeriod:                n.Timeouts.KeepAlive,
 		InitialStreamReceiveWindow:     initialStreamWindow,
 		MaxStreamReceiveWindow:         maxStreamWindow,
-		InitialConnectionReceiveWindow: initialConnectionWindow,
-		MaxConnectionReceiveWindow:     maxConnectionWindow,
+		InitialConnectionReceiveWindow: connectionWindow,
+		MaxConnectionReceiveWindow:     connectionWindow,
 		MaxIncomingStreams:             maxStreams,
 		MaxIncomingUniStreams:          -1,
 		EnableDatagrams:                true,
--- a/pool/cell.go
+++ b/pool/cell.go
@@ -231,7 +231,7 @@
 	r.phase = phaseInFlight
 	r.target = t
 	r.targetStarted = t.started
-	r.started = now
+	r.started, r.respondedAt = now, 0
 	r.attempt++
 	c.spendRetry(now, r)
 	r.trial = trial
--- a/pool/evidence.go
+++ b/pool/evidence.go
@@ -256,7 +256,7 @@
 		return
 	}
 	for _, r := range t.attempts {
-		age := now - r.started
+		age := r.silentFor(now)
 		if age < c.stats.ordinary.minLateAge || r.Upload || r.cold || r.started < c.suspension.evidenceFrom {
 			continue
 		}
--- a/pool/finish.go
+++ b/pool/finish.go
@@ -6,6 +6,23 @@
 	"github.com/bilberrywood/bilberrywood/fleet"
 )
 
+// Responded reports that the response to the attempt in flight of a request has begun. Its age is no evidence against the
+// target from then on: how long a body takes depends on its caller and the links as well.
+func (c *Cell) Responded(now Time, id RequestID) {
+	if r := c.requests.get(id); r != nil && r.phase == phaseInFlight {
+		r.respondedAt = now
+		r.target.unansweredSince = 0
+	}
+}
+
+// silentFor returns how long the attempt in flight has been without a response, up to the beginning of its response.
+func (r *request) silentFor(now Time) Time {
+	if r.respondedAt > 0 {
+		now = r.respondedAt
+	}
+	return now - r.started
+}
+
 // Finish reports the end of the attempt in flight of a request. A retry or the final decision follows.
 func (c *Cell) Finish(now Time, id RequestID, o Outcome) {
 	c.beginCall(now)
--- a/pool/inuse.go
+++ b/pool/inuse.go
@@ -93,7 +93,7 @@
 	for i := range c.requests.len() {
 		r := c.requests.at(i)
 		switch {
-		case r.countedAsEnded, r.forFloor, r.canceled, r.Deadline == 0:
+		case r.countedAsEnded, r.forFloor, r.canceled, r.Deadline == 0, r.phase == phaseInFlight && r.respondedAt > 0:
 		case c.hasWaited(now, r, overdueFraction):
 			c.countEnded(r, false)
 		case r.phase == phaseInFlight:
@@ -106,7 +106,7 @@
 // the fraction of failures that are of that kind.
 func (c *Cell) hangProbability(now Time, r *request, hangFraction float64) float64 {
 	age := now - r.started
-	if !c.tracksEpisodes() || !c.comparable(r) || age < c.stats.ordinary.minLateAge {
+	if r.respondedAt > 0 || !c.tracksEpisodes() || !c.comparable(r) || age < c.stats.ordinary.minLateAge {
 		return 0
 	}
 	p := c.failureProbability(now, r.target) * hangFraction
--- a/pool/request.go
+++ b/pool/request.go
@@ -28,6 +28,8 @@
 	// target runs the attempt in flight; nil if there is none.
 	target  *target
 	started Time
+	// respondedAt is when the response to the attempt in flight began; 0 before.
+	respondedAt Time
 	// targetStarted identifies the target's process at the start of the attempt.
 	targetStarted int64
 	// attempt is the number of attempts started.
