--- a/entry/callerconn.go
+++ b/entry/callerconn.go
@@ -31,7 +31,7 @@
 	limits func() table.CallerLimits
 	// lingering counts the connections that are still read after Close.
 	lingering *atomic.Int64
-	// stalled holds the callers that don't read forwarded responses; nil sets no limit.
+	// stalled holds the callers that don't read their responses; nil sets no limit.
 	stalled *stalledReaders
 }
 
@@ -53,7 +53,7 @@
 	limits func() table.CallerLimits
 	// lingering counts the connections that are still read after Close.
 	lingering *atomic.Int64
-	// stalled holds the callers that don't read forwarded responses; nil sets no limit.
+	// stalled holds the callers that don't read their responses; nil sets no limit.
 	stalled *stalledReaders
 
 	mu sync.Mutex
--- a/entry/slowreader.go
+++ b/entry/slowreader.go
@@ -18,46 +18,55 @@
 	// maxStalledForwards is how many stalled callers of forwarded responses are kept. Each may hold a stream's window, 256 KiB,
 	// of the 16 MiB window of a connection between entries: half of it remains for the other responses.
 	maxStalledForwards = 32
+	// maxStalledDirect is how many stalled callers of other responses are kept. Each holds about 100 KiB: 25 MiB in all, which
+	// a VM with 136 MB can bear.
+	maxStalledDirect = 256
 )
 
 var (
 	// errCallerStalled means that a caller did not read its response up to its deadline.
 	errCallerStalled = Error.New("the caller did not read the response before its deadline")
-	// errTooManyStalled means that a response was ended because maxStalledForwards others are held up as well.
+	// errTooManyStalled means that a response was ended because too many others are held up as well.
 	errTooManyStalled = Error.New("the caller does not read its response, and too many others don't either")
 )
 
-// stalledReaders holds the callers that have read nothing of a forwarded response for stalledAfter.
+// stalledReaders holds the callers that have read nothing of their responses for stalledAfter.
 type stalledReaders struct {
-	mu    sync.Mutex
-	since map[*callerConn]time.Time
+	mu sync.Mutex
+	// forwarded and direct hold since when they have read nothing, of responses from peers and of others.
+	forwarded, direct map[*callerConn]time.Time
 }
 
-// add counts a caller that has read nothing since a time. It reports whether the caller's response must end: more than
-// maxStalledForwards are held up, and no other one for longer.
-func (s *stalledReaders) add(c *callerConn, since time.Time) (end bool) {
+// add counts a caller that has read nothing since a time. It reports whether the caller's response must end: too many are
+// held up, and no other one for longer.
+func (s *stalledReaders) add(c *callerConn, since time.Time, forwarded bool) (end bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.since == nil {
-		s.since = make(map[*callerConn]time.Time)
+	if s.direct == nil {
+		s.forwarded, s.direct = make(map[*callerConn]time.Time), make(map[*callerConn]time.Time)
 	}
-	s.since[c] = since
-	if len(s.since) <= maxStalledForwards {
+	stalled, limit := s.direct, maxStalledDirect
+	if forwarded {
+		stalled, limit = s.forwarded, maxStalledForwards
+	}
+	stalled[c] = since
+	if len(stalled) <= limit {
 		return false
 	}
-	for _, other := range s.since {
+	for _, other := range stalled {
 		if other.Before(since) {
 			return false
 		}
 	}
-	delete(s.since, c)
+	delete(stalled, c)
 	return true
 }
 
 func (s *stalledReaders) remove(c *callerConn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.since, c)
+	delete(s.forwarded, c)
+	delete(s.direct, c)
 }
 
 // beginResponse sets until when a caller may hold up the response that begins; zero for no limit.
@@ -113,7 +122,7 @@
 	defer c.mu.Unlock()
 	if c.writeCheckAt.Sub(now) < writeCheckInterval/2 {
 		c.writeCheckAt = now.Add(writeCheckInterval)
-		_ = c.Conn.SetWriteDeadline(c.writeCheckAt) // an error means that the connection is closed, which the write reports
+		_ = c.SetWriteDeadline(c.writeCheckAt) // an error means that the connection is closed, which the write reports
 	}
 }
 
@@ -122,14 +131,14 @@
 	if !deadline.IsZero() && now.After(deadline) && (now.Sub(since) > 0 || now.Sub(deadline) > lateReadTime) {
 		return errCallerStalled
 	}
-	if c.stalled == nil || !forwarded {
+	if c.stalled == nil {
 		return nil
 	}
 	if now.Sub(since) < stalledAfter {
 		c.stalled.remove(c)
 		return nil
 	}
-	if c.stalled.add(c, since) {
+	if c.stalled.add(c, since, forwarded) {
 		return errTooManyStalled
 	}
 	return nil
--- a/entry/slowreader_test.go
+++ b/entry/slowreader_test.go
@@ -12,26 +12,32 @@
 // Guards against a caller that is cut off although it reads, or although few callers stall, and against newcomers that are cut
 // off before the callers that have been stalled for longest.
 func TestStalledReaders(t *testing.T) {
-	is := is.New(t)
-	var s stalledReaders
-	now := time.Now()
-	conns := make([]*callerConn, maxStalledForwards+2)
-	for i := range conns {
-		conns[i] = &callerConn{stalled: &s}
-	}
-	for i, c := range conns[:maxStalledForwards] {
-		since := now.Add(time.Duration(i) * time.Millisecond)
-		is.NoErr(c.mayHoldUp(since.Add(stalledAfter/2), since, time.Time{}, true))
-		is.NoErr(c.mayHoldUp(since.Add(stalledAfter), since, time.Time{}, false)) // not forwarded
-		is.NoErr(c.mayHoldUp(since.Add(stalledAfter), since, time.Time{}, true))
+	for forwarded, limit := range map[bool]int{true: maxStalledForwards, false: maxStalledDirect} {
+		is := is.New(t)
+		var s stalledReaders
+		now := time.Now()
+		conns := make([]*callerConn, limit+2)
+		for i := range conns {
+			conns[i] = &callerConn{stalled: &s}
+		}
+		// stalled looks at a caller that has read nothing since a number of milliseconds, for a time.
+		stalled := func(i, since int, length time.Duration) error {
+			at := now.Add(time.Duration(since) * time.Millisecond)
+			return conns[i].mayHoldUp(at.Add(length), at, time.Time{}, forwarded)
+		}
+		for i := range limit {
+			is.NoErr(stalled(i, i, stalledAfter/2))
+			is.NoErr(stalled(i, i, stalledAfter))
+			is.NoErr(conns[i].mayHoldUp(now, now, time.Time{}, !forwarded)) // reads, of a response of the other kind
+			is.NoErr(stalled(i, i, stalledAfter))
+		}
+		is.NoErr(stalled(limit, limit, stalledAfter))
+		is.NoErr(stalled(1, 1, 2*stalledAfter))
+		is.Equal(stalled(0, 0, 2*stalledAfter), errTooManyStalled)
+		is.NoErr(stalled(1, 1, 2*stalledAfter)) // one less
+		is.NoErr(stalled(2, limit+1, 0))        // has read
+		is.NoErr(stalled(limit+1, limit+1, stalledAfter))
 	}
-	late := now.Add(time.Second)
-	is.NoErr(conns[maxStalledForwards].mayHoldUp(late.Add(stalledAfter), late, time.Time{}, true))
-	is.NoErr(conns[1].mayHoldUp(late.Add(stalledAfter), now.Add(time.Millisecond), time.Time{}, true))
-	is.Equal(conns[0].mayHoldUp(late.Add(stalledAfter), now, time.Time{}, true), errTooManyStalled)
-	is.NoErr(conns[1].mayHoldUp(late.Add(stalledAfter), now.Add(time.Millisecond), time.Time{}, true)) // one less
-	is.NoErr(conns[2].mayHoldUp(late, late, time.Time{}, true))                                        // has read
-	is.NoErr(conns[maxStalledForwards+1].mayHoldUp(late.Add(stalledAfter), late, time.Time{}, true))
 }
 
 // Guards against a write that waits for a caller beyond the deadline of its request, and against one that is ended before it.
