entry, pool: a response that its caller held up is no evidence against its target

Cause: the end of an attempt whose caller did not read counted as an attempt without a response. With few samples each one adds a little, and 60 of them made both targets of TestSlowReadersHoldLittle suspect: its crowd was refused for up to 55 s (2 of 8 runs beside other load).

Change: a cancelled attempt whose response has begun is left out. A response that its target cuts off, or that meets its deadline, after a write was held up for 1 s counts as cancelled.

--- a/entry/forward.go
+++ b/entry/forward.go
@@ -96,7 +96,7 @@
 	if err := w.WriteHeader(resp.ResponseHeader); err != nil {
 		return unknownRefusal(reasonCallerGone, err.Error())
 	}
-	if err := copyBody(w, resp.Body); err != nil {
+	if _, err := copyBody(w, resp.Body); err != nil {
 		return unknownRefusal(reasonOutcomeLost, err.Error())
 	}
 	if err := w.Finish(resp.Trailer); err != nil {
--- a/entry/place.go
+++ b/entry/place.go
@@ -275,8 +275,9 @@
 	var attempt *target.AttemptError
 	w := p.x.responseWriter
 	err := w.WriteHeader(p.e.responseHeader(resp, p.cell.target(d.Target)))
+	heldUp := time.Duration(0)
 	if err == nil {
-		err = copyBody(w, resp.Body)
+		heldUp, err = copyBody(w, resp.Body)
 	}
 	if err != nil && p.e.faults.passTruncated {
 		err = nil
@@ -288,8 +289,11 @@
 		o = attempt.Outcome()
 		o.ServiceTime, o.Draining, o.ResponseStarted = resp.ServiceTime, resp.Draining, true
 		o.RateLimit = resp.RateLimit
+		if heldUp >= callersFaultAfter {
+			o.Kind = pool.OutcomeCanceled
+		}
 	default:
-		o.Kind = pool.OutcomeCanceled
+		o.Kind, o.ResponseStarted = pool.OutcomeCanceled, true
 	}
 	p.report(d, o)
 	if err != nil {
@@ -301,26 +305,34 @@
 // copyBufferSize is the size of the buffers for copying bodies, in bytes.
 const copyBufferSize = 32 << 10
 
-// copyBody copies a response body. It flushes after each short read, because targets may stream.
-func copyBody(w peer.ResponseWriter, body io.Reader) error {
+// callersFaultAfter is how long a caller may hold up a response before its early end counts as the caller's fault. Targets
+// cut off a response that they can't send for some seconds.
+const callersFaultAfter = time.Second
+
+// copyBody copies a response body. It flushes after each short read, because targets may stream. heldUp is how long the
+// longest write took.
+func copyBody(w peer.ResponseWriter, body io.Reader) (heldUp time.Duration, err error) {
 	f, _ := w.(flusher)
 	buf := copyBuffers.Get().(*[copyBufferSize]byte)
 	defer copyBuffers.Put(buf)
 	for {
 		n, err := body.Read(buf[:])
 		if n > 0 {
-			if _, err := w.Write(buf[:n]); err != nil {
-				return Error.Wrap(err)
+			start := time.Now()
+			_, writeErr := w.Write(buf[:n])
+			if writeErr == nil && err == nil && f != nil && n < copyBufferSize {
+				f.Flush()
+			}
+			heldUp = max(heldUp, time.Since(start))
+			if writeErr != nil {
+				return heldUp, Error.Wrap(writeErr)
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			return nil
+			return heldUp, nil
 		}
 		if err != nil {
-			return err
-		}
-		if f != nil && n < copyBufferSize {
-			f.Flush()
+			return heldUp, err
 		}
 	}
 }
--- a/pool/evidence.go
+++ b/pool/evidence.go
@@ -128,7 +128,10 @@
 	case OutcomeTimeout:
 		outcomeEvidence = c.collectTimeout(now, t, r, o)
 	case OutcomeCanceled:
-		c.collectCensored(t, r, o)
+		// A caller that left in the middle of its response says nothing about the target.
+		if !o.ResponseStarted {
+			c.collectCensored(t, r, o)
+		}
 	case OutcomeConnectionLost, OutcomeConnectionSilent:
 		c.stats.countSample()
 		outcomeEvidence = -failureTest90.logRatio(true, minBaselineRatio)
--- a/pool/failureestimate.go
+++ b/pool/failureestimate.go
@@ -154,6 +154,8 @@
 // whose caller left early, says nothing about its target.
 func (c *Cell) noResponseRatio(r *request, o *Outcome) float64 {
 	switch {
+	case o.Kind == OutcomeCanceled && o.ResponseStarted:
+		return 1
 	case c.comparable(r):
 		return min(likelihoodRatioTimeout, math.Exp(c.stats.ordinary.late(binOf(o.ServiceTime))))
 	case o.Kind == OutcomeTimeout:
--- a/pool/responded_test.go
+++ b/pool/responded_test.go
@@ -33,6 +33,12 @@
 			now += Time(service)
 			if responded {
 				cell.Responded(now, large)
+				for range 200 {
+					submit()
+					cell.Responded(now, id)
+					cell.Finish(now+Time(service), id, Outcome{Kind: OutcomeCanceled, Written: true, ServiceTime: 2 * service, ResponseStarted: true})
+					cell.Decisions()
+				}
 			}
 			abandoned := false
 			for end := now + Time(8*time.Second); now < end; now += Time(TickInterval) {
