--- a/entry/forward.go
+++ b/entry/forward.go
@@ -69,6 +69,9 @@
 	if a := response.Announcement; a != nil {
 		e.announcements.Add(a.Target, pool.Announcement{Started: a.Started, Leaving: a.Leaving})
 	}
+	if x.callerConn != nil {
+		x.callerConn.setForwarded(true)
+	}
 	return copyResponse(x.responseWriter, response)
 }
 
@@ -96,7 +99,7 @@
 	if err := w.WriteHeader(resp.ResponseHeader); err != nil {
 		return unknownRefusal(reasonCallerGone, err.Error())
 	}
-	if err := copyBody(w, resp.Body); err != nil {
+	if _, err := copyBody(w, resp.Body); err != nil {
 		return unknownRefusal(reasonOutcomeLost, err.Error())
 	}
 	if err := w.Finish(resp.Trailer); err != nil {
