--- a/entry/place.go
+++ b/entry/place.go
@@ -67,7 +67,8 @@
 	}
 	id, decisions, ok := cell.submit(pool.Request{
 		Route: x.Route, Account: x.Account, Idempotent: x.idempotent, Replayable: x.buffered != nil, Priority: x.priority,
-		Objective: e.objective(x), Deadline: e.now() + pool.Time(time.Until(e.deadline(x))), Fingerprint: x.fingerprint(), Head: x.headFingerprint(),
+		RoutePriority: x.route.Priority,
+		Objective:     e.objective(x), Deadline: e.now() + pool.Time(time.Until(e.deadline(x))), Fingerprint: x.fingerprint(), Head: x.headFingerprint(),
 		Upload:      x.buffered == nil || x.route.Upload,
 		MaxAttempts: x.route.MaxAttempts,
 	})
--- a/pool/cell.go
+++ b/pool/cell.go
@@ -146,7 +146,7 @@
 		r.canceled = !c.injectedFaults.forgetCancelled
 		return
 	case phaseQueued:
-		c.queue.byClass[r.class].remove(&r.node)
+		c.queue.remove(r)
 	case phaseDelayed:
 		c.removeDelayed(r)
 	}
@@ -270,7 +270,7 @@
 	}
 	c.decisions = append(c.decisions, Decision{
 		Kind: DecisionRefuse, Request: r.ID, Attempt: r.attempt, Reason: reason, RetryAfter: retryAfter,
-		Queue: QueueState{Length: c.queue.size(), WaitEstimate: c.waitEstimate(r.class)},
+		Queue: c.queueState(c.lastCall, r),
 	})
 	c.removeRequest(r)
 }
--- a/pool/evidence.go
+++ b/pool/evidence.go
@@ -119,6 +119,7 @@
 	switch o.Kind {
 	case OutcomeSuccess:
 		c.queue.observeServiceTime(o.ServiceTime)
+		c.observeRouteTime(r, o.ServiceTime)
 		outcomeEvidence = c.recordResponse(now, t, r, false)
 		if slow, known := c.collectServiceTime(now, t, r, o); known && (slow >= minFailureEvidence || t.reason == ReasonSlow) {
 			outcomeEvidence = -slow
--- a/pool/finish.go
+++ b/pool/finish.go
@@ -15,6 +15,7 @@
 	}
 	t := r.target
 	c.release(t, r)
+	c.settle(now, r)
 	c.releaseRetry(r)
 	t.recordOutcome(r, &o)
 	// The evidence of the attempt in flight is replaced by that of its outcome.
@@ -95,7 +96,7 @@
 	if end := c.nextPauseEnd(now); end > 0 {
 		return time.Duration(end - now)
 	}
-	return c.waitEstimate(r.class)
+	return c.waitOf(now, r)
 }
 
 // classify chooses the queue of a request by its idempotence and by whether its fingerprint is suspected.
--- /dev/null
+++ b/pool/level.go
@@ -0,0 +1,237 @@
+package pool
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/bilberrywood/bilberrywood/table"
+)
+
+// demandWindow is the time over which the slot time that the requests of a level ask for and get is averaged. It is shorter
+// than a crowd and longer than the gaps between the requests of a small cell.
+const demandWindow = 2 * time.Second
+
+// level holds the waiting requests of one priority. Accounts share its slot time equally by start-time fair queueing (Goyal,
+// Vin and Cheng, 1996): the account whose virtual start is earliest is served next, and each attempt moves its start by
+// the slot time that it takes.
+type level struct {
+	priority int
+	flows    []*accountFlow
+	// virtual is the virtual start of the latest attempt; it never falls.
+	virtual time.Duration
+	// finished has the virtual starts that lie ahead of virtual, of accounts without waiting requests.
+	finished map[table.AccountName]time.Duration
+	size     int
+	// work is the expected slot time of the waiting requests.
+	work time.Duration
+	// asked and granted are the slot time of the requests that came and of those that got their first attempt.
+	asked, granted slotTime
+	overload       classOverload
+}
+
+// accountFlow holds the waiting requests of one account at a level; it has at least one.
+type accountFlow struct {
+	account table.AccountName
+	// start is the virtual start of its first request.
+	start time.Duration
+	work  time.Duration
+	// requests are in the order of scheduledBefore.
+	requests []*request
+}
+
+// slotTime is a sum of slot time in which older amounts count less.
+type slotTime struct {
+	sum float64
+	at  Time
+}
+
+func (s *slotTime) add(now Time, d time.Duration) {
+	s.sum = s.value(now) + float64(d)
+	s.at = now
+}
+
+func (s *slotTime) value(now Time) float64 {
+	return s.sum * math.Exp(-float64(now-s.at)/float64(demandWindow))
+}
+
+// slots returns the sum as the mean number of slots that it occupies.
+func (s *slotTime) slots(now Time) float64 { return s.value(now) / float64(demandWindow) }
+
+// scheduledBefore orders the waiting requests of an account at a level: those that have had an attempt, then by the
+// operators' priority of the route, then by the time until which a response is in time.
+func scheduledBefore(a, b *request) bool {
+	switch {
+	case a.returned != b.returned:
+		return a.returned
+	case a.RoutePriority != b.RoutePriority:
+		return a.RoutePriority < b.RoutePriority
+	}
+	return a.latestResponse() < b.latestResponse()
+}
+
+// latestResponse returns until when a response is in time; a deadline may come before the objective.
+func (r *request) latestResponse() Time {
+	latest := Time(math.MaxInt64)
+	if r.Objective > 0 {
+		latest = r.Objective
+	}
+	if r.Deadline > 0 {
+		latest = min(latest, r.Deadline)
+	}
+	return latest
+}
+
+func (l *level) flow(account table.AccountName) *accountFlow {
+	for _, f := range l.flows {
+		if f.account == account {
+			return f
+		}
+	}
+	return nil
+}
+
+// startOf returns the virtual start of the next request of an account without waiting ones.
+func (l *level) startOf(account table.AccountName) time.Duration {
+	return max(l.virtual, l.finished[account])
+}
+
+func (l *level) push(r *request, cost time.Duration) {
+	f := l.flow(r.Account)
+	if f == nil {
+		f = &accountFlow{account: r.Account, start: l.startOf(r.Account)}
+		delete(l.finished, r.Account)
+		l.flows = append(l.flows, f)
+	}
+	i := len(f.requests)
+	for i > 0 && scheduledBefore(r, f.requests[i-1]) {
+		i--
+	}
+	f.requests = slices.Insert(f.requests, i, r)
+	r.level, r.cost = l, cost
+	f.work += cost
+	l.work += cost
+	l.size++
+}
+
+func (l *level) remove(r *request) {
+	f := l.flow(r.Account)
+	i := slices.Index(f.requests, r)
+	f.requests = slices.Delete(f.requests, i, i+1)
+	r.level = nil
+	f.work -= r.cost
+	l.work -= r.cost
+	l.size--
+	if len(f.requests) > 0 {
+		return
+	}
+	i = slices.Index(l.flows, f)
+	l.flows = slices.Delete(l.flows, i, i+1)
+	l.finish(f.account, f.start)
+}
+
+// finish remembers the virtual start of an account that has no waiting requests. While nobody waits at the level there is
+// nothing to share.
+func (l *level) finish(account table.AccountName, start time.Duration) {
+	if l.size == 0 {
+		clear(l.finished)
+		return
+	}
+	if start <= l.virtual {
+		return
+	}
+	if l.finished == nil {
+		l.finished = make(map[table.AccountName]time.Duration)
+	}
+	for other, s := range l.finished {
+		if s <= l.virtual {
+			delete(l.finished, other)
+		}
+	}
+	l.finished[account] = start
+}
+
+// next returns the flow that is served next, or nil.
+func (l *level) next() *accountFlow {
+	var first *accountFlow
+	for _, f := range l.flows {
+		if first == nil || f.start < first.start {
+			first = f
+		}
+	}
+	return first
+}
+
+// head returns the request that is served next, or nil.
+func (l *level) head() *request {
+	if f := l.next(); f != nil {
+		return f.requests[0]
+	}
+	return nil
+}
+
+// charge adds slot time to an account, before the request that takes it is removed. A correction may be negative.
+func (l *level) charge(account table.AccountName, d time.Duration) {
+	if f := l.flow(account); f != nil {
+		f.start += d
+		return
+	}
+	if l.size > 0 {
+		l.finish(account, l.startOf(account)+d)
+	}
+}
+
+// ahead returns the expected slot time of the waiting requests that are served before a new one of the level.
+func (l *level) ahead(r *request) time.Duration {
+	start := l.startOf(r.Account)
+	own := time.Duration(0)
+	if f := l.flow(r.Account); f != nil {
+		start, own = f.start, f.ahead(r)
+	}
+	work := own
+	for _, f := range l.flows {
+		if f.account != r.Account {
+			work += min(f.work, max(0, start+own-f.start))
+		}
+	}
+	return work
+}
+
+// each calls visit for every waiting request; visit may remove the request that it is called with.
+func (l *level) each(visit func(*request)) {
+	for _, f := range slices.Clone(l.flows) {
+		for _, r := range slices.Clone(f.requests) {
+			visit(r)
+		}
+	}
+}
+
+// ahead returns the expected slot time of the account's waiting requests that are served before a new one.
+func (f *accountFlow) ahead(r *request) time.Duration {
+	work := time.Duration(0)
+	for _, other := range f.requests {
+		if scheduledBefore(r, other) {
+			break
+		}
+		work += other.cost
+	}
+	return work
+}
+
+// largest returns the account with the most expected slot time that waits, or nil.
+func (l *level) largest() *accountFlow {
+	var largest *accountFlow
+	for _, f := range l.flows {
+		if largest == nil || f.work > largest.work {
+			largest = f
+		}
+	}
+	return largest
+}
+
+func (l *level) state(now Time) LevelState {
+	return LevelState{
+		Priority: l.priority, Waiting: l.size, WaitingSlotTime: l.work,
+		AskedSlots: l.asked.slots(now), GrantedSlots: l.granted.slots(now),
+	}
+}
--- a/pool/overload.go
+++ b/pool/overload.go
@@ -42,11 +42,10 @@
 }
 
 // observeObjective adds the time to the objective of a new request to the mean.
-func (q *queue) observeObjective(r *request) {
+func (o *classOverload) observeObjective(r *request) {
 	if r.Objective <= r.submitted {
 		return
 	}
-	o := &q.overload[r.class]
 	objective := time.Duration(r.Objective - r.submitted)
 	if o.objective == 0 {
 		o.objective = objective
@@ -57,21 +56,30 @@
 
 // overloaded reports whether the queue of the class stands.
 func (c *Cell) overloaded(now Time, class queueClass) bool {
-	o := &c.queue.overload[class]
+	return c.stands(now, &c.queue.overload[class])
+}
+
+func (c *Cell) stands(now Time, o *classOverload) bool {
 	return o.objective > 0 && c.queue.meanServiceTime > 0 && now-o.lastShortWait > Time(o.part(standingFraction))
 }
 
 // observeWaits notes for each class when it last had no delayed requests. It is called every tick.
 func (c *Cell) observeWaits(now Time) {
 	for class := range c.queue.byClass {
-		o := &c.queue.overload[class]
-		delayed := false
-		c.queue.byClass[class].each(func(r *request) {
-			delayed = delayed || now-r.submitted > Time(o.part(shortWaitFraction))
-		})
-		if !delayed {
-			o.lastShortWait = now
-		}
+		c.queue.overload[class].observeWaits(now, c.queue.byClass[class].each)
+	}
+	for _, l := range c.queue.levels {
+		l.overload.observeWaits(now, l.each)
+	}
+}
+
+func (o *classOverload) observeWaits(now Time, each func(visit func(*request))) {
+	delayed := false
+	each(func(r *request) {
+		delayed = delayed || now-r.submitted > Time(o.part(shortWaitFraction))
+	})
+	if !delayed {
+		o.lastShortWait = now
 	}
 }
 
@@ -80,6 +88,9 @@
 	for class := range c.queue.overload {
 		c.queue.overload[class].lastShortWait = now
 	}
+	for _, l := range c.queue.levels {
+		l.overload.lastShortWait = now
+	}
 }
 
 // maxWait returns how long a new request of the class may have to wait under overload.
@@ -98,10 +109,21 @@
 // lateUnderOverload reports whether a waiting request is to be refused because the queue stands and it can't get a
 // response in time any more.
 func (c *Cell) lateUnderOverload(now Time, r *request) bool {
+	if r.level != nil {
+		return r.Objective > 0 && !r.mayHaveRun && c.stands(now, &r.level.overload) && now+Time(c.expectedServiceTime(r)) > r.Objective
+	}
 	latest := max(r.Objective, r.submitted+Time(c.queue.overload[r.class].objective))
 	return r.Objective > 0 && !r.mayHaveRun && c.overloaded(now, r.class) && now+Time(c.queue.meanServiceTime) > latest
 }
 
+// lateRetryAfter returns when the caller of a request that has waited in vain had better come back.
+func (c *Cell) lateRetryAfter(now Time, r *request) time.Duration {
+	if c.scheduled(r) {
+		return c.returnTime(r, c.levelWait(now, r), 0)
+	}
+	return c.overloadRetryAfter(r.class)
+}
+
 // overloadRetryAfter returns when the caller of a request that is refused under overload had better come back. It is
 // spread, so that they don't come back together.
 func (c *Cell) overloadRetryAfter(class queueClass) time.Duration {
--- a/pool/overload_test.go
+++ b/pool/overload_test.go
@@ -27,6 +27,8 @@
 	idempotent float64
 	// load returns the arrival rate as a fraction of the pool's capacity.
 	load func(at time.Duration) float64
+	// scheduling is the order of the waiting requests.
+	scheduling table.Scheduling
 
 	random    *rand.Rand
 	cell      *Cell
@@ -74,7 +76,7 @@
 	l.random = rand.New(rand.NewPCG(seed, 21))
 	l.requests, l.now = make(map[RequestID]*crowdRequest), Time(time.Second)
 	policy := episodePolicy
-	policy.RampMs = 1
+	policy.RampMs, policy.Scheduling = 1, l.scheduling
 	policy.SetDefaults()
 	l.cell = &Cell{Policy: policy, SlotsPerTarget: l.slots, Random: l.random}
 	list := make([]table.Target, l.targets)
@@ -197,6 +199,16 @@
 	return held[len(held)/2]
 }
 
+// bothOrders returns the crowds with each order of the waiting requests.
+func bothOrders(crowds ...crowd) []crowd {
+	out := crowds
+	for _, c := range crowds {
+		c.scheduling = table.SchedulePriority
+		out = append(out, c)
+	}
+	return out
+}
+
 // between returns a load that is high from one time to another, and base before and after.
 func between(from, to time.Duration, high, base float64) func(time.Duration) float64 {
 	return func(at time.Duration) float64 {
@@ -213,14 +225,14 @@
 	const crowdStart, crowdEnd, length = 10 * time.Second, 18 * time.Second, 40 * time.Second
 	// settle is the time in which the queue must be empty again.
 	const settle = 2 * time.Second
-	for _, c := range []crowd{
+	for _, c := range bothOrders(
 		// Orders of Arouca, notices of the gravel permits, and the notices of the large site.
-		{targets: 31, slots: 2, service: 210 * time.Millisecond, spread: 0.5, objective: 600 * time.Millisecond, deadline: 1500 * time.Millisecond, idempotent: 0.28},
-		{targets: 19, slots: 4, service: 320 * time.Millisecond, spread: 0.5, objective: 1500 * time.Millisecond, deadline: 3 * time.Second},
-		{targets: 71, slots: 4, service: 510 * time.Millisecond, spread: 0.5, objective: 2500 * time.Millisecond, deadline: 6 * time.Second},
-	} {
+		crowd{targets: 31, slots: 2, service: 210 * time.Millisecond, spread: 0.5, objective: 600 * time.Millisecond, deadline: 1500 * time.Millisecond, idempotent: 0.28},
+		crowd{targets: 19, slots: 4, service: 320 * time.Millisecond, spread: 0.5, objective: 1500 * time.Millisecond, deadline: 3 * time.Second},
+		crowd{targets: 71, slots: 4, service: 510 * time.Millisecond, spread: 0.5, objective: 2500 * time.Millisecond, deadline: 6 * time.Second},
+	) {
 		for _, high := range []float64{1.3, 2} {
-			t.Run(fmt.Sprintf("%d targets, %.1f", c.targets, high), func(t *testing.T) {
+			t.Run(fmt.Sprintf("%d targets, %.1f %s", c.targets, high, c.scheduling), func(t *testing.T) {
 				is := is.New(t)
 				l := c
 				l.load = between(crowdStart, crowdEnd, high, 0.9)
@@ -252,21 +264,22 @@
 
 // Guards against refusing all requests of routes with a short objective, because the queue is as long as the others can wait.
 func TestShortObjectivesAreServedUnderOverload(t *testing.T) {
-	is := is.New(t)
-	l := crowd{
+	for _, l := range bothOrders(crowd{
 		targets: 10, slots: 4, service: 430 * time.Millisecond, spread: 0.5, objective: 1500 * time.Millisecond,
 		shortObjective: time.Second, deadline: 2500 * time.Millisecond, idempotent: 1,
-	}
-	l.load = func(time.Duration) float64 { return 1.3 }
-	l.run(1, 40*time.Second)
-	served, asked := map[bool]float64{}, map[bool]float64{}
-	for _, r := range l.byArrival[len(l.byArrival)/4:] {
-		asked[r.short]++
-		if r.served {
-			served[r.short]++
+	}) {
+		is := is.New(t)
+		l.load = func(time.Duration) float64 { return 1.3 }
+		l.run(1, 40*time.Second)
+		served, asked := map[bool]float64{}, map[bool]float64{}
+		for _, r := range l.byArrival[len(l.byArrival)/4:] {
+			asked[r.short]++
+			if r.served {
+				served[r.short]++
+			}
 		}
+		short, other := served[true]/asked[true], served[false]/asked[false]
+		t.Logf("%s: served: %.2f of the requests with a short objective, %.2f of the others", l.scheduling, short, other)
+		is.True(short >= other/2)
 	}
-	short, other := served[true]/asked[true], served[false]/asked[false]
-	t.Logf("served: %.2f of the requests with a short objective, %.2f of the others", short, other)
-	is.True(short >= other/2)
 }
--- a/pool/ownership.go
+++ b/pool/ownership.go
@@ -56,8 +56,12 @@
 // SetPolicy replaces the settings of the pool, as when the tables change.
 func (c *Cell) SetPolicy(now Time, policy table.Policy, slots int) {
 	c.beginCall(now)
+	rescheduled := c.Policy.Scheduling != policy.Scheduling
 	c.Policy = policy
 	c.SlotsPerTarget = slots
+	if rescheduled {
+		c.reschedule()
+	}
 	c.stats.configure(policy.SlowFactor)
 	c.refreshLimits(now)
 }
@@ -198,13 +202,10 @@
 
 // refuseAll ends all waiting requests, so that the daemon can forward them to the owner.
 func (c *Cell) refuseAll() {
-	for i := range c.queue.byClass {
-		q := &c.queue.byClass[i]
-		q.each(func(r *request) {
-			q.remove(&r.node)
-			c.endWaiting(r, ReasonNotOwner, 0)
-		})
-	}
+	c.queue.each(func(r *request) {
+		c.queue.remove(r)
+		c.endWaiting(r, ReasonNotOwner, 0)
+	})
 	for _, r := range c.delayed {
 		c.endWaiting(r, ReasonNotOwner, 0)
 	}
--- a/pool/poison.go
+++ b/pool/poison.go
@@ -221,15 +221,12 @@
 // refusePoison refuses the waiting requests with the fingerprint.
 func (c *Cell) refusePoison(now Time, f Fingerprint) {
 	delay := c.poison.retryAfter(now, f)
-	for i := range c.queue.byClass {
-		q := &c.queue.byClass[i]
-		q.each(func(r *request) {
-			if r.Fingerprint == f {
-				q.remove(&r.node)
-				c.endWaiting(r, ReasonPoison, delay)
-			}
-		})
-	}
+	c.queue.each(func(r *request) {
+		if r.Fingerprint == f {
+			c.queue.remove(r)
+			c.endWaiting(r, ReasonPoison, delay)
+		}
+	})
 	kept := c.delayed[:0]
 	for _, r := range c.delayed {
 		if r.Fingerprint == f {
--- /dev/null
+++ b/pool/priority.go
@@ -0,0 +1,273 @@
+package pool
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/bilberrywood/bilberrywood/table"
+)
+
+const (
+	// minServedFraction bounds how far a level may fall behind: it gets this part of the slot time that it would have if
+	// all levels were served in proportion to what they ask for. It never serves a level better than one above it.
+	minServedFraction = 0.5
+	// dueFraction is the part of its patience after which a waiting request may overtake more urgent ones.
+	dueFraction = 0.5
+	// overtakenFraction is the part of the wait that leaves a more urgent request in time up to which it may be overtaken.
+	overtakenFraction = 0.5
+	// unlimitedPatience is the patience of a request with neither an objective nor a deadline.
+	unlimitedPatience = 5 * time.Second
+)
+
+// byPriority reports whether the cell serves waiting requests by priority.
+func (c *Cell) byPriority() bool { return c.Policy.Scheduling == table.SchedulePriority }
+
+// scheduled reports whether the request waits at a level. Suspected poison requests wait for an idle target instead.
+func (c *Cell) scheduled(r *request) bool {
+	return c.byPriority() && r.class != classSuspectedPoison
+}
+
+// levelOf returns the level of a priority. The tables bound the number of priorities.
+func (q *queue) levelOf(priority int) *level {
+	i, found := slices.BinarySearchFunc(q.levels, priority, func(l *level, p int) int { return l.priority - p })
+	if !found {
+		q.levels = slices.Insert(q.levels, i, &level{priority: priority})
+	}
+	return q.levels[i]
+}
+
+func (c *Cell) pushToLevel(r *request) {
+	c.queue.levelOf(r.Priority).push(r, c.expectedServiceTime(r))
+}
+
+// enqueueByPriority puts a new request into its level, or refuses it as not run if it can't be in time there.
+func (c *Cell) enqueueByPriority(now Time, r *request) {
+	l := c.queue.levelOf(r.Priority)
+	cost := c.expectedServiceTime(r)
+	l.asked.add(now, cost)
+	l.overload.observeObjective(r)
+	wait := c.levelWait(now, r)
+	switch {
+	case r.Deadline > 0 && now+Time(wait) > c.latestStart(r, c.queue.size()):
+		c.refuse(r, ReasonDeadline, c.returnTime(r, wait, time.Duration(c.latestStart(r, c.queue.size())-now)))
+	case r.Objective > 0 && c.stands(now, &l.overload) && wait > c.patience(r):
+		c.refuse(r, ReasonOverload, c.returnTime(r, wait, c.patience(r)))
+	case c.queue.size() >= c.queueLimit() && !c.displaceByPriority(now, r):
+		c.refuse(r, ReasonQueueFull, c.returnTime(r, wait, 0))
+	default:
+		c.push(r, false)
+	}
+}
+
+// patience returns how long a new request may wait so that few responses miss its objective. Where routes with different
+// objectives share a level, the patient ones wait no longer than the mean objective allows: the queue would else grow until
+// the others are never in time.
+func (c *Cell) patience(r *request) time.Duration {
+	objective := time.Duration(r.latestResponse() - r.submitted)
+	if mean := c.queue.levelOf(r.Priority).overload.objective; mean > 0 {
+		objective = min(objective, mean)
+	}
+	timely := objective - c.timelyServiceTime(r)
+	return max(time.Duration(minWaitServiceTimes*float64(c.expectedServiceTime(r))), timely)
+}
+
+// returnTime returns when the caller of a refused request had better come back: when those that wait now leave it as much
+// time as it may wait. It is spread, so that callers don't come back together.
+func (c *Cell) returnTime(r *request, wait, mayWait time.Duration) time.Duration {
+	least := max(c.expectedServiceTime(r), c.queue.levelOf(r.Priority).overload.part(shortWaitFraction))
+	d := max(least, wait-max(0, mayWait))
+	return d + time.Duration(c.Random.Int64N(int64(d)+1))
+}
+
+// levelWait returns the expected time until a new request of the level gets a slot; 0 if it isn't known. What waits ahead
+// of it is served by the slots that the requests of higher levels leave, which go on coming meanwhile.
+func (c *Cell) levelWait(now Time, r *request) time.Duration {
+	if c.servingSlots == 0 {
+		return 0
+	}
+	l := c.queue.levelOf(r.Priority)
+	ahead := c.queue.meanServiceTime + l.ahead(r)
+	left, reserved := c.servingSlots, 0.0
+	for _, other := range c.queue.levels {
+		switch {
+		case other.priority < l.priority:
+			ahead += other.work
+			left -= other.asked.slots(now)
+		case other.priority > l.priority && other.size > 0 && c.due(now, other.head()):
+			reserved += c.leastSlots(now, other)
+		}
+	}
+	left = max(left-reserved, c.leastSlots(now, l), 1)
+	return time.Duration(float64(ahead) / left)
+}
+
+// leastSlots returns how many slots the level gets at least while it asks for them.
+func (c *Cell) leastSlots(now Time, l *level) float64 {
+	all := 0.0
+	for _, other := range c.queue.levels {
+		all += other.asked.value(now)
+	}
+	if all == 0 {
+		return 0
+	}
+	return minServedFraction * c.servingSlots * l.asked.value(now) / all
+}
+
+// fallsBehind reports whether the level gets less slot time, of what it asks for, than minServedFraction allows.
+func (c *Cell) fallsBehind(now Time, l *level) bool {
+	asked, granted := 0.0, 0.0
+	for _, other := range c.queue.levels {
+		asked += other.asked.value(now)
+		granted += other.granted.value(now)
+	}
+	return l.granted.value(now)*asked < minServedFraction*granted*l.asked.value(now)
+}
+
+// due reports whether the request has used up so much of its patience that it may overtake more urgent ones.
+func (c *Cell) due(now Time, r *request) bool {
+	service := Time(c.expectedServiceTime(r))
+	latest := r.latestResponse()
+	if now+service > latest && r.Deadline > 0 {
+		latest = r.Deadline
+	}
+	patience := Time(unlimitedPatience)
+	if latest < math.MaxInt64 {
+		patience = max(0, latest-service-r.submitted)
+	}
+	return now-r.submitted >= Time(dueFraction*float64(patience))
+}
+
+// mayOvertake reports whether all requests that wait above the level are still served in time after one of it.
+func (c *Cell) mayOvertake(now Time, r *request) bool {
+	ahead := r.cost
+	for _, l := range c.queue.levels {
+		if l.priority >= r.level.priority {
+			break
+		}
+		if l.size == 0 {
+			continue
+		}
+		ahead += l.work
+		head := l.head()
+		if head.Objective == 0 {
+			return false
+		}
+		wait := now - head.submitted + Time(float64(ahead)/max(1, c.servingSlots))
+		if wait > Time(overtakenFraction*float64(c.patience(head))) {
+			return false
+		}
+	}
+	return true
+}
+
+// firstByPriority returns the request that is served next, or nil: of the highest level, unless one of a lower level has
+// waited for long and either costs no other its objective or belongs to a level that falls behind.
+func (c *Cell) firstByPriority(now Time) *request {
+	var first *request
+	for _, l := range c.queue.levels {
+		r := l.head()
+		switch {
+		case r == nil:
+		case first == nil:
+			first = r
+		case c.due(now, r) && (c.fallsBehind(now, l) || c.mayOvertake(now, r)):
+			return r
+		}
+	}
+	return first
+}
+
+// pickByPriority returns the request that is served next and its target. If a request that can't be retried finds none, one
+// that can may still find a target that is suspect or due for a trial.
+func (c *Cell) pickByPriority(now Time) (*request, *target, Reason, bool) {
+	r := c.firstByPriority(now)
+	if r == nil {
+		return nil, nil, "", false
+	}
+	t, reason, trial := c.pick(now, r)
+	if t != nil || r.retryable() {
+		return r, t, reason, trial
+	}
+	for _, l := range c.queue.levels {
+		if r = l.head(); r != nil && r.retryable() {
+			t, reason, trial = c.pick(now, r)
+			return r, t, reason, trial
+		}
+	}
+	return nil, nil, "", false
+}
+
+// dispatchByPriority starts waiting requests while there are slots for them.
+func (c *Cell) dispatchByPriority(now Time) {
+	for {
+		r, t, reason, trial := c.pickByPriority(now)
+		if t == nil {
+			return
+		}
+		l := r.level
+		if c.tooLate(now, r, c.queue.size()-1) {
+			l.remove(r)
+			c.endWaiting(r, ReasonDeadline, 0)
+			continue
+		}
+		l.virtual = max(l.virtual, l.flow(r.Account).start)
+		l.charge(r.Account, r.cost)
+		r.charged = r.cost
+		if r.attempt == 0 {
+			l.granted.add(now, r.cost)
+		}
+		l.remove(r)
+		c.startAttempt(now, r, t, reason, trial)
+	}
+}
+
+// reschedule queues all requests anew after a change of the policy.
+func (c *Cell) reschedule() {
+	var waiting []*request
+	c.queue.each(func(r *request) {
+		c.queue.remove(r)
+		waiting = append(waiting, r)
+	})
+	c.queue.levels = nil
+	for _, r := range waiting {
+		c.push(r, r.attempt > 0)
+	}
+}
+
+// settle charges the account of an attempt that ended with the slot time that it really took.
+func (c *Cell) settle(now Time, r *request) {
+	if r.charged == 0 || !c.byPriority() {
+		return
+	}
+	c.queue.levelOf(r.Priority).charge(r.Account, time.Duration(now-r.started)-r.charged)
+	r.charged = 0
+}
+
+// displaceByPriority makes room for a new request by ending the last one of the account with the most slot time at the
+// lowest level, and reports whether it did. The new request must be of a higher level, or of an account with less.
+func (c *Cell) displaceByPriority(now Time, r *request) bool {
+	for _, l := range slices.Backward(c.queue.levels) {
+		if l.priority < r.Priority {
+			return false
+		}
+		f := l.largest()
+		if f == nil {
+			continue
+		}
+		if l.priority == r.Priority {
+			own := c.expectedServiceTime(r)
+			if mine := l.flow(r.Account); mine != nil {
+				own += mine.work
+			}
+			if own >= f.work {
+				return false
+			}
+		}
+		last := f.requests[len(f.requests)-1]
+		l.remove(last)
+		c.endWaiting(last, ReasonDisplacedByPriority, c.returnTime(last, c.levelWait(now, last), 0))
+		return true
+	}
+	return false
+}
--- a/pool/property_test.go
+++ b/pool/property_test.go
@@ -39,6 +39,8 @@
 
 const machineTargets = 6
 
+var bothSchedulings = []table.Scheduling{table.ScheduleRetryable, table.SchedulePriority}
+
 func newMachine(t *rapid.T, f injectedFaults) *cellMachine {
 	m := &cellMachine{
 		t: t, slots: rapid.IntRange(1, 4).Draw(t, "slots"), floor: rapid.IntRange(0, machineTargets).Draw(t, "floor"),
@@ -48,7 +50,10 @@
 	m.cell = &Cell{
 		Key: fleet.CellKey{Pool: "p"}, SlotsPerTarget: m.slots, Random: rand.New(rand.NewPCG(1, 2)), injectedFaults: f,
 		// Frequent false ejections are accepted here, so that ejections occur often.
-		Policy: table.Policy{FalseEjectionEveryHours: 1e-6},
+		Policy: table.Policy{
+			FalseEjectionEveryHours: 1e-6, Scheduling: rapid.SampledFrom(bothSchedulings).Draw(t, "scheduling"),
+			QueueLimit: rapid.SampledFrom([]int{0, 3}).Draw(t, "queueLimit"),
+		},
 	}
 	for i := range machineTargets {
 		m.listed[targetName(i)] = true
@@ -94,7 +99,7 @@
 
 func (m *cellMachine) step() {
 	allowed := m.slotLimit()
-	switch rapid.IntRange(0, 13).Draw(m.t, "op") {
+	switch rapid.IntRange(0, 14).Draw(m.t, "op") {
 	case 0, 1, 2, 3:
 		m.submit()
 	case 4, 5, 6, 7, 8:
@@ -115,6 +120,11 @@
 		m.setOwnership()
 	case 13:
 		m.changeMembership()
+	case 14:
+		policy := m.cell.Policy
+		policy.Scheduling = rapid.SampledFrom(bothSchedulings).Draw(m.t, "scheduling")
+		m.cell.SetPolicy(m.now, policy, m.slots)
+		allowed = max(allowed, m.slotLimit())
 	}
 	m.check(allowed)
 }
@@ -124,6 +134,8 @@
 	r := &modelRequest{Request: Request{
 		ID: id, Idempotent: rapid.Bool().Draw(m.t, "idempotent"), Replayable: rapid.Bool().Draw(m.t, "replayable"),
 		Account: table.AccountName(fmt.Sprint(id % 3)), Deadline: m.now + Time(time.Second), Fingerprint: Fingerprint(id % 5),
+		Route: table.RouteName(fmt.Sprint(id % 4)), Priority: rapid.IntRange(0, 2).Draw(m.t, "priority"), RoutePriority: int(id % 4),
+		Objective: m.now + Time(rapid.IntRange(0, 2).Draw(m.t, "objective"))*Time(400*time.Millisecond),
 	}}
 	m.requests[id] = r
 	m.order = append(m.order, id)
@@ -206,6 +218,9 @@
 		}
 	}
 	m.checkEjections()
+	if problem := levelProblem(m.cell); problem != "" {
+		m.fail("%s", problem)
+	}
 }
 
 func (m *cellMachine) checkRun(r *modelRequest, d Decision, allowed int) {
--- a/pool/queue.go
+++ b/pool/queue.go
@@ -32,6 +32,10 @@
 	byClass    [numClasses]fairQueue[table.AccountName, *request]
 	dispatched int
 	overload   [numClasses]classOverload
+	// levels hold the requests of cells that serve by priority, instead of byClass, in the order of their priorities.
+	levels []*level
+	// routeTimes are kept where requests are served by priority.
+	routeTimes routeTimes
 	// meanServiceTime is the mean time that an attempt occupies its slot; 0 means not known yet.
 	meanServiceTime time.Duration
 }
@@ -41,9 +45,31 @@
 	for i := range q.byClass {
 		n += q.byClass[i].size
 	}
+	for _, l := range q.levels {
+		n += l.size
+	}
 	return n
 }
 
+// each calls visit for every queued request; visit may remove the request that it is called with.
+func (q *queue) each(visit func(*request)) {
+	for i := range q.byClass {
+		q.byClass[i].each(visit)
+	}
+	for _, l := range q.levels {
+		l.each(visit)
+	}
+}
+
+// remove removes a queued request.
+func (q *queue) remove(r *request) {
+	if r.level != nil {
+		r.level.remove(r)
+		return
+	}
+	q.byClass[r.class].remove(&r.node)
+}
+
 // next returns the class that is served next, or numClasses if no requests but suspected poison ones wait.
 func (q *queue) next() queueClass {
 	nonIdempotent := q.byClass[classNonIdempotent].size > 0
@@ -74,6 +100,28 @@
 	return queueLimitFactor * c.SlotsPerTarget * max(1, c.listedTargets)
 }
 
+// waitOf returns the expected time until a request like this one, which is not queued, gets a slot.
+func (c *Cell) waitOf(now Time, r *request) time.Duration {
+	if c.scheduled(r) {
+		return c.levelWait(now, r)
+	}
+	return c.waitEstimate(r.class)
+}
+
+// queueState describes the queue to a request that is refused.
+func (c *Cell) queueState(now Time, r *request) QueueState {
+	s := QueueState{Length: c.queue.size(), WaitEstimate: c.waitOf(now, r)}
+	if c.scheduled(r) {
+		l := c.queue.levelOf(r.Priority)
+		level := l.state(now)
+		if f := l.flow(r.Account); f != nil {
+			level.AccountSlotTime = f.work
+		}
+		s.Level = &level
+	}
+	return s
+}
+
 // waitEstimate returns the expected time until a request that joins the end of the queue gets a slot. A
 // non-idempotent request waits for those of its class only. An idempotent one waits for the others too, but not for
 // more than their share of the slots.
@@ -110,8 +158,12 @@
 		c.refuse(r, ReasonTargetsPaused, time.Duration(end-now))
 		return
 	}
+	if c.scheduled(r) {
+		c.enqueueByPriority(now, r)
+		return
+	}
 	wait := c.waitEstimate(r.class)
-	c.queue.observeObjective(r)
+	c.queue.overload[r.class].observeObjective(r)
 	if c.refusedByOverload(now, r, wait) {
 		c.refuse(r, ReasonOverload, c.overloadRetryAfter(r.class))
 		return
@@ -133,6 +185,11 @@
 
 func (c *Cell) push(r *request, front bool) {
 	r.phase = phaseQueued
+	if c.scheduled(r) {
+		r.returned = front
+		c.pushToLevel(r)
+		return
+	}
 	r.node.value = r
 	if front {
 		c.queue.byClass[r.class].pushFront(r.Account, &r.node)
@@ -182,31 +239,29 @@
 // expire ends the queued requests that can no longer get a response before their deadline.
 func (c *Cell) expire(now Time) {
 	pauseEnd := c.nextPauseEnd(now)
-	for i := range c.queue.byClass {
-		q := &c.queue.byClass[i]
-		if q.size == 0 {
-			continue
+	c.queue.each(func(r *request) {
+		switch {
+		case pauseEnd > 0 && r.Deadline > 0 && pauseEnd > c.latestStart(r, 0):
+			c.queue.remove(r)
+			c.endWaiting(r, ReasonTargetsPaused, time.Duration(pauseEnd-now))
+		case c.lateUnderOverload(now, r):
+			c.queue.remove(r)
+			c.endWaiting(r, ReasonOverload, c.lateRetryAfter(now, r))
+		case c.tooLate(now, r, c.queue.size()-1):
+			c.queue.remove(r)
+			c.endWaiting(r, ReasonDeadline, 0)
 		}
-		q.each(func(r *request) {
-			switch {
-			case pauseEnd > 0 && r.Deadline > 0 && pauseEnd > c.latestStart(r, 0):
-				q.remove(&r.node)
-				c.endWaiting(r, ReasonTargetsPaused, time.Duration(pauseEnd-now))
-			case c.lateUnderOverload(now, r):
-				q.remove(&r.node)
-				c.endWaiting(r, ReasonOverload, c.overloadRetryAfter(r.class))
-			case c.tooLate(now, r, c.queue.size()-1):
-				q.remove(&r.node)
-				c.endWaiting(r, ReasonDeadline, 0)
-			}
-		})
-	}
+	})
 }
 
 // dispatch starts queued requests while there are slots for them.
 func (c *Cell) dispatch(now Time) {
 	// Suspected poison requests are few, and at most one runs per target, so they don't crowd out the others.
 	c.dispatchSuspects(now)
+	if c.byPriority() {
+		c.dispatchByPriority(now)
+		return
+	}
 	for {
 		class := c.queue.next()
 		if class == numClasses {
@@ -254,7 +309,8 @@
 // is taken for a fault of the target. Otherwise half of it will do, because many responses take less.
 func (c *Cell) latestStart(r *request, others int) Time {
 	if others > 0 {
-		return r.Deadline - Time(c.queue.meanServiceTime)
+		t := c.routeTime(r)
+		return r.Deadline - Time(t.mean+t.deviation)
 	}
-	return r.Deadline - Time(c.queue.meanServiceTime/2)
+	return r.Deadline - Time(c.expectedServiceTime(r)/2)
 }
--- a/pool/report.go
+++ b/pool/report.go
@@ -27,8 +27,10 @@
 	// RetryTokens is the content of the token bucket, in retries, with those that are decided and have not started.
 	RetryTokens float64 `json:"retryTokens"`
 	// Fingerprints is the number of fingerprints of suspected and refused requests.
-	Fingerprints int            `json:"fingerprints"`
-	Targets      []TargetReport `json:"targets"`
+	Fingerprints int `json:"fingerprints"`
+	// Levels are the levels of a cell that serves by priority, the most urgent first.
+	Levels  []LevelState   `json:"levels,omitempty"`
+	Targets []TargetReport `json:"targets"`
 }
 
 // TargetReport is the state of a target for operators.
@@ -71,6 +73,9 @@
 		ResponsesPerSecond:   c.stats.sampleRate,
 		BaselineFailureRatio: c.stats.baselineRatio, RetryTokens: c.budget.tokens, Fingerprints: c.poison.rows.len(),
 	}
+	for _, l := range c.queue.levels {
+		report.Levels = append(report.Levels, l.state(c.lastCall))
+	}
 	for i := range c.targets.len() {
 		t := c.targets.at(i)
 		report.InFlight += t.inFlight
--- a/pool/request.go
+++ b/pool/request.go
@@ -1,6 +1,8 @@
 package pool
 
 import (
+	"time"
+
 	"github.com/bilberrywood/bilberrywood/table"
 )
 
@@ -24,6 +26,14 @@
 	// class is the queue that holds the request while it is queued.
 	class queueClass
 	node  queueNode[table.AccountName, *request]
+	// level holds the request while it is queued in a cell that serves by priority; nil otherwise. cost is the expected
+	// slot time that it counts there.
+	level *level
+	cost  time.Duration
+	// returned says that the request was queued again after an attempt.
+	returned bool
+	// charged is the slot time of the attempt in flight that was charged to the account.
+	charged time.Duration
 
 	// target runs the attempt in flight; nil if there is none.
 	target  *target
--- a/pool/types.go
+++ b/pool/types.go
@@ -54,6 +54,8 @@
 	Account table.AccountName
 	// Priority is the operators' priority; 0 is the highest. It counts in pools that schedule by priority.
 	Priority int
+	// RoutePriority is the operators' priority of the route, by which the requests of one account are ordered.
+	RoutePriority int
 	// Idempotent says that running the request twice does no harm.
 	Idempotent bool
 	// Replayable says that the body can be sent again: there is none, or it is small enough to be buffered.
@@ -152,7 +154,23 @@
 	// Length is how many requests wait for a slot.
 	Length int
 	// WaitEstimate is the expected time until a request of the same class that comes now gets a slot; 0 if it isn't known.
+	// Where requests are served by priority, it is for one of the same level and account.
 	WaitEstimate time.Duration
+	// Level is the state of the request's level; nil where requests aren't served by priority.
+	Level *LevelState
+}
+
+// LevelState describes the waiting requests of one priority.
+type LevelState struct {
+	Priority int `json:"priority"`
+	// Waiting is how many requests of the level wait, and WaitingSlotTime the slot time that they are expected to take.
+	Waiting         int           `json:"waiting"`
+	WaitingSlotTime time.Duration `json:"waitingSlotNs"`
+	// AskedSlots and GrantedSlots are the mean numbers of slots that the requests of the last seconds ask for and got.
+	AskedSlots   float64 `json:"askedSlots"`
+	GrantedSlots float64 `json:"grantedSlots"`
+	// AccountSlotTime is the slot time that the account's own waiting requests are expected to take. It is set for refusals.
+	AccountSlotTime time.Duration `json:"accountSlotNs,omitempty"`
 }
 
 // EventKind classifies the changes of a target's state.
@@ -203,8 +221,11 @@
 	ReasonNotOwner         Reason = "notOwner"
 	ReasonQueueFull        Reason = "queueFull"
 	ReasonDisplaced        Reason = "displacedByNonIdempotent"
-	ReasonDeadline         Reason = "deadlineBeforeSlot"
-	ReasonNoTarget         Reason = "noTarget"
+	// ReasonDisplacedByPriority means that the queue was full and that the request made room for a more urgent one, or
+	// for one of an account with less slot time.
+	ReasonDisplacedByPriority Reason = "displacedByPriority"
+	ReasonDeadline            Reason = "deadlineBeforeSlot"
+	ReasonNoTarget            Reason = "noTarget"
 	// ReasonTargetsPaused means that all targets want no requests until after the deadline.
 	ReasonTargetsPaused Reason = "targetsPaused"
 	// ReasonOverload means that the queue stands and the response would be late.
