pool: requests that can be in time are served before late ones of their level

An account was charged for attempts that hang.

Change: within a level, requests that can still be in time come first. Only answered attempts correct an account's slot time.

--- a/pool/contention_sim_test.go
+++ b/pool/contention_sim_test.go
@@ -320,6 +320,17 @@
 	return s.assess(func(r *contender) bool { return r.route.name == name })
 }
 
+// servedSlotTime returns the part of the slot time that the requests ask for that went to those that were served.
+func (s *contention) servedSlotTime() float64 {
+	served, asked := 0.0, 0.0
+	for i := range s.routes {
+		c := s.byRoute(s.routes[i].name)
+		asked += float64(c.asked) * s.routes[i].service.Seconds()
+		served += float64(c.served) * s.routes[i].service.Seconds()
+	}
+	return served / max(asked, 1)
+}
+
 // leastServed returns the smallest served fraction of an account with enough requests to tell.
 func (s *contention) leastServed() float64 {
 	const enough = 20
--- a/pool/finish.go
+++ b/pool/finish.go
@@ -15,7 +15,7 @@
 	}
 	t := r.target
 	c.release(t, r)
-	c.settle(now, r)
+	c.settle(now, r, &o)
 	c.releaseRetry(r)
 	t.recordOutcome(r, &o)
 	// The evidence of the attempt in flight is replaced by that of its outcome.
--- a/pool/level.go
+++ b/pool/level.go
@@ -151,23 +151,39 @@
 	l.finished[account] = start
 }
 
-// next returns the flow that is served next, or nil.
-func (l *level) next() *accountFlow {
-	var first *accountFlow
+// head returns the request that is served next, or nil. Those that can still be in time come before the others, which
+// help their callers less.
+func (l *level) head(now Time) *request {
+	var first, firstLate *request
+	var start, startLate time.Duration
 	for _, f := range l.flows {
-		if first == nil || f.start < first.start {
-			first = f
+		r, late := f.head(now)
+		switch {
+		case late && (firstLate == nil || f.start < startLate):
+			firstLate, startLate = r, f.start
+		case !late && (first == nil || f.start < start):
+			first, start = r, f.start
 		}
 	}
-	return first
+	if first != nil {
+		return first
+	}
+	return firstLate
 }
 
-// head returns the request that is served next, or nil.
-func (l *level) head() *request {
-	if f := l.next(); f != nil {
-		return f.requests[0]
+// head returns the request of the account that is served next, and whether it is too late for its objective.
+func (f *accountFlow) head(now Time) (*request, bool) {
+	for _, r := range f.requests {
+		if !r.missesObjective(now) {
+			return r, false
+		}
 	}
-	return nil
+	return f.requests[0], true
+}
+
+// missesObjective reports whether the waiting request is too late for its objective.
+func (r *request) missesObjective(now Time) bool {
+	return r.Objective > 0 && now+Time(r.cost) > r.Objective
 }
 
 // charge adds slot time to an account, before the request that takes it is removed. A correction may be negative.
--- a/pool/priority.go
+++ b/pool/priority.go
@@ -94,7 +94,7 @@
 		case other.priority < l.priority:
 			ahead += other.work
 			left -= other.asked.slots(now)
-		case other.priority > l.priority && other.size > 0 && c.due(now, other.head()):
+		case other.priority > l.priority && other.size > 0 && c.due(now, other.head(now)):
 			reserved += c.leastSlots(now, other)
 		}
 	}
@@ -149,7 +149,7 @@
 			continue
 		}
 		ahead += l.work
-		head := l.head()
+		head := l.head(now)
 		if head.Objective == 0 {
 			return false
 		}
@@ -166,7 +166,7 @@
 func (c *Cell) firstByPriority(now Time) *request {
 	var first *request
 	for _, l := range c.queue.levels {
-		r := l.head()
+		r := l.head(now)
 		switch {
 		case r == nil:
 		case first == nil:
@@ -190,7 +190,7 @@
 		return r, t, reason, trial
 	}
 	for _, l := range c.queue.levels {
-		if r = l.head(); r != nil && r.retryable() {
+		if r = l.head(now); r != nil && r.retryable() {
 			t, reason, trial = c.pick(now, r)
 			return r, t, reason, trial
 		}
@@ -235,12 +235,12 @@
 	}
 }
 
-// settle charges the account of an attempt that ended with the slot time that it really took.
-func (c *Cell) settle(now Time, r *request) {
-	if r.charged == 0 || !c.byPriority() {
-		return
+// settle charges the account of an attempt that ended with the slot time that it really took. Time without a response is
+// the target's fault.
+func (c *Cell) settle(now Time, r *request, o *Outcome) {
+	if r.charged > 0 && c.byPriority() && o.Kind == OutcomeSuccess {
+		c.queue.levelOf(r.Priority).charge(r.Account, time.Duration(now-r.started)-r.charged)
 	}
-	c.queue.levelOf(r.Priority).charge(r.Account, time.Duration(now-r.started)-r.charged)
 	r.charged = 0
 }
 
