--- a/pool/priority.go
+++ b/pool/priority.go
@@ -51,7 +51,7 @@
 	switch {
 	case r.Deadline > 0 && now+Time(wait) > c.latestStart(r, c.queue.size()):
 		c.refuse(r, ReasonDeadline, c.returnTime(r, wait, time.Duration(c.latestStart(r, c.queue.size())-now)))
-	case r.Objective > 0 && c.stands(now, &l.overload) && wait > c.patience(r):
+	case r.Objective > 0 && wait > c.patience(r) && (c.stands(now, &l.overload) || c.askedAbove(now, l) > c.servingSlots):
 		c.refuse(r, ReasonOverload, c.returnTime(r, wait, c.patience(r)))
 	case c.queue.size() >= c.queueLimit() && !c.displaceByPriority(now, r):
 		c.refuse(r, ReasonQueueFull, c.returnTime(r, wait, 0))
@@ -114,6 +114,17 @@
 	return minServedFraction * c.servingSlots * l.asked.value(now) / all
 }
 
+// askedAbove returns how many slots the requests of the level and of those above it ask for.
+func (c *Cell) askedAbove(now Time, l *level) float64 {
+	slots := 0.0
+	for _, other := range c.queue.levels {
+		if other.priority <= l.priority {
+			slots += other.asked.slots(now)
+		}
+	}
+	return slots
+}
+
 // fallsBehind reports whether the level gets less slot time, of what it asks for, than minServedFraction allows.
 func (c *Cell) fallsBehind(now Time, l *level) bool {
 	asked, granted := 0.0, 0.0
