--- a/pool/level.go
+++ b/pool/level.go
@@ -181,6 +181,11 @@
 	return f.requests[0], true
 }
 
+// hasLate reports whether an account's first request is too late for its objective.
+func (l *level) hasLate(now Time) bool {
+	return slices.ContainsFunc(l.flows, func(f *accountFlow) bool { return f.requests[0].missesObjective(now) })
+}
+
 // missesObjective reports whether the waiting request is too late for its objective.
 func (r *request) missesObjective(now Time) bool {
 	return r.Objective > 0 && now+Time(r.cost) > r.Objective
--- a/pool/priority.go
+++ b/pool/priority.go
@@ -15,7 +15,7 @@
 	// dueFraction is the part of its patience after which a waiting request may overtake more urgent ones.
 	dueFraction = 0.5
 	// overtakenFraction is the part of the wait that leaves a more urgent request in time up to which it may be overtaken.
-	overtakenFraction = 0.5
+	overtakenFraction = 0.25
 	// unlimitedPatience is the patience of a request with neither an objective nor a deadline.
 	unlimitedPatience = 5 * time.Second
 )
@@ -161,7 +161,7 @@
 		}
 		ahead += l.work
 		head := l.head(now)
-		if head.Objective == 0 {
+		if head.Objective == 0 || l.hasLate(now) {
 			return false
 		}
 		wait := now - head.submitted + Time(float64(ahead)/max(1, c.servingSlots))
