pool: a request is expected to wait for four fifths of its patience at most; log lines by level

Cause: the wait of a level is an estimate, and what overstays it is late or refused late. A request with little time left was refused although a slot was free. Flows of accounts were allocated for each request.

Change: as the subject says; a request that nobody waits with starts whatever its deadline, as in the other order. Refusals log the priority, the level's length and slot time, and the account's. Flows are reused.

--- a/entry/observe.go
+++ b/entry/observe.go
@@ -158,6 +158,11 @@
 		if x.route != nil && x.route.ObjectiveMs > 0 {
 			line = line.Int64("objectiveMs", x.route.ObjectiveMs.Duration().Milliseconds())
 		}
+		if l := q.Level; l != nil {
+			line = line.Int("priority", l.Priority).Int("levelLength", l.Waiting).
+				Int64("levelSlotMs", l.WaitingSlotTime.Milliseconds()).Int64("accountSlotMs", l.AccountSlotTime.Milliseconds()).
+				Float64("levelAsked", roundSlots(l.AskedSlots)).Float64("levelGranted", roundSlots(l.GrantedSlots))
+		}
 	}
 	if refused.retryAfter > 0 {
 		line = line.Int64("retryAfterMs", refused.retryAfter.Milliseconds())
@@ -168,6 +173,9 @@
 	line.Send()
 }
 
+// roundSlots rounds a number of slots to one digit after the point.
+func roundSlots(slots float64) float64 { return math.Round(slots*10) / 10 }
+
 // routeStatus has the HTTP status and the reason for each refusal of the router.
 var routeStatus = map[table.RefusalReason]struct {
 	status int
--- a/pool/bench_test.go
+++ b/pool/bench_test.go
@@ -123,3 +123,24 @@
 	}
 	is.True(testing.AllocsPerRun(10_000, lc.step) < 0.5)
 }
+
+// The queue of a cell that serves by priority, empty and with waiting requests of 71 accounts.
+func BenchmarkSubmitFinishByPriority(b *testing.B) {
+	for _, waiting := range []int{0, 300, 900} {
+		b.Run(fmt.Sprintf("waiting=%d", waiting), func(b *testing.B) {
+			lc := newLoadCycle(64, 71)
+			policy := lc.cell.Policy
+			policy.Scheduling = table.SchedulePriority
+			lc.cell.SetPolicy(lc.now, policy, 4)
+			if waiting > 0 {
+				for range 2*64 + waiting {
+					lc.submit()
+				}
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				lc.step()
+			}
+		})
+	}
+}
--- a/pool/level.go
+++ b/pool/level.go
@@ -18,6 +18,8 @@
 type level struct {
 	priority int
 	flows    []*accountFlow
+	// free are flows for reuse.
+	free []*accountFlow
 	// virtual is the virtual start of the latest attempt; it never falls.
 	virtual time.Duration
 	// finished has the virtual starts that lie ahead of virtual, of accounts without waiting requests.
@@ -99,9 +101,7 @@
 func (l *level) push(r *request, cost time.Duration) {
 	f := l.flow(r.Account)
 	if f == nil {
-		f = &accountFlow{account: r.Account, start: l.startOf(r.Account)}
-		delete(l.finished, r.Account)
-		l.flows = append(l.flows, f)
+		f = l.addFlow(r.Account)
 	}
 	i := len(f.requests)
 	for i > 0 && scheduledBefore(r, f.requests[i-1]) {
@@ -128,6 +128,20 @@
 	i = slices.Index(l.flows, f)
 	l.flows = slices.Delete(l.flows, i, i+1)
 	l.finish(f.account, f.start)
+	l.free = append(l.free, f)
+}
+
+func (l *level) addFlow(account table.AccountName) *accountFlow {
+	var f *accountFlow
+	if n := len(l.free); n > 0 {
+		f, l.free = l.free[n-1], l.free[:n-1]
+	} else {
+		f = new(accountFlow)
+	}
+	*f = accountFlow{account: account, start: l.startOf(account), requests: f.requests[:0]}
+	delete(l.finished, account)
+	l.flows = append(l.flows, f)
+	return f
 }
 
 // finish remembers the virtual start of an account that has no waiting requests. While nobody waits at the level there is
--- a/pool/priority.go
+++ b/pool/priority.go
@@ -16,6 +16,8 @@
 	dueFraction = 0.5
 	// overtakenFraction is the part of the wait that leaves a more urgent request in time up to which it may be overtaken.
 	overtakenFraction = 0.25
+	// maxPatience is the part of the time that a request could wait which it is expected to wait at most.
+	maxPatience = 0.8
 	// minLeastSlots is the lower bound of the slots that a level is expected to get.
 	minLeastSlots = 0.1
 	// unlimitedPatience is the patience of a request with neither an objective nor a deadline.
@@ -50,9 +52,13 @@
 	l.asked.add(now, cost)
 	l.overload.observeObjective(r)
 	wait := c.levelWait(now, r)
+	latestStart := r.Deadline
+	if others := c.queue.size(); others > 0 {
+		latestStart = c.latestStart(r, others)
+	}
 	switch {
-	case r.Deadline > 0 && now+Time(wait) > c.latestStart(r, c.queue.size()):
-		c.refuse(r, ReasonDeadline, c.returnTime(r, wait, time.Duration(c.latestStart(r, c.queue.size())-now)))
+	case r.Deadline > 0 && now+Time(wait) > latestStart:
+		c.refuse(r, ReasonDeadline, c.returnTime(r, wait, time.Duration(latestStart-now)))
 	case r.Objective > 0 && wait > c.patience(r) && (c.stands(now, &l.overload) || c.askedAbove(now, l) > c.servingSlots):
 		c.refuse(r, ReasonOverload, c.returnTime(r, wait, c.patience(r)))
 	case c.queue.size() >= c.queueLimit() && !c.displaceByPriority(now, r):
@@ -70,7 +76,7 @@
 	if mean := c.queue.levelOf(r.Priority).overload.objective; mean > 0 {
 		objective = min(objective, mean)
 	}
-	timely := objective - c.timelyServiceTime(r)
+	timely := time.Duration(maxPatience * float64(objective-c.timelyServiceTime(r)))
 	return max(time.Duration(minWaitServiceTimes*float64(c.expectedServiceTime(r))), timely)
 }
 
