pool: half of the deviation is left to a request that starts while others wait; the other rules hold by priority

Change: half of the mean deviation instead of all of it. Tests show poison, return, floor in use, retries and abandonment by priority.

--- a/pool/expectedtime.go
+++ b/pool/expectedtime.go
@@ -9,8 +9,12 @@
 // maxTimedRoutes bounds the routes whose service times are kept; beyond it they are learned anew.
 const maxTimedRoutes = 4096
 
-// timelyDeviations is how many mean deviations above the mean few service times exceed.
-const timelyDeviations = 2
+const (
+	// timelyDeviations is how many mean deviations above the mean few service times exceed.
+	timelyDeviations = 2
+	// startDeviations is how many more than the mean must be left to a request that is started while others wait.
+	startDeviations = 0.5
+)
 
 // routeTime is the mean service time of a route and the mean deviation from it. The mean of all routes would hide that one
 // takes several times as long as another.
--- a/pool/floormix_test.go
+++ b/pool/floormix_test.go
@@ -37,6 +37,7 @@
 	ignoreFloor bool
 	// neverAbandon makes requests wait for their deadline at targets that hang.
 	neverAbandon bool
+	scheduling   table.Scheduling
 }
 
 const mixedEpisode = Time(6 * time.Second)
@@ -100,6 +101,7 @@
 	c, now := newEpisodeCell(f.targets, 6000)
 	c.SlotsPerTarget = f.slots
 	c.injectedFaults.ignoreFloor, c.injectedFaults.neverAbandon = f.ignoreFloor, f.neverAbandon
+	c.Policy.Scheduling = f.scheduling
 	c.Tick(now)
 	m.cell = c
 	m.now, m.nextRequest, m.nextTick = now, now, now
--- a/pool/queue.go
+++ b/pool/queue.go
@@ -308,12 +308,12 @@
 }
 
 // latestStart returns the latest time at which a request is started after a wait. If others wait too, it must leave the
-// mean service time until the deadline: a request that expires at a target takes the place of one that would not, and
+// mean service time until the deadline, and a part of the deviation from it where that is known: a request that expires at a target takes the place of one that would not, and
 // is taken for a fault of the target. Otherwise half of it will do, because many responses take less.
 func (c *Cell) latestStart(r *request, others int) Time {
 	if others > 0 {
 		t := c.routeTime(r)
-		return r.Deadline - Time(t.mean+t.deviation)
+		return r.Deadline - Time(t.mean) - Time(startDeviations*float64(t.deviation))
 	}
 	return r.Deadline - Time(c.expectedServiceTime(r)/2)
 }
