pool: levels by the priority of the account, then of the route

Change: levels are ordered by both. A request that must start sooner than those above it overtakes them while they stay in time.

--- a/entry/observe.go
+++ b/entry/observe.go
@@ -159,7 +159,7 @@
 			line = line.Int64("objectiveMs", x.route.ObjectiveMs.Duration().Milliseconds())
 		}
 		if l := q.Level; l != nil {
-			line = line.Int("priority", l.Priority).Int("levelLength", l.Waiting).
+			line = line.Int("priority", l.Priority).Int("routePriority", l.RoutePriority).Int("levelLength", l.Waiting).
 				Int64("levelSlotMs", l.WaitingSlotTime.Milliseconds()).Int64("accountSlotMs", l.AccountSlotTime.Milliseconds()).
 				Float64("levelAsked", roundSlots(l.AskedSlots)).Float64("levelGranted", roundSlots(l.GrantedSlots))
 		}
--- a/pool/contention_sim_test.go
+++ b/pool/contention_sim_test.go
@@ -50,6 +50,8 @@
 	factor func(at time.Duration, route table.RouteName, account int) float64
 	// left returns how many targets are left; nil means all.
 	left func(at time.Duration) int
+	// priority returns the priority of an account, or a negative number if it has none; nil means that none has.
+	priority func(account int) int
 	// repeats is how often a request of an abusing account is sent again after a refusal or half of its objective.
 	repeats int
 	abusing func(account int) bool
@@ -180,8 +182,12 @@
 		s.waiting = append(s.waiting, r)
 		return
 	}
+	priority := r.route.priority
+	if s.priority != nil && s.priority(r.account) >= 0 {
+		priority = s.priority(r.account)
+	}
 	s.cell.Submit(s.now, Request{
-		ID: r.id, Route: r.route.name, Account: table.AccountName(fmt.Sprint(r.account)), Priority: r.route.priority,
+		ID: r.id, Route: r.route.name, Account: table.AccountName(fmt.Sprint(r.account)), Priority: priority,
 		RoutePriority: r.route.priority, Idempotent: r.route.idempotent, Replayable: true,
 		Objective: r.first.at + Time(r.route.objective), Deadline: r.deadline,
 	})
@@ -365,7 +371,7 @@
 			}
 		})
 		if size != l.size || work != l.work {
-			return fmt.Sprintf("level %d: %d requests with %v, counted %d with %v", l.priority, size, work, l.size, l.work)
+			return fmt.Sprintf("level %v: %d requests with %v, counted %d with %v", l.rank, size, work, l.size, l.work)
 		}
 	}
 	return ""
--- a/pool/contention_test.go
+++ b/pool/contention_test.go
@@ -34,6 +34,7 @@
 func hotAccount(_ table.RouteName, account int) bool   { return account == 0 }
 func patientRequest(route table.RouteName, _ int) bool { return route == calendar.name }
 func urgentRequest(route table.RouteName, _ int) bool  { return route == publish.name }
+func accountPriority(account int) int                  { return account%4 - 1 }
 func repeatingAccount(account int) bool                { return account%3 == 0 }
 
 // crowdOf multiplies the rate of the selected requests during the trouble.
@@ -65,6 +66,7 @@
 	{"patient crowd", contention{targets: 26, factor: crowdOf(2.4, patientRequest)}, true},
 	{"urgent crowd", contention{targets: 20, factor: crowdOf(6, urgentRequest)}, false},
 	{"crowd beside a lost domain", contention{targets: 39, left: lostDomain, factor: crowdOf(2.5, anyRequest)}, true},
+	{"accounts with priorities", contention{targets: 26, priority: accountPriority, factor: crowdOf(2.2, anyRequest)}, true},
 	{"abusive repeats", contention{targets: 26, repeats: 3, abusing: repeatingAccount, factor: crowdOf(2.2, anyRequest)}, true},
 }
 
--- a/pool/level.go
+++ b/pool/level.go
@@ -12,12 +12,26 @@
 // than a crowd and longer than the gaps between the requests of a small cell.
 const demandWindow = 2 * time.Second
 
-// level holds the waiting requests of one priority. Accounts share its slot time equally by start-time fair queueing (Goyal,
+// levelRank orders the levels: by the priority of the account, or of the route if the account has none, then by that of the
+// route.
+type levelRank struct {
+	priority, routePriority int
+}
+
+// compare returns a negative number if k comes before other.
+func (k levelRank) compare(other levelRank) int {
+	if k.priority != other.priority {
+		return k.priority - other.priority
+	}
+	return k.routePriority - other.routePriority
+}
+
+// level holds the waiting requests of one rank. Accounts share its slot time equally by start-time fair queueing (Goyal,
 // Vin and Cheng, 1996): the account whose virtual start is earliest is served next, and each attempt moves its start by
 // the slot time that it takes.
 type level struct {
-	priority int
-	flows    []*accountFlow
+	rank  levelRank
+	flows []*accountFlow
 	// free are flows for reuse.
 	free []*accountFlow
 	// virtual is the virtual start of the latest attempt; it never falls.
@@ -60,14 +74,11 @@
 // slots returns the sum as the mean number of slots that it occupies.
 func (s *slotTime) slots(now Time) float64 { return s.value(now) / float64(demandWindow) }
 
-// scheduledBefore orders the waiting requests of an account at a level: those that have had an attempt, then by the
-// operators' priority of the route, then by the time until which a response is in time.
+// scheduledBefore orders the waiting requests of an account at a level: those that have had an attempt, then by the time
+// until which a response is in time.
 func scheduledBefore(a, b *request) bool {
-	switch {
-	case a.returned != b.returned:
+	if a.returned != b.returned {
 		return a.returned
-	case a.RoutePriority != b.RoutePriority:
-		return a.RoutePriority < b.RoutePriority
 	}
 	return a.latestResponse() < b.latestResponse()
 }
@@ -266,7 +277,7 @@
 
 func (l *level) state(now Time) LevelState {
 	return LevelState{
-		Priority: l.priority, Waiting: l.size, WaitingSlotTime: l.work,
+		Priority: l.rank.priority, RoutePriority: l.rank.routePriority, Waiting: l.size, WaitingSlotTime: l.work,
 		AskedSlots: l.asked.slots(now), GrantedSlots: l.granted.slots(now),
 	}
 }
--- a/pool/priority.go
+++ b/pool/priority.go
@@ -32,22 +32,23 @@
 	return c.byPriority() && r.class != classSuspectedPoison
 }
 
-// levelOf returns the level of a priority. The tables bound the number of priorities.
-func (q *queue) levelOf(priority int) *level {
-	i, found := slices.BinarySearchFunc(q.levels, priority, func(l *level, p int) int { return l.priority - p })
+// levelOf returns the level of a request. The tables bound the number of priorities.
+func (q *queue) levelOf(r *request) *level {
+	rank := levelRank{r.Priority, r.RoutePriority}
+	i, found := slices.BinarySearchFunc(q.levels, rank, func(l *level, other levelRank) int { return l.rank.compare(other) })
 	if !found {
-		q.levels = slices.Insert(q.levels, i, &level{priority: priority})
+		q.levels = slices.Insert(q.levels, i, &level{rank: rank})
 	}
 	return q.levels[i]
 }
 
 func (c *Cell) pushToLevel(r *request) {
-	c.queue.levelOf(r.Priority).push(r, c.expectedServiceTime(r))
+	c.queue.levelOf(r).push(r, c.expectedServiceTime(r))
 }
 
 // enqueueByPriority puts a new request into its level, or refuses it as not run if it can't be in time there.
 func (c *Cell) enqueueByPriority(now Time, r *request) {
-	l := c.queue.levelOf(r.Priority)
+	l := c.queue.levelOf(r)
 	cost := c.expectedServiceTime(r)
 	l.asked.add(now, cost)
 	l.overload.observeObjective(r)
@@ -73,7 +74,7 @@
 // the others are never in time.
 func (c *Cell) patience(r *request) time.Duration {
 	objective := time.Duration(r.latestResponse() - r.submitted)
-	if mean := c.queue.levelOf(r.Priority).overload.objective; mean > 0 {
+	if mean := c.queue.levelOf(r).overload.objective; mean > 0 {
 		objective = min(objective, mean)
 	}
 	timely := time.Duration(maxPatience * float64(objective-c.timelyServiceTime(r)))
@@ -83,30 +84,33 @@
 // returnTime returns when the caller of a refused request had better come back: when those that wait now leave it as much
 // time as it may wait. It is spread, so that callers don't come back together.
 func (c *Cell) returnTime(r *request, wait, mayWait time.Duration) time.Duration {
-	least := max(c.expectedServiceTime(r), c.queue.levelOf(r.Priority).overload.part(shortWaitFraction))
+	least := max(c.expectedServiceTime(r), c.queue.levelOf(r).overload.part(shortWaitFraction))
 	d := max(least, wait-max(0, mayWait))
 	return d + time.Duration(c.Random.Int64N(int64(d)+1))
 }
 
 // levelWait returns the expected time until a new request of the level gets a slot; 0 if it isn't known.
 func (c *Cell) levelWait(now Time, r *request) time.Duration {
-	l := c.queue.levelOf(r.Priority)
-	return c.waitBehindWork(now, l, c.queue.meanServiceTime+l.ahead(r))
+	l := c.queue.levelOf(r)
+	return c.waitBehindWork(now, r, c.queue.meanServiceTime+l.ahead(r))
 }
 
-// waitBehindWork returns the expected time until the given slot time of the level has got its slots: those that higher levels
-// leave, whose requests go on coming meanwhile, or those that the level gets at least.
-func (c *Cell) waitBehindWork(now Time, l *level, ahead time.Duration) time.Duration {
+// waitBehindWork returns the expected time until the request gets a slot, with the given slot time ahead of it at its level. It
+// gets those that higher levels leave, whose requests go on coming meanwhile, or those that its level gets at least.
+func (c *Cell) waitBehindWork(now Time, r *request, ahead time.Duration) time.Duration {
 	if c.servingSlots == 0 {
 		return 0
 	}
+	l := c.queue.levelOf(r)
 	left, above := c.servingSlots, time.Duration(0)
 	for _, other := range c.queue.levels {
 		switch {
-		case other.priority < l.priority:
+		case other.rank.compare(l.rank) < 0 && other.size > 0 && c.pressing(r, other.head(now)) && c.staysInTime(now, other, above+other.work, 1):
+			// The request may overtake those of this level.
+		case other.rank.compare(l.rank) < 0:
 			above += other.work
 			left -= other.asked.slots(now)
-		case other.priority > l.priority && other.size > 0 && c.due(now, other.head(now)):
+		case other.rank.compare(l.rank) > 0 && other.size > 0 && c.due(now, other.head(now)):
 			left -= c.leastSlots(now, other)
 		}
 	}
@@ -124,7 +128,7 @@
 	if l == nil || r.returned || c.servingSlots == 0 || r.Deadline == 0 || c.askedAbove(now, l) <= c.servingSlots {
 		return false
 	}
-	return now+Time(c.waitBehindWork(now, l, l.ahead(r))) > c.latestStart(r, c.queue.size())
+	return now+Time(c.waitBehindWork(now, r, l.ahead(r))) > c.latestStart(r, c.queue.size())
 }
 
 // leastSlots returns how many slots the level gets at least while it asks for them.
@@ -143,7 +147,7 @@
 func (c *Cell) askedAbove(now Time, l *level) float64 {
 	slots := 0.0
 	for _, other := range c.queue.levels {
-		if other.priority <= l.priority {
+		if other.rank.compare(l.rank) <= 0 {
 			slots += other.asked.slots(now)
 		}
 	}
@@ -174,31 +178,46 @@
 	return now-r.submitted >= Time(dueFraction*float64(patience))
 }
 
-// mayOvertake reports whether all requests that wait above the level are still served in time after one of it.
+// pressing reports whether the request must start before the other one to be in time.
+func (c *Cell) pressing(r, other *request) bool {
+	return r.latestResponse()-Time(c.expectedServiceTime(r)) < other.latestResponse()-Time(c.expectedServiceTime(other))
+}
+
+// staysInTime reports whether the waiting requests of the level are still served in time after the given slot time, with the
+// given part of their patience.
+func (c *Cell) staysInTime(now Time, l *level, ahead time.Duration, part float64) bool {
+	head := l.head(now)
+	if head.Objective == 0 || l.hasLate(now) {
+		return false
+	}
+	wait := now - head.submitted + Time(float64(ahead)/max(1, c.servingSlots))
+	return wait <= Time(part*float64(c.patience(head)))
+}
+
+// mayOvertake reports whether all requests that wait above the level are still served in time after one of it. One that has
+// waited for long may delay them less than one that must start before them.
 func (c *Cell) mayOvertake(now Time, r *request) bool {
-	ahead := r.cost
+	due, ahead := c.due(now, r), r.cost
 	for _, l := range c.queue.levels {
-		if l.priority >= r.level.priority {
+		if l == r.level {
 			break
 		}
 		if l.size == 0 {
 			continue
 		}
 		ahead += l.work
-		head := l.head(now)
-		if head.Objective == 0 || l.hasLate(now) {
-			return false
-		}
-		wait := now - head.submitted + Time(float64(ahead)/max(1, c.servingSlots))
-		if wait > Time(overtakenFraction*float64(c.patience(head))) {
+		switch {
+		case c.pressing(r, l.head(now)) && c.staysInTime(now, l, ahead, 1):
+		case due && c.staysInTime(now, l, ahead, overtakenFraction):
+		default:
 			return false
 		}
 	}
 	return true
 }
 
-// firstByPriority returns the request that is served next, or nil: of the highest level, unless one of a lower level has
-// waited for long and either costs no other its objective or belongs to a level that falls behind.
+// firstByPriority returns the request that is served next, or nil: of the highest level, unless one of a lower level costs no
+// other its objective, or belongs to a level that falls behind and has waited for long.
 func (c *Cell) firstByPriority(now Time) *request {
 	var first *request
 	for _, l := range c.queue.levels {
@@ -207,7 +226,7 @@
 		case r == nil:
 		case first == nil:
 			first = r
-		case c.due(now, r) && (c.fallsBehind(now, l) || c.mayOvertake(now, r)):
+		case c.mayOvertake(now, r), c.fallsBehind(now, l) && c.due(now, r):
 			return r
 		}
 	}
@@ -275,7 +294,7 @@
 // the target's fault.
 func (c *Cell) settle(now Time, r *request, o *Outcome) {
 	if r.charged > 0 && c.byPriority() && o.Kind == OutcomeSuccess {
-		c.queue.levelOf(r.Priority).charge(r.Account, time.Duration(now-r.started)-r.charged)
+		c.queue.levelOf(r).charge(r.Account, time.Duration(now-r.started)-r.charged)
 	}
 	r.charged = 0
 }
@@ -283,20 +302,21 @@
 // displaceByPriority makes room for a new request by ending the last one of the account with the most slot time at the
 // lowest level, and reports whether it did. The new request must be of a higher level, or of an account with less.
 func (c *Cell) displaceByPriority(now Time, r *request) bool {
+	own := c.queue.levelOf(r)
 	for _, l := range slices.Backward(c.queue.levels) {
-		if l.priority < r.Priority {
+		if l.rank.compare(own.rank) < 0 {
 			return false
 		}
 		f := l.largest()
 		if f == nil {
 			continue
 		}
-		if l.priority == r.Priority {
-			own := c.expectedServiceTime(r)
+		if l == own {
+			work := c.expectedServiceTime(r)
 			if mine := l.flow(r.Account); mine != nil {
-				own += mine.work
+				work += mine.work
 			}
-			if own >= f.work {
+			if work >= f.work {
 				return false
 			}
 		}
--- a/pool/queue.go
+++ b/pool/queue.go
@@ -112,7 +112,7 @@
 func (c *Cell) queueState(now Time, r *request) QueueState {
 	s := QueueState{Length: c.queue.size(), WaitEstimate: c.waitOf(now, r)}
 	if c.scheduled(r) {
-		l := c.queue.levelOf(r.Priority)
+		l := c.queue.levelOf(r)
 		level := l.state(now)
 		if f := l.flow(r.Account); f != nil {
 			level.AccountSlotTime = f.work
--- a/pool/types.go
+++ b/pool/types.go
@@ -54,7 +54,7 @@
 	Account table.AccountName
 	// Priority is the operators' priority; 0 is the highest. It counts in pools that schedule by priority.
 	Priority int
-	// RoutePriority is the operators' priority of the route, by which the requests of one account are ordered.
+	// RoutePriority is the operators' priority of the route, by which requests of one priority are ordered.
 	RoutePriority int
 	// Idempotent says that running the request twice does no harm.
 	Idempotent bool
@@ -160,9 +160,10 @@
 	Level *LevelState
 }
 
-// LevelState describes the waiting requests of one priority.
+// LevelState describes the waiting requests of one level: those of one priority on routes of one priority.
 type LevelState struct {
-	Priority int `json:"priority"`
+	Priority      int `json:"priority"`
+	RoutePriority int `json:"routePriority"`
 	// Waiting is how many requests of the level wait, and WaitingSlotTime the slot time that they are expected to take.
 	Waiting         int           `json:"waiting"`
 	WaitingSlotTime time.Duration `json:"waitingSlotNs"`
