pool: what higher levels ask for counts half in the wait of a lower one

Cause: patient requests were refused as if a crowd lasted for as long as they can wait; the queue was empty before it had to be.

--- a/pool/priority.go
+++ b/pool/priority.go
@@ -18,6 +18,9 @@
 	overtakenFraction = 0.25
 	// maxPatience is the part of the time that a request could wait which it is expected to wait at most.
 	maxPatience = 0.8
+	// lastingDemand is the part of the slots that higher levels ask for that counts as taken while a request waits. A crowd
+	// lasts for seconds, and a part of it is refused.
+	lastingDemand = 0.5
 	// minLeastSlots is the lower bound of the slots that a level is expected to get.
 	minLeastSlots = 0.1
 	// unlimitedPatience is the patience of a request with neither an objective nor a deadline.
@@ -109,7 +112,7 @@
 			// The request may overtake those of this level.
 		case other.rank.compare(l.rank) < 0:
 			above += other.work
-			left -= other.asked.slots(now)
+			left -= lastingDemand * other.asked.slots(now)
 		case other.rank.compare(l.rank) > 0 && other.size > 0 && c.due(now, other.head(now)):
 			left -= c.leastSlots(now, other)
 		}
