pool: a level that catches up gets no two slots in a row

Cause: levels that fall behind could take every slot that becomes free until they have caught up, from levels that ask for few.

--- a/pool/priority.go
+++ b/pool/priority.go
@@ -220,31 +220,36 @@
 }
 
 // firstByPriority returns the request that is served next, or nil: of the highest level, unless one of a lower level costs no
-// other its objective, or belongs to a level that falls behind and has waited for long.
-func (c *Cell) firstByPriority(now Time) *request {
-	var first *request
+// other its objective, or belongs to a level that falls behind and has waited for long. leastShare says that the latter
+// holds. It never does twice in a row, so that levels that catch up don't take all slots from those above them.
+func (c *Cell) firstByPriority(now Time) (first *request, leastShare bool) {
 	for _, l := range c.queue.levels {
 		r := l.head(now)
 		switch {
 		case r == nil:
 		case first == nil:
 			first = r
-		case c.mayOvertake(now, r), c.fallsBehind(now, l) && c.due(now, r):
-			return r
+		case c.mayOvertake(now, r):
+			return r, false
+		case !c.queue.leastShareLast && c.fallsBehind(now, l) && c.due(now, r):
+			return r, true
 		}
 	}
-	return first
+	return first, false
 }
 
 // pickByPriority returns the request that is served next and its target. If a request that can't be retried finds none, one
 // that can may still find a target that is suspect or due for a trial.
 func (c *Cell) pickByPriority(now Time) (*request, *target, Reason, bool) {
-	r := c.firstByPriority(now)
+	r, leastShare := c.firstByPriority(now)
 	if r == nil {
 		return nil, nil, "", false
 	}
 	t, reason, trial := c.pick(now, r)
 	if t != nil || r.retryable() {
+		if t != nil {
+			c.queue.leastShareLast = leastShare
+		}
 		return r, t, reason, trial
 	}
 	for _, l := range c.queue.levels {
--- a/pool/queue.go
+++ b/pool/queue.go
@@ -34,6 +34,8 @@
 	overload   [numClasses]classOverload
 	// levels hold the requests of cells that serve by priority, instead of byClass, in the order of their priorities.
 	levels []*level
+	// leastShareLast says that the latest of them to be served belonged to a level that falls behind.
+	leastShareLast bool
 	// routeTimes are kept where requests are served by priority.
 	routeTimes routeTimes
 	// meanServiceTime is the mean time that an attempt occupies its slot; 0 means not known yet.
