pool: an account that keeps itself waiting has no precedence for that; a level that falls behind keeps what waits

Change: an account to which most of the waiting slot time of a level belongs doesn't hold up other accounts that overtake, nor count in their wait. A level that falls behind gives up none that wait.

--- a/pool/contention_test.go
+++ b/pool/contention_test.go
@@ -70,10 +70,12 @@
 	{"abusive repeats", contention{targets: 26, repeats: 3, abusing: repeatingAccount, factor: crowdOf(2.2, anyRequest)}, true},
 }
 
-// runContention simulates the load with short urgent requests behind long patient ones.
+// runContention simulates the load, with short urgent requests behind long patient ones if it has no routes.
 func runContention(load contention, order waitingOrder, seed uint64) *contention {
 	load.order, load.slots, load.accounts = order, 3, 71
-	load.routes = []contendingRoute{publish, calendar}
+	if load.routes == nil {
+		load.routes = []contendingRoute{publish, calendar}
+	}
 	load.run(seed, contentionLength)
 	return &load
 }
@@ -103,18 +105,37 @@
 	}
 }
 
+func otherAccount(r *contender) bool { return r.account != 0 }
+
 // Guards against a hot account, at 7.5 times its usual, that others notice.
 func TestHotAccountIsNotNoticed(t *testing.T) {
 	is := is.New(t)
-	others := func(r *contender) bool { return r.account != 0 }
 	for seed := range uint64(3) {
-		hot := runContention(contention{targets: 26, factor: crowdOf(7.5, hotAccount)}, priorityOrder, seed).assess(others)
-		usual := runContention(contention{targets: 26}, priorityOrder, seed).assess(others)
+		hot := runContention(contention{targets: 26, factor: crowdOf(7.5, hotAccount)}, priorityOrder, seed).assess(otherAccount)
+		usual := runContention(contention{targets: 26}, priorityOrder, seed).assess(otherAccount)
 		t.Logf("others beside the hot account: %v; without it: %v", hot, usual)
 		is.True(hot.inTimeFraction() >= usual.inTimeFraction()-maxHarm)
 	}
 }
 
+// Guards against a hot account that takes the room of accounts with a lower priority.
+func TestHotAccountOfHighPriority(t *testing.T) {
+	is := is.New(t)
+	urgent := publish
+	urgent.perSecond = 15
+	lookup := contendingRoute{calendar.name, 1, true, 50, 320 * time.Millisecond, time.Second, 2 * time.Second, 0.5, 0.01, 5}
+	load := contention{
+		targets: 13, routes: []contendingRoute{urgent, lookup}, factor: crowdOf(7.5, hotAccount),
+		priority: func(account int) int { return min(1, account/3) },
+	}
+	for seed := range uint64(3) {
+		byPriority := runContention(load, priorityOrder, seed).assess(otherAccount)
+		today := runContention(load, retryableOrder, seed).assess(otherAccount)
+		t.Logf("others beside the hot account: %v; with today's order: %v", byPriority, today)
+		is.True(byPriority.inTimeFraction() >= today.inTimeFraction())
+	}
+}
+
 // Guards against accounts that repeat their requests at once and often, and so take room from those that don't.
 func TestRepeatsTakeNoRoom(t *testing.T) {
 	is := is.New(t)
--- a/pool/level.go
+++ b/pool/level.go
@@ -281,3 +281,13 @@
 		AskedSlots: l.asked.slots(now), GrantedSlots: l.granted.slots(now),
 	}
 }
+
+// hog returns the account to which most of the waiting slot time belongs, or nil. It keeps itself waiting, and has no
+// precedence over the request of another account for that.
+func (l *level) hog(r *request) *accountFlow {
+	f := l.largest()
+	if f == nil || f.account == "" || f.account == r.Account || 2*f.work <= l.work {
+		return nil
+	}
+	return f
+}
--- a/pool/priority.go
+++ b/pool/priority.go
@@ -108,11 +108,15 @@
 	left, above := c.servingSlots, time.Duration(0)
 	for _, other := range c.queue.levels {
 		switch {
-		case other.rank.compare(l.rank) < 0 && other.size > 0 && c.pressing(r, other.head(now)) && c.staysInTime(now, other, above+other.work, 1):
+		case other.rank.compare(l.rank) < 0 && other.size > 0 && c.pressing(r, other.head(now)) && c.staysInTime(now, r, other, above+other.work, 1):
 			// The request may overtake those of this level.
 		case other.rank.compare(l.rank) < 0:
-			above += other.work
-			left -= lastingDemand * other.asked.slots(now)
+			part := 1.0
+			if hog := other.hog(r); hog != nil {
+				part = 1 - float64(hog.work)/float64(other.work)
+			}
+			above += time.Duration(part * float64(other.work))
+			left -= part * lastingDemand * other.asked.slots(now)
 		case other.rank.compare(l.rank) > 0 && other.size > 0 && c.due(now, other.head(now)):
 			left -= c.leastSlots(now, other)
 		}
@@ -128,7 +132,7 @@
 // request won't get a slot in time any more. Keeping it would hold its caller up, and newer ones off.
 func (c *Cell) hopeless(now Time, r *request) bool {
 	l := r.level
-	if l == nil || r.returned || c.servingSlots == 0 || r.Deadline == 0 || c.askedAbove(now, l) <= c.servingSlots {
+	if l == nil || r.returned || c.servingSlots == 0 || r.Deadline == 0 || c.askedAbove(now, l) <= c.servingSlots || c.fallsBehind(now, l) {
 		return false
 	}
 	return now+Time(c.waitBehindWork(now, r, l.ahead(r))) > c.latestStart(r, c.queue.size())
@@ -187,14 +191,23 @@
 }
 
 // staysInTime reports whether the waiting requests of the level are still served in time after the given slot time, with the
-// given part of their patience.
-func (c *Cell) staysInTime(now Time, l *level, ahead time.Duration, part float64) bool {
-	head := l.head(now)
-	if head.Objective == 0 || l.hasLate(now) {
-		return false
+// given part of their patience. That doesn't count for an account that keeps itself waiting.
+func (c *Cell) staysInTime(now Time, r *request, l *level, ahead time.Duration, part float64) bool {
+	hog := l.hog(r)
+	if hog != nil {
+		ahead -= hog.work
+	}
+	for _, f := range l.flows {
+		if f == hog {
+			continue
+		}
+		head := f.requests[0]
+		wait := now - head.submitted + Time(float64(ahead)/max(1, c.servingSlots))
+		if head.Objective == 0 || head.missesObjective(now) || wait > Time(part*float64(c.patience(head))) {
+			return false
+		}
 	}
-	wait := now - head.submitted + Time(float64(ahead)/max(1, c.servingSlots))
-	return wait <= Time(part*float64(c.patience(head)))
+	return true
 }
 
 // mayOvertake reports whether all requests that wait above the level are still served in time after one of it. One that has
@@ -210,8 +223,8 @@
 		}
 		ahead += l.work
 		switch {
-		case c.pressing(r, l.head(now)) && c.staysInTime(now, l, ahead, 1):
-		case due && c.staysInTime(now, l, ahead, overtakenFraction):
+		case c.pressing(r, l.head(now)) && c.staysInTime(now, r, l, ahead, 1):
+		case due && c.staysInTime(now, r, l, ahead, overtakenFraction):
 		default:
 			return false
 		}
