--- a/pool/bench_test.go
+++ b/pool/bench_test.go
@@ -50,6 +50,7 @@
 	lc.next++
 	lc.cell.Submit(lc.now, Request{
 		ID: lc.next, Idempotent: true, Replayable: true, Account: lc.account[int(lc.next)%len(lc.account)],
+		Priority: int(lc.next % 3),
 		Deadline: lc.now + Time(time.Minute), Fingerprint: Fingerprint(lc.next),
 	})
 }
@@ -123,3 +124,24 @@
 	}
 	is.True(testing.AllocsPerRun(10_000, lc.step) < 0.5)
 }
+
+// BenchmarkSubmitFinishByPriority measures the same by priority, with waiting requests of 71 accounts at three levels.
+func BenchmarkSubmitFinishByPriority(b *testing.B) {
+	for _, waiting := range []int{0, 300, 900} {
+		b.Run(fmt.Sprintf("waiting=%d", waiting), func(b *testing.B) {
+			lc := newLoadCycle(64, 71)
+			policy := lc.cell.Policy
+			policy.Scheduling = table.SchedulePriority
+			lc.cell.SetPolicy(lc.now, policy, 4)
+			if waiting > 0 {
+				for range 2*64 + waiting {
+					lc.submit()
+				}
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				lc.step()
+			}
+		})
+	}
+}
