fleet: a count of links for an entry that leaves as the last one

Cause: an entry without peers that leaves had no count of links, and its tick panicked; the platform's stop tests found it.

Change: there is always a count. A switch that no test used is gone.

Measured: TestLeavingMemberCountsNoLinks fails without the change and passes with it; go test ./fleet -run 'Leaving|LinkCount|Split' and ./quota pass.

--- a/fleet/linkcount.go
+++ b/fleet/linkcount.go
@@ -31,7 +31,7 @@
 	startupKnowledge = 3 * time.Second
 )
 
-// Count returns several counts, of which the least favorable one holds. The first is of the entries that may own
+// Count returns one or several counts, of which the least favorable one holds. The first is of the entries that may own
 // cells, with links whose last heartbeat is younger than what makes peers choose another owner, less one heartbeat: so
 // an owner learns of its isolation before them. In the hub-and-spoke topology these are the hubs, and another count is
 // of all entries, which takes longer to notice a split. A third one is of the seeds; see seedsPeriod.
@@ -61,7 +61,7 @@
 	if recent.Known > 0 {
 		counts = append(counts, recent)
 	}
-	if v.hubTopology {
+	if v.hubTopology || recent.Known == 0 {
 		counts = append(counts, all)
 	}
 	if !v.listed && seeds.Known > 0 && v.At-c.startedAt < seedsPeriod {
--- a/fleet/linkcount_test.go
+++ b/fleet/linkcount_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -74,3 +75,15 @@
 		})
 	}
 }
+
+// Guards against a member that has no count at all when it leaves as the last one.
+func TestLeavingMemberCountsNoLinks(t *testing.T) {
+	is := is.New(t)
+	m := &Membership{ID: "a", Incarnation: 1, Timing: Timing{TickInterval: simTick}, Random: rand.New(rand.NewPCG(1, 7))}
+	m.SetState(time.Second, StateServing)
+	m.Tick(time.Second)
+	var c LinkCounter
+	is.Equal(c.Count(m.View(time.Second)), []LinkCount{{Linked: 1, Known: 1, Self: true}})
+	m.SetState(time.Second, StateLeaving)
+	is.Equal(c.Count(m.View(time.Second)), []LinkCount{{}})
+}
--- a/quota/spender.go
+++ b/quota/spender.go
@@ -85,12 +85,8 @@
 	// queued has the accounts with waiters.
 	queued  map[table.AccountName]*spending
 	sweptAt Time
-	faults  spenderFaults
 }
 
-// spenderFaults switch off single rules, for tests that must then fail.
-type spenderFaults struct{ noExpiry bool }
-
 // spending is what a Spender knows of an account.
 type spending struct {
 	name    table.AccountName
@@ -318,7 +314,7 @@
 
 // spend takes credit for one request: of the owner, or without it if that could not be reached.
 func (s *Spender) spend(now Time, a *spending) (credit, bool) {
-	for len(a.credit) > 0 && a.credit[0].expires <= now && !s.faults.noExpiry {
+	for len(a.credit) > 0 && a.credit[0].expires <= now {
 		a.credit = slices.Delete(a.credit, 0, 1)
 	}
 	if len(a.credit) > 0 {
