--- a/settings/vm.go
+++ b/settings/vm.go
@@ -16,6 +16,8 @@
 	CPUSpeed float64 `json:"cpuSpeed,omitempty"`
 	// LinkMbps is the bandwidth of the VM's network link in Mbit/s.
 	LinkMbps float64 `json:"linkMbps,omitempty"`
+	// MemoryMB is the memory of the process in MB, from which the budget for requests of callers is derived.
+	MemoryMB float64 `json:"memoryMb,omitempty"`
 }
 
 // Resources of a VM of class 0. They do not exceed those of the smallest VMs of the operators, which have
@@ -44,8 +46,8 @@
 }
 
 func (v VM) check() error {
-	if v.CPUShare < 0 || v.CPUSpeed < 0 || v.LinkMbps < 0 {
-		return errs.New("vm: cpuShare, cpuSpeed and linkMbps can't be negative")
+	if v.CPUShare < 0 || v.CPUSpeed < 0 || v.LinkMbps < 0 || v.MemoryMB < 0 {
+		return errs.New("vm: cpuShare, cpuSpeed, linkMbps and memoryMb can't be negative")
 	}
 	return nil
 }
