memory: budget for what callers hold, and who gives way

Cause: a head of short lines costs 20 times its bytes as net/http's header map, heads were read up to 1 MiB whatever the operators' limit, a body's whole announced length was allocated before it arrived, and nothing bounded the sum.

Change: each connection of a caller, and each request of a peer, is charged for its head (bytes, and 192 for each line, as they are read), for the body that is buffered (allocated by eightfold steps as it arrives) and for what is read ahead. Beyond a quarter of vm.memoryMb those that are still sending and hold most for longest are evicted: heads are closed, bodies refused as not run. Heads over the operators' limit get 431. A body that has not arrived by the deadline gets 408. The number of connections is bounded by vm.maxDescriptors. The runtime's memory limit is set from vm.memoryMb. A header of a peer may have as many fields as fit in its frame (before 4096).

--- a/cmd/entry/main.go
+++ b/cmd/entry/main.go
@@ -8,6 +8,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -82,6 +83,9 @@
 	go reportDropped(log, &dropped)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	if limit := s.VM.HeapLimit(); limit > 0 {
+		debug.SetMemoryLimit(limit)
+	}
 	e := &entry.Entry{Settings: s, Log: log, LogLines: lines}
 	if o.Platform {
 		platform.Attach(e)
--- a/entry/callerconn.go
+++ b/entry/callerconn.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/bilberrywood/bilberrywood/memory"
 	"github.com/bilberrywood/bilberrywood/table"
 )
 
@@ -31,6 +32,8 @@
 	limits func() table.CallerLimits
 	// lingering counts the connections that are still read after Close.
 	lingering *atomic.Int64
+	// memory, if set, is what the connections are charged to.
+	memory *memoryAccount
 }
 
 // Accept implements net.Listener.
@@ -39,7 +42,12 @@
 	if err != nil {
 		return nil, err
 	}
-	return &callerConn{Conn: c, limits: l.limits, lingering: l.lingering}, nil
+	caller := &callerConn{Conn: c, limits: l.limits, lingering: l.lingering}
+	if l.memory != nil {
+		caller.memory.holder = l.memory.budget.Open(caller.evict)
+		caller.memory.refused, caller.memory.inHead = l.memory.headsRefused, true
+	}
+	return caller, nil
 }
 
 // callerConn is a connection of a caller. While a handler runs, net/http waits for one byte, which may be the end of the
@@ -78,6 +86,8 @@
 
 	// reading is held while Read reads from Conn.
 	reading sync.Mutex
+
+	memory callerMemory
 }
 
 type callerConnKey struct{}
@@ -190,9 +200,17 @@
 func (c *callerConn) Read(p []byte) (int, error) {
 	c.stopReadingAhead()
 	n, err := c.readBuffered(p)
-	if n == 0 && err == nil {
+	if n > 0 {
+		c.memory.holder.Shrink(memory.Bytes(n))
+	} else if err == nil {
 		n, err = c.readConn(p)
 	}
+	if c.memory.holder.Evicted() {
+		return 0, readError(errEvicted)
+	}
+	if headErr := c.chargeHead(p[:n]); headErr != nil {
+		return 0, headErr
+	}
 	c.mu.Lock()
 	c.lengths.add(p[:n])
 	c.mu.Unlock()
@@ -268,9 +286,14 @@
 	var buf [2 << 10]byte
 	for {
 		n, err := c.Conn.Read(buf[:])
+		full := !c.memory.holder.Grow(memory.Bytes(n))
+		if full {
+			// What has been read is kept, but nothing more is read.
+			c.memory.holder.Force(memory.Bytes(n))
+		}
 		c.mu.Lock()
 		c.ahead = append(c.ahead, buf[:n]...)
-		full := len(c.ahead) >= maxReadAhead
+		full = full || len(c.ahead) >= maxReadAhead
 		if timeout, ok := err.(net.Error); err != nil && (!ok || !timeout.Timeout()) {
 			c.readErr, c.ahead = err, nil
 			if c.onGone != nil {
@@ -300,7 +323,7 @@
 	defer c.mu.Unlock()
 	if c.done == done {
 		c.done = nil
-		if !c.closed {
+		if !c.closed && !c.memory.holder.Evicted() {
 			_ = c.Conn.SetReadDeadline(c.readDeadline)
 		}
 	}
@@ -312,7 +335,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.readDeadline = t
-	if c.done != nil || c.closed {
+	if c.done != nil || c.closed || c.memory.holder.Evicted() {
 		return nil
 	}
 	return c.Conn.SetReadDeadline(t)
@@ -358,6 +381,9 @@
 	}
 	c.closed = true
 	now, end := time.Now(), c.lingerUntil
+	if c.memory.holder.Evicted() {
+		end = time.Time{}
+	}
 	if c.pipelined || now.Sub(c.writtenAt) < lingerTime {
 		end = latest(end, now.Add(lingerTime))
 	}
@@ -368,10 +394,13 @@
 	c.mu.Unlock()
 	c.stopReadingAhead()
 	if !linger {
+		c.memory.holder.Close()
 		return c.Conn.Close()
 	}
+	c.memory.holder.Idle(0)
 	// The expired deadline ends a pending Read of the server.
 	if c.CloseWrite() != nil || c.Conn.SetReadDeadline(longAgo) != nil {
+		c.memory.holder.Close()
 		c.lingering.Add(-1)
 		return c.Conn.Close()
 	}
@@ -382,10 +411,11 @@
 // linger reads until the caller has closed the connection, at most until a time, and closes it.
 func (c *callerConn) linger(end time.Time) {
 	defer c.lingering.Add(-1)
+	defer c.memory.holder.Close()
 	c.reading.Lock()
 	err := c.Conn.SetReadDeadline(end)
 	c.reading.Unlock()
-	if err == nil {
+	if err == nil && !c.memory.lingeringEvicted.Load() {
 		_, _ = io.Copy(io.Discard, c.Conn) // the responses are sent; nothing depends on what is read
 	}
 	_ = c.Conn.Close()
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -61,6 +61,7 @@
 	abort   context.CancelCauseFunc
 	// lingering counts the connections of callers that are still read after their last response.
 	lingering      atomic.Int64
+	memory         memoryAccount
 	addressClock   addressClock
 	counters       counters
 	callerServer   *http.Server
@@ -157,6 +158,7 @@
 		},
 	}
 	e.counters.register(e.Metrics, e)
+	e.openMemory()
 	e.tables.acceptor.OnOffer, e.tables.acceptor.Paths = e.tables.onOffer, e.callerProtocol().Paths
 	e.tables.log, e.tables.self, e.tables.onChange = e.Log, s.ID, e.tablesChanged
 	e.fleet.membership = e.membership(incarnation)
@@ -279,7 +281,7 @@
 func (e *Entry) listen() error {
 	s := &e.Settings
 	e.callerServer = e.server(e.callerRoutes())
-	e.callerServer.ConnContext = withCallerConn
+	e.trackCallers(e.callerServer)
 	e.operatorServer = e.server(e.operatorRoutes())
 	type endpoint struct {
 		address string
@@ -288,6 +290,7 @@
 	servers := []endpoint{{s.CallerAddress, e.callerServer}, {s.OperatorAddress, e.operatorServer}}
 	for _, x := range e.ExtraListeners {
 		server := e.server(x.Handler)
+		e.trackCallers(server)
 		e.extraServers = append(e.extraServers, server)
 		servers = append(servers, endpoint{x.Address, server})
 	}
@@ -296,8 +299,12 @@
 		if err != nil {
 			return Error.Wrap(err)
 		}
-		if ep.server == e.callerServer {
-			listener = callerListener{Listener: listener, limits: e.callerLimits, lingering: &e.lingering}
+		switch ep.server {
+		case e.operatorServer:
+		case e.callerServer:
+			listener = callerListener{Listener: listener, limits: e.callerLimits, lingering: &e.lingering, memory: &e.memory}
+		default:
+			listener = callerListener{Listener: listener, limits: e.callerLimits, lingering: new(atomic.Int64), memory: &e.memory}
 		}
 		e.background.Go(func() {
 			// Serve always returns an error; after Shutdown it is ErrServerClosed.
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/zeebo/errs"
 
+	"github.com/bilberrywood/bilberrywood/memory"
 	"github.com/bilberrywood/bilberrywood/notice"
 	"github.com/bilberrywood/bilberrywood/peer"
 	"github.com/bilberrywood/bilberrywood/pool"
@@ -43,6 +44,8 @@
 	Trailer http.Header
 	// abortBody makes pending reads of an unbuffered body return. It is nil for forwarded requests.
 	abortBody func()
+	// expireBody makes all reads of the body fail. It is nil for forwarded requests.
+	expireBody func()
 	// buffered is the complete body if it is small enough to be sent again, else nil.
 	buffered []byte
 	// bodyPrefix has the first bytes of an unbuffered body of known length, or of one that was read ahead.
@@ -51,6 +54,8 @@
 	ahead *aheadBody
 	// stream leases an unbuffered body to attempts.
 	stream streamedBody
+	// holder is charged for the head and the buffered body; nil if nothing is.
+	holder *memory.Holder
 	// attempts counts the attempts at targets and peers.
 	attempts int
 	// triedTargets has the targets of the attempts at targets.
@@ -94,12 +99,16 @@
 	}
 	var prefix []byte
 	var err error
+	x.holder.Receive()
 	if size > 0 {
-		prefix = make([]byte, size)
-		_, err = io.ReadFull(x.body, prefix)
+		prefix, err = readBody(x.body, size, x.holder)
 	} else {
+		x.holder.Force(memory.Bytes(min(limit, bodyPrefixBytes)))
 		prefix, err = readOnce(x.body, limit)
 	}
+	if !x.holder.Received() {
+		err = errMemoryShort
+	}
 	switch {
 	case err != nil && !errors.Is(err, io.EOF):
 		return Error.Wrap(err)
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -137,13 +137,20 @@
 		deadline:        time.Now().Add(time.Duration(h.RemainingMs) * time.Millisecond),
 	}
 	defer e.inFlight.begin(x)()
+	releaseMemory, err := e.chargeForwarded(x)
+	defer releaseMemory()
 	ctx, releaseAbort := e.untilAborted(ctx)
 	defer releaseAbort()
 	ctx, cancel := context.WithDeadline(ctx, x.deadline)
 	defer cancel()
 	started := &startedWriter{ResponseWriter: w}
 	x.responseWriter = started
-	refused := e.handlePeerRequest(ctx, x)
+	var refused *refusal
+	if err != nil {
+		refused = bodyRefusal(err)
+	} else {
+		refused = e.handlePeerRequest(ctx, x)
+	}
 	if refused == nil {
 		return
 	}
@@ -220,7 +227,7 @@
 	x.route = route
 	x.idempotent = route.IsIdempotent(x.Method)
 	if err := x.bufferBody(e.Settings.ReplayBytes); err != nil {
-		return notRunRefusal(http.StatusBadRequest, reasonCallerGone, err.Error())
+		return bodyRefusal(err)
 	}
 	if x.pool != x.Cell.Pool {
 		return e.route(ctx, x, active)
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
@@ -73,17 +73,20 @@
 		requestID:       r.Header.Get(e.callerProtocol().RequestIDHeader),
 		responseWriter:  writer,
 		body:            writer.body,
+		holder:          holderOf(r.Context()),
 		Trailer:         r.Trailer,
 	}
 	x.SetURI(e.requestURI(r))
-	x.abortBody = func() {
-		if x.stream.revoke() {
-			return
-		}
+	x.expireBody = func() {
 		// Reads from a connection with an expired deadline return at once. An error means that the connection is
 		// already closed.
 		_ = writer.controller.SetReadDeadline(longAgo)
 	}
+	x.abortBody = func() {
+		if !x.stream.revoke() {
+			x.expireBody()
+		}
+	}
 	return x
 }
 
@@ -234,19 +237,16 @@
 		return notRunRefusal(http.StatusRequestEntityTooLarge, reasonBodyTooLarge, "the body is longer than the route allows")
 	}
 	x.body = &limitedBody{r: x.body, remaining: route.MaxBodyBytes}
-	if err := x.bufferBody(e.Settings.ReplayBytes); err != nil {
+	stopLimit := e.limitBodyWait(x)
+	err = x.bufferBody(e.Settings.ReplayBytes)
+	if !stopLimit() && err == nil {
+		err = Error.Wrap(os.ErrDeadlineExceeded)
+	}
+	if err != nil {
 		return bodyRefusal(err)
 	}
 	return nil
 }
 
-// bodyRefusal returns the refusal of a request whose body could not be read.
-func bodyRefusal(err error) *refusal {
-	if errors.Is(err, errBodyTooLarge) {
-		return notRunRefusal(http.StatusRequestEntityTooLarge, reasonBodyTooLarge, err.Error())
-	}
-	return notRunRefusal(http.StatusBadRequest, reasonCallerGone, err.Error())
-}
-
 // defaultTimeout is the deadline of requests without a route in the active tables.
 const defaultTimeout = 30 * time.Second
--- /dev/null
+++ b/memory/budget.go
@@ -0,0 +1,172 @@
+// Package memory accounts for the memory that callers make a process hold, and decides who gives way when it runs short.
+//
+// Each connection, and each request of a peer, is a Holder. It is charged for what it costs, not for what was sent. When
+// the sum exceeds the budget, the holders that are still sending and hold most for longest are evicted.
+package memory
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Bytes is an amount of memory.
+type Bytes int64
+
+const (
+	// SmallHolding is what a holder may always have, so that an ordinary request without a large body is served while
+	// others hold too much. A head of 2 KB with 20 fields costs about a third of it.
+	SmallHolding Bytes = 16 << 10
+	// connectionBytes is what a connection costs besides its charges. It only ranks holders: the number of connections
+	// has a limit of its own.
+	connectionBytes Bytes = 16 << 10
+	// An eviction goes on until lowMarkNum/lowMarkDen of the limits are in use, so that the next one is some way off.
+	lowMarkNum, lowMarkDen = 7, 8
+	// Charges are refused while excessNum/excessDen of the limit are in use, with what evicted holders have yet to free.
+	excessNum, excessDen = 5, 4
+)
+
+// Budget bounds the sum of what its holders are charged for. Its exported fields must be set before Open.
+type Budget struct {
+	// Limit is the sum of all charges; 0 means no limit.
+	Limit Bytes
+	// MaxHolders is the number of holders that can be evicted, as connections can; 0 means no limit.
+	MaxHolders int
+	// Now returns a monotonic time.
+	Now func() time.Duration
+	// OnShed is called after each eviction of one or more holders; nil means not.
+	OnShed func(Shed)
+
+	used, refused atomic.Int64
+	// leaving is the part of used that evicted holders have not given back yet.
+	leaving atomic.Int64
+
+	mu sync.Mutex
+	// holders has those that can be evicted; gone counts those of them that were evicted and are not closed.
+	holders map[*Holder]struct{}
+	gone    int
+}
+
+// Shed describes an eviction.
+type Shed struct {
+	// Used and Holders are what was in use before.
+	Used    Bytes
+	Holders int
+	// Evicted and Freed are how many holders were evicted, and what they were charged for.
+	Evicted int
+	Freed   Bytes
+	// Idle is how many of the evicted holders held nothing.
+	Idle int
+	// LongestHeld is the longest time that one of the evicted had held its charges.
+	LongestHeld time.Duration
+}
+
+// Used returns the sum of all charges.
+func (b *Budget) Used() Bytes { return Bytes(b.used.Load()) }
+
+// Refused returns how many charges were refused.
+func (b *Budget) Refused() int64 { return b.refused.Load() }
+
+// Open returns a holder that is receiving. evict is called at most once, on any goroutine that charges the budget; it must
+// not block, nor charge. A holder without evict is never evicted. Open evicts others if there are too many. The holders of a nil
+// Budget are nil.
+func (b *Budget) Open(evict func()) *Holder {
+	if b == nil {
+		return nil
+	}
+	h := &Holder{budget: b, evict: evict}
+	h.since.Store(int64(b.Now()))
+	if evict == nil {
+		h.phase.Store(uint32(busy))
+		return h
+	}
+	h.phase.Store(uint32(receiving))
+	b.mu.Lock()
+	if b.holders == nil {
+		b.holders = make(map[*Holder]struct{})
+	}
+	b.holders[h] = struct{}{}
+	tooMany := b.tooMany(b.MaxHolders)
+	b.mu.Unlock()
+	if tooMany {
+		b.shed()
+	}
+	return h
+}
+
+// tooMany reports whether more than limit holders were not evicted. b.mu must be held.
+func (b *Budget) tooMany(limit int) bool { return b.MaxHolders > 0 && len(b.holders)-b.gone > limit }
+
+func (b *Budget) exceeds(limit Bytes) bool {
+	return b.Limit > 0 && Bytes(b.used.Load()-b.leaving.Load()) > limit
+}
+
+// candidate is a holder as it is ranked for eviction.
+type candidate struct {
+	holder *Holder
+	phase  phase
+	bytes  Bytes
+	age    time.Duration
+}
+
+// shed evicts holders until both limits are kept with some room. If those that can't be evicted leave no such room, the
+// others are evicted only if they hold more than SmallHolding.
+func (b *Budget) shed() {
+	b.mu.Lock()
+	result := Shed{Used: b.Used(), Holders: len(b.holders) - b.gone}
+	if !b.exceeds(b.Limit) && !b.tooMany(b.MaxHolders) {
+		b.mu.Unlock()
+		return
+	}
+	candidates, evictable := b.candidates()
+	fixed := Bytes(b.used.Load()-b.leaving.Load()) - evictable
+	hopeless := fixed > b.Limit*lowMarkNum/lowMarkDen
+	for _, c := range candidates {
+		short := b.exceeds(b.Limit*lowMarkNum/lowMarkDen) && (!hopeless || c.bytes > SmallHolding) && c.bytes > 0
+		if !short && !b.tooMany(b.MaxHolders*lowMarkNum/lowMarkDen) {
+			continue
+		}
+		if !c.holder.phase.CompareAndSwap(uint32(c.phase), uint32(evicted)) {
+			continue
+		}
+		b.gone++
+		b.leaving.Add(int64(c.bytes))
+		c.holder.leaving.Store(int64(c.bytes))
+		result.Evicted++
+		result.Freed += c.bytes
+		if c.phase == idle {
+			result.Idle++
+		}
+		result.LongestHeld = max(result.LongestHeld, c.age)
+		c.holder.evict()
+	}
+	b.mu.Unlock()
+	if result.Evicted > 0 && b.OnShed != nil {
+		b.OnShed(result)
+	}
+}
+
+// candidates returns the holders that can be evicted, first the one that holds most for longest, and the sum of what they
+// are charged for. Idle ones come last, among them first the one that has been idle for longest. b.mu must be held.
+func (b *Budget) candidates() ([]candidate, Bytes) {
+	now := b.Now()
+	var sum Bytes
+	var all []candidate
+	for h := range b.holders {
+		c := candidate{h, phase(h.phase.Load()), Bytes(h.bytes.Load()), now - time.Duration(h.since.Load())}
+		if c.phase == receiving || c.phase == idle {
+			all = append(all, c)
+			sum += c.bytes
+		}
+	}
+	weight := func(c candidate) float64 { return float64(c.bytes+connectionBytes) * c.age.Seconds() }
+	slices.SortFunc(all, func(a, b candidate) int {
+		if a.phase != b.phase {
+			return cmp.Compare(b.phase, a.phase)
+		}
+		return cmp.Compare(weight(b), weight(a))
+	})
+	return all, sum
+}
--- /dev/null
+++ b/memory/holder.go
@@ -0,0 +1,130 @@
+package memory
+
+import "sync/atomic"
+
+// phase is what a holder is doing. The order is that of eviction: receiving before idle.
+type phase uint32
+
+const (
+	// idle holders have no request.
+	idle phase = iota
+	// receiving holders wait for the rest of a head or of a body that is being buffered. Nothing of their request has
+	// been passed on.
+	receiving
+	// busy holders have a request that may have been passed on. They are not evicted.
+	busy
+	evicted
+)
+
+// Holder is charged for the memory that one connection or request holds. A nil Holder has no limit. Charges come from the
+// goroutine that serves the connection, or from the one that reads ahead for it.
+type Holder struct {
+	budget *Budget
+	evict  func()
+	bytes  atomic.Int64
+	// leaving is what the holder was charged for when it was evicted.
+	leaving atomic.Int64
+	// since is the time since which the holder has held its charges.
+	since atomic.Int64
+	phase atomic.Uint32
+}
+
+// Grow charges the holder for n more bytes. It returns false, and charges nothing, if the budget has no room or the holder
+// was evicted. While the holder has at most SmallHolding there is always room.
+func (h *Holder) Grow(n Bytes) bool {
+	if h == nil {
+		return true
+	}
+	b := h.budget
+	holds := Bytes(h.bytes.Add(int64(n)))
+	b.used.Add(int64(n))
+	if b.exceeds(b.Limit) {
+		b.shed()
+	}
+	if b.Limit > 0 && holds > SmallHolding {
+		if !h.Evicted() && (b.exceeds(b.Limit) || b.Used() > b.Limit*excessNum/excessDen) {
+			b.refused.Add(1)
+			h.Shrink(n)
+			return false
+		}
+	}
+	if h.Evicted() {
+		h.Shrink(n)
+		return false
+	}
+	return true
+}
+
+// Force charges the holder for n bytes that it holds whether there is room or not.
+func (h *Holder) Force(n Bytes) { h.Shrink(-n) }
+
+// Shrink gives back n bytes.
+func (h *Holder) Shrink(n Bytes) {
+	if h == nil {
+		return
+	}
+	h.bytes.Add(-int64(n))
+	h.budget.used.Add(-int64(n))
+}
+
+// Receive says that the rest of a head or body is awaited. It returns false if the holder was evicted.
+func (h *Holder) Receive() bool {
+	if h == nil {
+		return true
+	}
+	if h.phase.CompareAndSwap(uint32(idle), uint32(receiving)) {
+		h.since.Store(int64(h.budget.Now()))
+		return true
+	}
+	return h.to(receiving)
+}
+
+// Received says that the holder can't be evicted from now on. It returns false if it was evicted before.
+func (h *Holder) Received() bool { return h.to(busy) }
+
+// Idle says that no request is being served, and gives back all charges but those for keep bytes.
+func (h *Holder) Idle(keep Bytes) {
+	if h == nil {
+		return
+	}
+	h.Shrink(Bytes(h.bytes.Load()) - keep)
+	h.since.Store(int64(h.budget.Now()))
+	h.to(idle)
+}
+
+// to changes the phase, unless the holder was evicted.
+func (h *Holder) to(p phase) bool {
+	if h == nil {
+		return true
+	}
+	for {
+		old := h.phase.Load()
+		if phase(old) == evicted {
+			return false
+		}
+		if h.phase.CompareAndSwap(old, uint32(p)) {
+			return true
+		}
+	}
+}
+
+// Evicted reports whether the holder has to give way.
+func (h *Holder) Evicted() bool { return h != nil && phase(h.phase.Load()) == evicted }
+
+// Close gives back all charges. It must be called once, when the holder is charged no more.
+func (h *Holder) Close() {
+	if h == nil {
+		return
+	}
+	b := h.budget
+	b.mu.Lock()
+	if _, ok := b.holders[h]; ok {
+		delete(b.holders, h)
+		if h.Evicted() {
+			b.gone--
+			b.leaving.Add(-h.leaving.Load())
+		}
+	}
+	b.mu.Unlock()
+	h.Shrink(Bytes(h.bytes.Load()))
+}
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -16,6 +16,9 @@
 	// maxHeaderSize is the maximum size of a forward header, a response header or a trailer. It holds the largest
 	// request header that an entry accepts.
 	maxHeaderSize = 2 << 20
+	// maxHeaderFields is the maximum number of fields of a header, and of values of a field. A field takes three bytes at
+	// least, so that no header of maxHeaderSize has more. The decoder counts them before it allocates memory for them.
+	maxHeaderFields = maxHeaderSize / 3
 	// maxBodyFrame is the maximum payload of a body frame.
 	maxBodyFrame = 32 << 10
 	// maxPairSize is the maximum size of a pair of tables; the platform holds values of up to 1 MB.
@@ -64,8 +67,8 @@
 	decMode = must(cbor.DecOptions{
 		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
 		MaxNestedLevels:  6,
-		MaxArrayElements: 4096,
-		MaxMapPairs:      4096,
+		MaxArrayElements: maxHeaderFields,
+		MaxMapPairs:      maxHeaderFields,
 		IndefLength:      cbor.IndefLengthForbidden,
 		TagsMd:           cbor.TagsForbidden,
 		// Header values may be of any encoding.
--- a/settings/vm.go
+++ b/settings/vm.go
@@ -18,6 +18,8 @@
 	LinkMbps float64 `json:"linkMbps,omitempty"`
 	// MemoryMB is the memory of the process in MB, from which the budget for requests of callers is derived.
 	MemoryMB float64 `json:"memoryMb,omitempty"`
+	// MaxDescriptors is the number of files and sockets that the process may have open.
+	MaxDescriptors float64 `json:"maxDescriptors,omitempty"`
 }
 
 // Resources of a VM of class 0. They do not exceed those of the smallest VMs of the operators, which have
@@ -46,8 +48,8 @@
 }
 
 func (v VM) check() error {
-	if v.CPUShare < 0 || v.CPUSpeed < 0 || v.LinkMbps < 0 || v.MemoryMB < 0 {
-		return errs.New("vm: cpuShare, cpuSpeed, linkMbps and memoryMb can't be negative")
+	if v.CPUShare < 0 || v.CPUSpeed < 0 || v.LinkMbps < 0 || v.MemoryMB < 0 || v.MaxDescriptors < 0 {
+		return errs.New("vm: cpuShare, cpuSpeed, linkMbps, memoryMb and maxDescriptors can't be negative")
 	}
 	return nil
 }
