peer, memory: held bodies don't block other requests of a link

Cause: forwarded bodies that wait for a target aren't read, and a few of them filled the window of the connection, 1 MiB. From then on the owner received no further request from that entry, whatever its route. Besides, while no holder could be evicted, each charge looked at all holders.

Change: a stream's window begins at 32 KiB (before 128 KiB), and the connection's at its maximum of 16 MiB. After a fruitless look the budget waits 10 ms.

--- a/entry/callermemory.go
+++ b/entry/callermemory.go
@@ -242,7 +242,7 @@
 // limitBodyWait ends the reading of a body that has not arrived by the deadline of its request. The function that it
 // returns ends the limit, and returns false if the deadline had passed.
 func (e *Entry) limitBodyWait(x *exchange) (stop func() bool) {
-	if x.ContentLength == 0 || x.expireBody == nil {
+	if x.ContentLength == 0 || x.controller == nil {
 		return func() bool { return true }
 	}
 	return time.AfterFunc(time.Until(e.deadline(x)), x.expireBody).Stop
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -44,8 +44,8 @@
 	Trailer http.Header
 	// abortBody makes pending reads of an unbuffered body return. It is nil for forwarded requests.
 	abortBody func()
-	// expireBody makes all reads of the body fail. It is nil for forwarded requests.
-	expireBody func()
+	// controller is that of the caller's connection. It is nil for forwarded requests.
+	controller *http.ResponseController
 	// buffered is the complete body if it is small enough to be sent again, else nil.
 	buffered []byte
 	// bodyPrefix has the first bytes of an unbuffered body of known length, or of one that was read ahead.
@@ -62,6 +62,13 @@
 	triedTargets []table.TargetID
 }
 
+// expireBody makes all reads of a caller's body fail.
+func (x *exchange) expireBody() {
+	// Reads from a connection with an expired deadline return at once. An error means that the connection is already
+	// closed.
+	_ = x.controller.SetReadDeadline(longAgo)
+}
+
 // errBodyTooLarge is returned by reads of a body that is longer than its route allows.
 var errBodyTooLarge = errs.New("body is longer than the route allows")
 
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -73,15 +73,11 @@
 		requestID:       r.Header.Get(e.callerProtocol().RequestIDHeader),
 		responseWriter:  writer,
 		body:            writer.body,
+		controller:      writer.controller,
 		holder:          holderOf(r.Context()),
 		Trailer:         r.Trailer,
 	}
 	x.SetURI(e.requestURI(r))
-	x.expireBody = func() {
-		// Reads from a connection with an expired deadline return at once. An error means that the connection is
-		// already closed.
-		_ = writer.controller.SetReadDeadline(longAgo)
-	}
 	x.abortBody = func() {
 		if !x.stream.revoke() {
 			x.expireBody()
--- a/memory/budget.go
+++ b/memory/budget.go
@@ -24,6 +24,8 @@
 	connectionBytes Bytes = 16 << 10
 	// An eviction goes on until lowMarkNum/lowMarkDen of the limits are in use, so that the next one is some way off.
 	lowMarkNum, lowMarkDen = 7, 8
+	// shedPause bounds the processor time that is spent while no holder can be evicted.
+	shedPause = 10 * time.Millisecond
 	// Charges are refused while excessNum/excessDen of the limit are in use, with what evicted holders have yet to free.
 	excessNum, excessDen = 5, 4
 )
@@ -47,6 +49,8 @@
 	// holders has those that can be evicted; gone counts those of them that were evicted and are not closed.
 	holders map[*Holder]struct{}
 	gone    int
+	// nextShed is when holders are looked at again after none could be evicted.
+	nextShed time.Duration
 }
 
 // Shed describes an eviction.
@@ -116,11 +120,12 @@
 func (b *Budget) shed() {
 	b.mu.Lock()
 	result := Shed{Used: b.Used(), Holders: len(b.holders) - b.gone}
-	if !b.exceeds(b.Limit) && !b.tooMany(b.MaxHolders) {
+	now := b.Now()
+	if now < b.nextShed || !b.exceeds(b.Limit) && !b.tooMany(b.MaxHolders) {
 		b.mu.Unlock()
 		return
 	}
-	candidates, evictable := b.candidates()
+	candidates, evictable := b.candidates(now)
 	fixed := Bytes(b.used.Load()-b.leaving.Load()) - evictable
 	hopeless := fixed > b.Limit*lowMarkNum/lowMarkDen
 	for _, c := range candidates {
@@ -142,6 +147,9 @@
 		result.LongestHeld = max(result.LongestHeld, c.age)
 		c.holder.evict()
 	}
+	if result.Evicted == 0 {
+		b.nextShed = now + shedPause
+	}
 	b.mu.Unlock()
 	if result.Evicted > 0 && b.OnShed != nil {
 		b.OnShed(result)
@@ -150,8 +158,7 @@
 
 // candidates returns the holders that can be evicted, first the one that holds most for longest, and the sum of what they
 // are charged for. Idle ones come last, among them first the one that has been idle for longest. b.mu must be held.
-func (b *Budget) candidates() ([]candidate, Bytes) {
-	now := b.Now()
+func (b *Budget) candidates(now time.Duration) ([]candidate, Bytes) {
 	var sum Bytes
 	var all []candidate
 	for h := range b.holders {
--- a/peer/node.go
+++ b/peer/node.go
@@ -58,11 +58,12 @@
 }
 
 // Flow control windows in bytes. They limit the memory that a slow reader of bodies can occupy:
-// maxStreamWindow for each stream, maxConnectionWindow for each connection.
+// maxStreamWindow for each stream, maxConnectionWindow for each connection. A request that waits for a target is not read.
+// With small windows at first, several hundred of them leave room for other requests on the connection.
 const (
-	initialStreamWindow     = 128 << 10
+	initialStreamWindow     = 32 << 10
 	maxStreamWindow         = 512 << 10
-	initialConnectionWindow = 1 << 20
+	initialConnectionWindow = maxConnectionWindow
 	maxConnectionWindow     = 16 << 20
 	// maxStreams is the maximum number of requests of one connection that run at a time.
 	maxStreams = 4096
