--- a/entry/callerconn.go
+++ b/entry/callerconn.go
@@ -45,7 +45,8 @@
 	caller := &callerConn{Conn: c, limits: l.limits, lingering: l.lingering}
 	if l.memory != nil {
 		caller.memory.holder = l.memory.budget.Open(caller.evict)
-		caller.memory.refused, caller.memory.inHead = l.memory.headsRefused, true
+		caller.memory.refused = l.memory.headsRefused
+		caller.memory.inHead.Store(true)
 	}
 	return caller, nil
 }
@@ -208,8 +209,11 @@
 	if c.memory.holder.Evicted() {
 		return 0, readError(errEvicted)
 	}
-	if headErr := c.chargeHead(p[:n]); headErr != nil {
-		return 0, headErr
+	if len(p) > 1 {
+		// A single byte may be read while a handler begins.
+		if err := c.chargeHead(p[:n]); err != nil {
+			return 0, err
+		}
 	}
 	c.mu.Lock()
 	c.lengths.add(p[:n])
--- a/entry/callermemory.go
+++ b/entry/callermemory.go
@@ -147,9 +147,8 @@
 	holder *memory.Holder
 	// refused counts the heads that were larger than the limit; nil means that they are not counted.
 	refused metrics.Counter
-	// inHead says that a head is awaited or being read; headBytes is how much of it has been read. Only the goroutine that
-	// serves the connection uses them.
-	inHead    bool
+	// inHead says that a head is awaited or being read; headBytes is how much of it has been read.
+	inHead    atomic.Bool
 	headBytes int
 	// lingeringEvicted says that the connection was evicted while it was only read to its end.
 	lingeringEvicted atomic.Bool
@@ -160,13 +159,14 @@
 	c.mu.Lock()
 	ahead := len(c.ahead)
 	c.mu.Unlock()
-	c.memory.inHead, c.memory.headBytes = true, 0
+	c.memory.headBytes = 0
+	c.memory.inHead.Store(true)
 	c.memory.holder.Idle(memory.Bytes(ahead))
 }
 
 // endHead says that a head is complete. It returns false if the connection was evicted.
 func (c *callerConn) endHead() bool {
-	c.memory.inHead = false
+	c.memory.inHead.Store(false)
 	return c.memory.holder.Received()
 }
 
@@ -181,7 +181,7 @@
 // chargeHead charges for bytes of a head that were read. An error ends the connection.
 func (c *callerConn) chargeHead(p []byte) error {
 	m := &c.memory
-	if !m.inHead || len(p) == 0 {
+	if !m.inHead.Load() || len(p) == 0 {
 		return nil
 	}
 	if limit := c.headLimit(); limit > 0 && m.headBytes+len(p) > limit+headSlack {
@@ -203,7 +203,7 @@
 func (c *callerConn) refuseHead() {
 	const response = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Type: text/plain; charset=utf-8\r\n" +
 		"Content-Length: 31\r\nConnection: close\r\n\r\nRequest Header Fields Too Large"
-	if c.Conn.SetWriteDeadline(time.Now().Add(lingerTime)) != nil {
+	if c.SetWriteDeadline(time.Now().Add(lingerTime)) != nil {
 		return
 	}
 	_, _ = c.Write([]byte(response)) // an error means that the caller has left
--- a/entry/refusal.go
+++ b/entry/refusal.go
@@ -78,7 +78,8 @@
 // looks like a passed deadline or a failed attempt to what it ends. A caller that has only ended its sending direction
 // reads the refusal.
 func (r *refusal) attributeToCaller() {
-	if r.status < http.StatusInternalServerError {
+	if r.status < http.StatusInternalServerError || r.reason == reasonMemoryShort {
+		// The entry itself has ended the reading of a request that was evicted.
 		return
 	}
 	r.reason = reasonCallerGone
