--- a/entry/entry.go
+++ b/entry/entry.go
@@ -63,6 +63,7 @@
 	// lingering counts the connections of callers that are still read after their last response.
 	lingering      atomic.Int64
 	stalled        stalledReaders
+	memory         memoryAccount
 	addressClock   addressClock
 	counters       counters
 	callerServer   *http.Server
@@ -160,6 +161,7 @@
 		},
 	}
 	e.counters.register(e.Metrics, e)
+	e.openMemory()
 	e.tables.acceptor.OnOffer, e.tables.acceptor.Paths = e.tables.onOffer, e.callerProtocol().Paths
 	e.tables.log, e.tables.self, e.tables.onChange = e.Log, s.ID, e.tablesChanged
 	e.fleet.membership = e.membership(incarnation)
@@ -285,7 +287,7 @@
 func (e *Entry) listen() error {
 	s := &e.Settings
 	e.callerServer = e.server(e.callerRoutes())
-	e.callerServer.ConnContext = withCallerConn
+	e.trackCallers(e.callerServer)
 	e.operatorServer = e.server(e.operatorRoutes())
 	type endpoint struct {
 		address string
@@ -294,6 +296,7 @@
 	servers := []endpoint{{s.CallerAddress, e.callerServer}, {s.OperatorAddress, e.operatorServer}}
 	for _, x := range e.ExtraListeners {
 		server := e.server(x.Handler)
+		e.trackCallers(server)
 		e.extraServers = append(e.extraServers, server)
 		servers = append(servers, endpoint{x.Address, server})
 	}
@@ -302,8 +305,12 @@
 		if err != nil {
 			return Error.Wrap(err)
 		}
-		if ep.server == e.callerServer {
-			listener = callerListener{Listener: listener, limits: e.callerLimits, lingering: &e.lingering, stalled: &e.stalled}
+		switch ep.server {
+		case e.operatorServer:
+		case e.callerServer:
+			listener = callerListener{Listener: listener, limits: e.callerLimits, lingering: &e.lingering, stalled: &e.stalled, memory: &e.memory}
+		default:
+			listener = callerListener{Listener: listener, limits: e.callerLimits, lingering: new(atomic.Int64), memory: &e.memory}
 		}
 		e.background.Go(func() {
 			// Serve always returns an error; after Shutdown it is ErrServerClosed.
--- a/peer/node.go
+++ b/peer/node.go
@@ -60,9 +60,10 @@
 // Flow control windows in bytes. They limit the memory that a slow reader of bodies can occupy:
 // maxStreamWindow for each stream, connectionWindow for each connection. What streams hold unread also counts against the
 // window of their connection, which grows only as they are read: it must be large from the start, or a few slow readers
-// would stop all other responses of the connection.
+// would stop all other responses of the connection. A request that waits for a target is not read. With small windows of
+// streams at first, several hundred of them leave room for other requests on the connection.
 const (
-	initialStreamWindow = 128 << 10
+	initialStreamWindow = 32 << 10
 	maxStreamWindow     = 256 << 10
 	connectionWindow    = 16 << 20
 	// maxStreams is the maximum number of requests of one connection that run at a time.
--- a/settings/vm.go
+++ b/settings/vm.go
@@ -16,6 +16,10 @@
 	CPUSpeed float64 `json:"cpuSpeed,omitempty"`
 	// LinkMbps is the bandwidth of the VM's network link in Mbit/s.
 	LinkMbps float64 `json:"linkMbps,omitempty"`
+	// MemoryMB is the memory of the process in MB, from which the budget for requests of callers is derived.
+	MemoryMB float64 `json:"memoryMb,omitempty"`
+	// MaxDescriptors is the number of files and sockets that the process may have open.
+	MaxDescriptors float64 `json:"maxDescriptors,omitempty"`
 }
 
 // Resources of a VM of class 0. They do not exceed those of the smallest VMs of the operators, which have
@@ -44,8 +48,8 @@
 }
 
 func (v VM) check() error {
-	if v.CPUShare < 0 || v.CPUSpeed < 0 || v.LinkMbps < 0 {
-		return errs.New("vm: cpuShare, cpuSpeed and linkMbps can't be negative")
+	if v.CPUShare < 0 || v.CPUSpeed < 0 || v.LinkMbps < 0 || v.MemoryMB < 0 || v.MaxDescriptors < 0 {
+		return errs.New("vm: cpuShare, cpuSpeed, linkMbps, memoryMb and maxDescriptors can't be negative")
 	}
 	return nil
 }
