--- a/entry/observe.go
+++ b/entry/observe.go
@@ -87,6 +87,9 @@
 	if d.Attempt > 1 {
 		line = line.Float64("retriesLeft", math.Round(d.RetriesLeft*10)/10).Int64("retryWaitMs", d.RetryWait.Milliseconds())
 	}
+	if d.ExpectedCost > 0 {
+		line = line.Int64("expectedMs", d.ExpectedCost.Milliseconds()).Int64("targetWorkMs", d.TargetWork.Milliseconds())
+	}
 	if x.id != nil {
 		line = line.Stringer("id", *x.id)
 	}
--- a/entry/place.go
+++ b/entry/place.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"github.com/bilberrywood/bilberrywood/cost"
 	"github.com/bilberrywood/bilberrywood/fleet"
 	"github.com/bilberrywood/bilberrywood/notice"
 	"github.com/bilberrywood/bilberrywood/peer"
@@ -70,6 +71,7 @@
 		Objective: e.objective(x), Deadline: e.now() + pool.Time(time.Until(e.deadline(x))), Fingerprint: x.fingerprint(), Head: x.headFingerprint(),
 		Upload:      x.buffered == nil || x.route.Upload,
 		MaxAttempts: x.route.MaxAttempts,
+		Cost:        x.costFeatures(),
 	})
 	if !ok {
 		return notRunRefusal(http.StatusServiceUnavailable, reasonCellClosed, "the cell has been closed")
@@ -107,6 +109,13 @@
 	return e.now() + pool.Time(time.Until(x.arrivedAt.Add(x.route.ObjectiveMs.Duration())))
 }
 
+// costFeatures returns what the cost of the request may depend on.
+func (x *exchange) costFeatures() cost.Features {
+	return cost.Features{
+		Route: x.Route, Method: x.Method, Shape: cost.ShapeOf(x.TargetURI()), Size: cost.SizeClassOf(x.ContentLength), Account: x.Account,
+	}
+}
+
 // placement is one request in a cell.
 type placement struct {
 	e    *Entry
--- a/measure/experiment.go
+++ b/measure/experiment.go
@@ -45,6 +45,7 @@
 	"poison":       {"targets crashed by a poison request", runPoison},
 	"drain":        {"new work at leaving targets", runDrain},
 	"views":        {"floor and slots with several observers of one cell", runViews},
+	"cost":         {"choice of the target by expected completion against baselines and an oracle", runCost},
 	"curve":        {"detection time against false ejections as the setting varies", runCurve},
 }
 
--- a/pool/abandon.go
+++ b/pool/abandon.go
@@ -43,8 +43,8 @@
 	}
 	// At a suspect target the probability is high from the start, but a young attempt says nothing yet. A request that
 	// others have overtaken at its target is more likely to be a long one, which would take as long elsewhere.
-	minAge := max(c.stats.ordinary.rareAge, Time(minUnresponsiveTime))
-	if now-r.started < minAge || r.target.newestAnswered > r.started {
+	age := asDuration(now - r.started)
+	if Time(r.comparableTime(age)) < c.stats.ordinary.rareAge || age < minUnresponsiveTime || r.target.newestAnswered > r.started {
 		return false
 	}
 	return !r.attemptsSpent() && now <= c.latestStart(r, 1) && c.hangProbability(now, r, 1) >= abandonProbability
--- a/pool/bench_test.go
+++ b/pool/bench_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/bilberrywood/bilberrywood/cost"
 	"github.com/bilberrywood/bilberrywood/fleet"
 	"github.com/bilberrywood/bilberrywood/table"
 )
@@ -51,6 +52,7 @@
 	lc.cell.Submit(lc.now, Request{
 		ID: lc.next, Idempotent: true, Replayable: true, Account: lc.account[int(lc.next)%len(lc.account)],
 		Deadline: lc.now + Time(time.Minute), Fingerprint: Fingerprint(lc.next),
+		Cost: cost.Features{Route: "r", Method: "GET", Shape: cost.Shape(lc.next % 5000), Account: lc.account[int(lc.next)%len(lc.account)]},
 	})
 }
 
@@ -82,6 +84,23 @@
 	}
 }
 
+// BenchmarkSubmitFinishCostAware measures the same with the choice by expected completion. Each account has a shape of its
+// own.
+func BenchmarkSubmitFinishCostAware(b *testing.B) {
+	for _, size := range []int{6, 64, 128} {
+		for _, accounts := range []int{1, 100_000} {
+			b.Run(fmt.Sprintf("targets=%d/accounts=%d", size, accounts), func(b *testing.B) {
+				lc := newLoadCycle(size, accounts)
+				lc.cell.Policy.CostAware = true
+				b.ReportAllocs()
+				for b.Loop() {
+					lc.step()
+				}
+			})
+		}
+	}
+}
+
 // BenchmarkQueued measures the same with a full queue, where fairness between accounts applies.
 func BenchmarkQueued(b *testing.B) {
 	for _, accounts := range []int{1, 1000, 100_000} {
--- a/pool/cell.go
+++ b/pool/cell.go
@@ -42,6 +42,7 @@
 	budget     retryBudget
 	poison     poisonTable
 	stats      cellStats
+	costs      costs
 	suspension suspension
 	trials     trialBudget
 
@@ -171,6 +172,7 @@
 	c.countOverdue(now)
 	c.reportBelowFloor(now)
 	c.updateEvidence(now)
+	c.updateWork(now)
 	c.evaluateTargets(now)
 	c.refreshLimits(now)
 	c.requeueDelayed(now)
@@ -241,6 +243,7 @@
 	if !t.inUse(now) {
 		c.targetsInUse++
 	}
+	expectedCost, targetWork := c.startWork(now, t, r)
 	t.lastAttemptAt = now
 	t.recordAttempt(now, r)
 	c.takeRate(now, t)
@@ -253,6 +256,7 @@
 		c.beginTrial(now, t)
 	}
 	d := Decision{Kind: DecisionRun, Request: r.ID, Target: t.id, Attempt: r.attempt, Reason: reason, Trial: trial}
+	d.ExpectedCost, d.TargetWork = expectedCost, targetWork
 	if c.tracksEpisodes() {
 		d.FailureProbability = c.failureProbability(now, t)
 	}
--- a/pool/evidence.go
+++ b/pool/evidence.go
@@ -171,7 +171,7 @@
 // collectServiceTime compares the service time of a response with that of the peers and returns the evidence
 // that the target is slow. known is false if the service time can't be compared.
 func (c *Cell) collectServiceTime(now Time, t *target, r *request, o *Outcome) (slow float64, known bool) {
-	h, service := &c.stats.ordinary, o.ServiceTime
+	h, service := &c.stats.ordinary, r.comparableTime(o.ServiceTime)
 	if r.Upload {
 		h, service = &c.stats.uploads, o.TimeAfterBody
 	}
@@ -180,6 +180,9 @@
 	}
 	bin := binOf(service)
 	slow = h.slow(bin)
+	if c.overtaken(t, r) {
+		slow = min(slow, 0)
+	}
 	if t.state == TargetServing && !r.cold {
 		h.observe(bin)
 	}
@@ -229,7 +232,7 @@
 	if !c.comparable(r) {
 		return 0
 	}
-	logRatio := c.stats.ordinary.late(binOf(o.ServiceTime))
+	logRatio := c.stats.ordinary.late(binOf(r.comparableTime(o.ServiceTime)))
 	if logRatio > 0 && !c.tracksEpisodes() {
 		// Where episodes are tracked, it counts in the failure estimate. A target that hangs for an episode is not slow.
 		t.evidence.serviceTime.add(logRatio)
@@ -256,11 +259,11 @@
 		return
 	}
 	for _, r := range t.attempts {
-		age := now - r.started
-		if age < c.stats.ordinary.minLateAge || r.Upload || r.cold || r.started < c.suspension.evidenceFrom {
+		age := r.comparableTime(asDuration(now - r.started))
+		if Time(age) < c.stats.ordinary.minLateAge || r.Upload || r.cold || r.started < c.suspension.evidenceFrom || c.overtaken(t, r) {
 			continue
 		}
-		t.evidence.late += max(0, c.stats.ordinary.late(binOf(asDuration(age))))
+		t.evidence.late += max(0, c.stats.ordinary.late(binOf(age)))
 	}
 }
 
--- a/pool/failureestimate.go
+++ b/pool/failureestimate.go
@@ -155,7 +155,7 @@
 func (c *Cell) noResponseRatio(r *request, o *Outcome) float64 {
 	switch {
 	case c.comparable(r):
-		return min(likelihoodRatioTimeout, math.Exp(c.stats.ordinary.late(binOf(o.ServiceTime))))
+		return min(likelihoodRatioTimeout, math.Exp(c.stats.ordinary.late(binOf(r.comparableTime(o.ServiceTime)))))
 	case o.Kind == OutcomeTimeout:
 		return likelihoodRatioTimeout
 	}
@@ -263,7 +263,7 @@
 			position = 0
 		}
 		if c.eligible(now, t, r) {
-			c.addCandidate(now, t, &found)
+			c.addCandidate(now, t, r, &found)
 		}
 	}
 	switch suspect := found.suspect.target; {
@@ -274,7 +274,7 @@
 	case found.trusted.target != nil && r.attempt > 0:
 		return found.trusted.target, ReasonRetry, false
 	case found.trusted.target != nil:
-		return found.trusted.target, ReasonLeastInFlight, false
+		return found.trusted.target, c.ordinaryReason(), false
 	case found.slow.target != nil && c.hasWaited(now, r, slowTargetWaitFraction):
 		return found.slow.target, ReasonSaturated, false
 	case suspect != nil && c.mayUseSuspect(now, r):
@@ -303,9 +303,9 @@
 }
 
 // addCandidate offers an eligible target as the candidate of its kind.
-func (c *Cell) addCandidate(now Time, t *target, found *candidates) {
+func (c *Cell) addCandidate(now Time, t *target, r *request, found *candidates) {
 	probability := c.failureProbability(now, t)
-	load := float64(t.inFlight) / float64(t.limit)
+	load := c.load(t, r)
 	if !t.inUse(now) {
 		found.idle.offer(t, probability)
 	}
--- a/pool/finish.go
+++ b/pool/finish.go
@@ -33,6 +33,7 @@
 
 // release frees the slot of an attempt.
 func (c *Cell) release(t *target, r *request) {
+	t.work.advance(c.lastCall, t)
 	t.inFlight--
 	t.removeAttempt(r)
 	if r.suspectedPoison {
@@ -136,5 +137,6 @@
 	if c.tracksEpisodes() {
 		c.updateEstimate(now, t, r, o)
 	}
+	c.collectWork(t, r, o)
 	c.collectOutcome(now, t, r, o)
 }
--- a/pool/inuse.go
+++ b/pool/inuse.go
@@ -105,12 +105,12 @@
 // hangProbability returns the probability that the attempt in flight gets no response, given how long it has lasted and
 // the fraction of failures that are of that kind.
 func (c *Cell) hangProbability(now Time, r *request, hangFraction float64) float64 {
-	age := now - r.started
-	if !c.tracksEpisodes() || !c.comparable(r) || age < c.stats.ordinary.minLateAge {
+	age := r.comparableTime(asDuration(now - r.started))
+	if !c.tracksEpisodes() || !c.comparable(r) || Time(age) < c.stats.ordinary.minLateAge {
 		return 0
 	}
 	p := c.failureProbability(now, r.target) * hangFraction
-	odds := p / (1 - p) * math.Exp(max(0, c.stats.ordinary.late(binOf(asDuration(age)))))
+	odds := p / (1 - p) * math.Exp(max(0, c.stats.ordinary.late(binOf(age))))
 	return odds / (1 + odds)
 }
 
--- a/pool/ownership.go
+++ b/pool/ownership.go
@@ -45,6 +45,7 @@
 	t.estimate = failureEstimate{}
 	t.rate = rateLimiter{}
 	t.connection = connectionState{}
+	t.work = targetWork{crowdedAt: now}
 	t.drainSignaled = false
 	t.shedUntil, t.pausedUntil = 0, 0
 	if t.state != TargetServing {
--- a/pool/pick.go
+++ b/pool/pick.go
@@ -41,7 +41,7 @@
 		if r.attempt > 0 {
 			return t, ReasonRetry, false
 		}
-		return t, ReasonLeastInFlight, false
+		return t, c.ordinaryReason(), false
 	}
 	if c.mayUseAvoided(now, r) {
 		if t := c.leastInFlight(now, r, TargetAvoided); t != nil {
@@ -114,7 +114,7 @@
 			previous = t
 			continue
 		}
-		score := float64(t.inFlight)/float64(t.limit) + c.loadPenalty(now, t)
+		score := c.load(t, r) + c.loadPenalty(now, t)
 		if best == nil || score < bestScore {
 			best, bestScore = t, score
 		}
--- a/pool/request.go
+++ b/pool/request.go
@@ -56,6 +56,7 @@
 	retryReserved bool
 	// mayHaveRun says that an attempt may have run the request, so that it must not be refused as not run.
 	mayHaveRun  bool
+	work        requestWork
 	lastOutcome OutcomeKind
 }
 
--- a/pool/target.go
+++ b/pool/target.go
@@ -71,6 +71,7 @@
 	// pausedUntil is until when the target itself asked for no requests; at most shedUntil.
 	pausedUntil Time
 
+	work       targetWork
 	rate       rateLimiter
 	estimate   failureEstimate
 	recurrence recurrence
--- a/pool/types.go
+++ b/pool/types.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/bilberrywood/bilberrywood/cost"
 	"github.com/bilberrywood/bilberrywood/table"
 )
 
@@ -68,6 +69,8 @@
 	Head Fingerprint
 	// Upload marks a request whose service time depends on its body. Its service time is compared separately.
 	Upload bool
+	// Cost is what the cost of the request may depend on. It counts in pools that choose targets by cost.
+	Cost cost.Features
 	// MaxAttempts is the maximum number of attempts, within the cell's own limit; 0 means that limit.
 	MaxAttempts int
 }
@@ -143,6 +146,9 @@
 	RetriesLeft float64
 	// RetryWait is the time from the decision to retry to the start of the attempt. It is set for retries.
 	RetryWait time.Duration
+	// ExpectedCost is the expected work of the request as a time, and TargetWork the expected time until the target has
+	// done what it already had. Both are 0 in pools that don't choose targets by cost, and before anything is known.
+	ExpectedCost, TargetWork time.Duration
 	// Queue is the state of the queue when the request was refused. It is set for refusals.
 	Queue QueueState
 }
@@ -192,7 +198,9 @@
 
 // Reasons of decisions and events.
 const (
-	ReasonLeastInFlight    Reason = "leastInFlight"
+	ReasonLeastInFlight Reason = "leastInFlight"
+	// ReasonCompletion means that the response was expected earlier there than from any other target.
+	ReasonCompletion       Reason = "expectedCompletion"
 	ReasonSaturated        Reason = "avoidedTargetAtSaturation"
 	ReasonTrial            Reason = "trial"
 	ReasonRetry            Reason = "retry"
