cost: calibrate estimates where routes differ a hundredfold

Routes that answer in 2 ms lie beside one of 360 ms; how far a new route is from all others counted as a deviation of its own requests, and the means of new nodes moved by clipped steps. Service times were made comparable by a mean that drifts with the mix of requests, and the network's part of a 2 ms response counted as the speed of its target.

Change: the first sample sets the mean of a node; deviations count from 6 samples of a route on; the reference of comparable times is set once; requests below a quarter of the mean service time say nothing about speeds. The report of a target has its slowness and its work.

--- a/cost/estimator.go
+++ b/cost/estimator.go
@@ -12,6 +12,8 @@
 	maxDistributions = 64
 	// minSamples is how many service times must have been seen before estimates count.
 	minSamples = 16
+	// deviationSamples is how many of them a route needs before its deviations count.
+	deviationSamples = 6
 	// ownDistributionSamples is how many of them a route needs for a distribution of its own.
 	ownDistributionSamples = 48
 	// maxNodeSamples is the number of samples from which older ones lose weight.
@@ -171,7 +173,7 @@
 		e.root.mean = sample
 	}
 	e.observed = min(minSamples, e.observed+1)
-	mean, deviations := e.root.mean, e.all
+	mean, deviations := e.root.mean, (*distribution)(nil)
 	e.root.add(sample, weight)
 	for l, key := range f.keys() {
 		n := e.node(key, mean)
@@ -180,14 +182,19 @@
 			e.levels[l].observe(bounded(sample-mean), bounded(sample-n.mean))
 		}
 		n.add(sample, weight)
-		if l == levelRoute {
+		if l == levelRoute && n.samples >= deviationSamples {
 			e.ownDistribution(n)
+			deviations = e.all
 			if n.deviations != nil {
 				deviations = n.deviations
 			}
 		}
 		mean = own
 	}
+	if deviations == nil {
+		// How far an unknown route is from the others says nothing about how its own requests differ.
+		return
+	}
 	e.all.observe(sample - mean)
 	if deviations != e.all {
 		deviations.observe(sample - mean)
@@ -197,9 +204,13 @@
 func bounded(deviation float64) float64 { return max(-maxDeviation, min(maxDeviation, deviation)) }
 
 func (n *node) add(sample, weight float64) {
+	n.used = true
+	if n.samples == 0 {
+		n.mean, n.samples = sample, weight
+		return
+	}
 	n.samples = min(maxNodeSamples, n.samples+weight)
 	n.mean += bounded(sample-n.mean) * weight / max(n.samples, 1)
-	n.used = true
 }
 
 func (e *Estimator) ownDistribution(n *node) {
--- a/pool/cost.go
+++ b/pool/cost.go
@@ -19,6 +19,10 @@
 type costs struct {
 	estimator cost.Estimator
 	speeds    cost.Speeds
+	// ordinary is the logarithm of the work of an ordinary request, in seconds, by which service times are made
+	// comparable. It is set once, so that times before and after a change of the mix of requests stay comparable.
+	ordinary    float64
+	hasOrdinary bool
 }
 
 // requestWork is the expected work of a request, in seconds at a target of median speed.
@@ -51,6 +55,10 @@
 	w.crowdedAt = now
 }
 
+// minTellingWork is the work, as a fraction of the mean service time, from which service times say something about the
+// speed of a target. Shorter ones say more about the network.
+const minTellingWork = 0.25
+
 // ordinaryReason is the reason of attempts at the best of the trusted targets.
 func (c *Cell) ordinaryReason() Reason {
 	if c.Policy.CostAware && c.costs.estimator.Known() {
@@ -124,7 +132,10 @@
 	}
 	scale := 1 / slowness
 	if r.work.expected > 0 {
-		scale *= math.Exp(c.costs.estimator.Typical() - r.work.estimate.LogMedian())
+		if !c.costs.hasOrdinary {
+			c.costs.ordinary, c.costs.hasOrdinary = c.costs.estimator.Typical(), true
+		}
+		scale *= math.Exp(c.costs.ordinary - r.work.estimate.LogMedian())
 	}
 	return scale
 }
@@ -181,7 +192,9 @@
 	if !c.Policy.CostAware || o.Kind != OutcomeSuccess || o.ServiceTime <= 0 || r.cold {
 		return
 	}
-	if e := c.costs.estimator.Estimate(r.Cost); e.Known() && !r.Upload && t.work.crowdedAt > r.started {
+	e := c.costs.estimator.Estimate(r.Cost)
+	tells := e.Known() && !r.Upload && e.Duration() >= time.Duration(minTellingWork*float64(c.queue.meanServiceTime))
+	if tells && t.work.crowdedAt > r.started {
 		crowded := max(0, t.work.crowded-r.work.crowded) / asDuration(t.work.crowdedAt-r.started).Seconds()
 		deviation := math.Log(o.ServiceTime.Seconds()) - e.LogMedian()
 		c.costs.speeds.Observe(&t.work.speed, deviation, crowded)
--- a/pool/report.go
+++ b/pool/report.go
@@ -60,6 +60,10 @@
 	// RateLimited says that the target names a rate limit of RateLimit requests per second.
 	RateLimited bool    `json:"rateLimited,omitempty"`
 	RateLimit   float64 `json:"rateLimit,omitempty"`
+	// Slowness is the factor by which requests take longer than at the median target, and Work the expected time until
+	// the target has done what it has. Both are 0 in pools that don't choose targets by cost.
+	Slowness float64       `json:"slowness,omitempty"`
+	Work     time.Duration `json:"workNs,omitempty"`
 }
 
 // Report returns the cell's current state, with targets in the order of their IDs. Whether detection is suspended
@@ -98,6 +102,9 @@
 	if t.state != TargetServing && t.state != TargetLeaving {
 		report.NextTrial = t.trial.due
 	}
+	if c.Policy.CostAware {
+		report.Slowness, report.Work = t.work.speed.Slowness(), t.outstanding()
+	}
 	if t.shedUntil > c.lastTick {
 		report.ShedUntil = t.shedUntil
 	}
