pool: sound targets without a recent request count as the fastest

Cause: the slower ones of sound targets got nothing while the faster ones held several requests, so what was known of them grew old, and a target that had been slow for a time was not tried again under a moderate load.

--- a/cost/speed.go
+++ b/cost/speed.go
@@ -82,7 +82,9 @@
 	variance float64
 	load     slope
 	// slope is that of all targets together.
-	slope  float64
+	slope float64
+	// least is the logarithmic slowness of the fastest target.
+	least  float64
 	levels []float64
 }
 
@@ -116,6 +118,9 @@
 // MeanSlope returns the slope of all targets together.
 func (p *Speeds) MeanSlope() float64 { return p.slope }
 
+// LeastLogSlowness returns the logarithmic slowness of the fastest target; at most 0.
+func (p *Speeds) LeastLogSlowness() float64 { return p.least }
+
 // Settle makes slownesses relative to the median target, and discounts differences that chance would explain. It is to be
 // called for all targets now and then.
 func (p *Speeds) Settle(targets func(yield func(*Speed) bool)) {
@@ -137,6 +142,7 @@
 		spread += (level - median) * (level - median)
 	}
 	spread /= float64(len(p.levels))
+	p.least = 0
 	for s := range targets {
 		if s.samples == 0 {
 			continue
@@ -146,5 +152,6 @@
 		// Chance alone gives the levels this variance.
 		noise := p.variance / s.samples
 		s.effective = s.slow * max(0, spread-noise) / max(spread, 1e-9)
+		p.least = min(p.least, s.effective)
 	}
 }
--- a/pool/cost.go
+++ b/pool/cost.go
@@ -91,7 +91,13 @@
 		}
 		overlap += a.work.remaining / expected
 	}
-	load := t.work.speed.LogSlowness() + balanceWeight*overlap/limit
+	slowness := t.work.speed.LogSlowness()
+	if !t.inUse(c.lastCall) && t.work.speed.Slowness() <= maxOrdinarySlowness {
+		// Otherwise the slower ones of sound targets would get nothing under a low load, and what is known of them would
+		// grow old.
+		slowness = c.costs.speeds.LeastLogSlowness()
+	}
+	load := slowness + balanceWeight*overlap/limit
 	if with := crowding((overlap + 1) / limit); with > 0 {
 		load += math.Log(1 + t.work.speed.Slope()*(with+overlap*(with-crowding(overlap/limit))))
 	}
--- a/pool/cost_test.go
+++ b/pool/cost_test.go
@@ -198,3 +198,20 @@
 		})
 	}
 }
+
+// Guards against sound targets that get nothing while others hold several requests, because these are a little faster.
+func TestSlowerTargetsStayInUse(t *testing.T) {
+	is := is.New(t)
+	c := newCostCell(is, 4)
+	c.learn(40, shortAndLong[:1], "t02", "t03")
+	used := make(map[table.TargetID]int)
+	for range 100 { // three requests at a time, over 10 s
+		decisions := []Decision{c.start("short"), c.start("short"), c.start("short")}
+		c.pass(100 * time.Millisecond)
+		for _, d := range decisions {
+			used[d.Target]++
+			c.end(d, 100*time.Millisecond)
+		}
+	}
+	is.Equal(len(used), 4)
+}
