pool: times of short requests are compared as they are

Scaled to an ordinary request, a few ms of network in a response of 2 ms look like a slow target (likely, not traced).

Change: only requests of a quarter of the mean service time or more are scaled, to that mean.

--- a/cost/estimator.go
+++ b/cost/estimator.go
@@ -127,9 +127,6 @@
 	return e.median * (low + (high-low)*(position-float64(i)))
 }
 
-// Typical returns the logarithm of the median over all requests, in seconds.
-func (e *Estimator) Typical() float64 { return e.root.mean }
-
 // Known reports whether enough service times have been seen for estimates.
 func (e *Estimator) Known() bool { return e.observed >= minSamples }
 
--- a/measure/cost.go
+++ b/measure/cost.go
@@ -69,7 +69,7 @@
 	p99, inTime float64
 }
 
-func (s *costRun) now() float64 { return toSeconds(time.Duration(s.clock.Now())) }
+func (s *costRun) now() float64 { return time.Duration(s.clock.Now()).Seconds() }
 
 func (s *costRun) after(seconds float64, fn func()) {
 	s.clock.After(time.Duration(seconds*float64(time.Second)), fn)
--- a/measure/costload.go
+++ b/measure/costload.go
@@ -5,7 +5,6 @@
 	"math"
 	"math/rand/v2"
 	"slices"
-	"time"
 
 	"github.com/bilberrywood/bilberrywood/cost"
 	"github.com/bilberrywood/bilberrywood/table"
@@ -222,5 +221,3 @@
 	}
 	return sum
 }
-
-func toSeconds(d time.Duration) float64 { return d.Seconds() }
--- a/pool/cost.go
+++ b/pool/cost.go
@@ -19,10 +19,6 @@
 type costs struct {
 	estimator cost.Estimator
 	speeds    cost.Speeds
-	// ordinary is the logarithm of the work of an ordinary request, in seconds, by which service times are made
-	// comparable. It is set once, so that times before and after a change of the mix of requests stay comparable.
-	ordinary    float64
-	hasOrdinary bool
 }
 
 // requestWork is the expected work of a request, in seconds at a target of median speed.
@@ -56,7 +52,7 @@
 }
 
 // minTellingWork is the work, as a fraction of the mean service time, from which service times say something about the
-// speed of a target. Shorter ones say more about the network.
+// speed of a target, or count in proportion to the work. Shorter ones say more about the network.
 const minTellingWork = 0.25
 
 // ordinaryReason is the reason of attempts at the best of the trusted targets.
@@ -137,11 +133,8 @@
 		slowness = max(1, maxOrdinarySlowness*maxOrdinarySlowness/slowness)
 	}
 	scale := 1 / slowness
-	if r.work.expected > 0 {
-		if !c.costs.hasOrdinary {
-			c.costs.ordinary, c.costs.hasOrdinary = c.costs.estimator.Typical(), true
-		}
-		scale *= math.Exp(c.costs.ordinary - r.work.estimate.LogMedian())
+	if mean := c.queue.meanServiceTime.Seconds(); r.work.expected > 0 && r.work.expected >= minTellingWork*mean {
+		scale *= mean / r.work.expected
 	}
 	return scale
 }
