--- a/entry/quotastatus.go
+++ b/entry/quotastatus.go
@@ -14,7 +14,7 @@
 type QuotaStatus struct {
 	Account table.AccountName `json:"account"`
 	// RatePerSecond and Burst are the quota; a rate of 0 means that there is none.
-	RatePerSecond float64 `json:"ratePerSecond"`
+	RatePerSecond float64 `json:"requestsPerSecond"`
 	Burst         float64 `json:"burst"`
 	// Owner hands out the credit of the account, in the view of this entry.
 	Owner fleet.EntryID `json:"owner,omitempty"`
--- a/table/check_routes.go
+++ b/table/check_routes.go
@@ -44,7 +44,7 @@
 		if a.Priority != nil {
 			checkRange(c, at, "priority", *a.Priority, 0, MaxPriority)
 		}
-		checkRange(c, at, "ratePerSecond", a.RatePerSecond, 0, MaxRatePerSecond)
+		checkRange(c, at, "requestsPerSecond", a.RatePerSecond, 0, MaxRatePerSecond)
 		checkRange(c, at, "burst", a.Burst, 0, MaxRatePerSecond)
 	}
 	return accounts
--- a/table/schema.go
+++ b/table/schema.go
@@ -115,7 +115,7 @@
 				return *a.Priority
 			},
 		},
-		floatField("ratePerSecond", false, func(a *AccountRow) *float64 { return &a.RatePerSecond }),
+		floatField("requestsPerSecond", false, func(a *AccountRow) *float64 { return &a.RatePerSecond }),
 		floatField("burst", false, func(a *AccountRow) *float64 { return &a.Burst }),
 	}
 	poolsSchema = []field[Pools]{
--- a/table/types.go
+++ b/table/types.go
@@ -112,7 +112,7 @@
 	Priority *int `json:"priority,omitempty"`
 	// RatePerSecond and Burst are the account's quota over all entries: the requests per second that may run, and how
 	// many more at once. A rate of 0 means that there is no quota.
-	RatePerSecond float64 `json:"ratePerSecond,omitempty"`
+	RatePerSecond float64 `json:"requestsPerSecond,omitempty"`
 	Burst         float64 `json:"burst,omitempty"`
 }
 
