review: an upload in slow chunks crashes servers without end (case 7)

Its body isn't known within 250 ms, so it has no fingerprint and is never found to be what crashes servers.

--- a/review/_rig2/fleet.go
+++ b/review/_rig2/fleet.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -22,6 +23,7 @@
 	command        string
 	env            []string
 	log            *os.File
+	dropLog        bool
 
 	mu   sync.Mutex
 	cmd  *exec.Cmd
@@ -114,6 +116,11 @@
 	cmd := exec.Command(m.command, "--platform")
 	cmd.Env = append([]string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "BILBERRYWOOD_NODE_FILE=" + m.settings}, m.env...)
 	cmd.Stdout, cmd.Stderr = m.log, m.log
+	if m.dropLog {
+		// The platform reads the log as it comes; the script keeps none of it.
+		w := struct{ io.Writer }{io.Discard}
+		cmd.Stdout, cmd.Stderr = w, w
+	}
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
 		return err
@@ -199,6 +206,10 @@
 	servers  []*server
 	machines []*machine
 	record   *record
+	// dropLogs says that the output of the machines is read and not kept.
+	dropLogs bool
+	// env is added to that of the machines.
+	env []string
 }
 
 // route is a rule of the configuration.
@@ -256,7 +267,7 @@
 		}
 		d.machines = append(d.machines, &machine{
 			name: name, ip: ip, zone: zones[i%len(zones)], ports: ports, command: command, log: log,
-			settings: filepath.Join(d.dir, name+".settings"), env: []string{"QUIC_GO_DISABLE_RECEIVE_BUFFER_WARNING=true"},
+			settings: filepath.Join(d.dir, name+".settings"), env: append([]string{"QUIC_GO_DISABLE_RECEIVE_BUFFER_WARNING=true"}, d.env...), dropLog: d.dropLogs,
 		})
 	}
 	for _, m := range d.machines {
--- a/review/_rig2/server.go
+++ b/review/_rig2/server.go
@@ -43,6 +43,9 @@
 	ran     func(s *server, r *http.Request, body []byte, from string)
 	ended   func(s *server, r *http.Request, whole bool)
 
+	// head, if set, is called with the head of a request. It returns false if the connection must be dropped.
+	head func(s *server, r *http.Request) bool
+
 	store *store
 
 	mu       sync.Mutex
@@ -156,6 +159,9 @@
 			return
 		}
 		_ = c.SetReadDeadline(time.Time{})
+		if s.head != nil && !s.head(s, req) {
+			return
+		}
 		body, err := io.ReadAll(req.Body)
 		if err != nil {
 			return
