--- a/review/_rig2/server.go
+++ b/review/_rig2/server.go
@@ -43,6 +43,8 @@
 	ran     func(s *server, r *http.Request, body []byte, from string)
 	ended   func(s *server, r *http.Request, whole bool)
 
+	// answer, if set, may write the answer of a run itself; it then returns true.
+	answer func(s *server, c net.Conn, r *http.Request, h http.Header) bool
 	// head, if set, is called with the head of a request. It returns false if the connection must be dropped.
 	head func(s *server, r *http.Request) bool
 
@@ -125,6 +127,14 @@
 	})
 }
 
+// drain reports that the server leaves.
+func (s *server) drain() {
+	s.mu.Lock()
+	s.state = "draining"
+	s.mu.Unlock()
+	s.register()
+}
+
 // crash ends the process: connections are reset, nothing is reported.
 func (s *server) crash() {
 	s.mu.Lock()
@@ -175,9 +185,6 @@
 // handle answers a request. It returns false if the connection must end.
 func (s *server) handle(c net.Conn, r *http.Request, body []byte) bool {
 	h := make(http.Header)
-	if s.header != nil {
-		s.header(s, h)
-	}
 	if s.late != nil {
 		if b := s.late(c); b != nil {
 			if _, err := c.Write(b); err != nil {
@@ -187,6 +194,9 @@
 	}
 	if r.URL.Path == "/health" {
 		time.Sleep(healthTime)
+		if s.header != nil {
+			s.header(s, h)
+		}
 		h.Set("X-Instance-Id", s.id)
 		return s.write(c, r, http.StatusOK, h, nil) == nil
 	}
@@ -194,6 +204,9 @@
 	if s.arrived != nil {
 		s.arrived(s, r, c.RemoteAddr().String())
 	}
+	if s.header != nil {
+		s.header(s, h)
+	}
 	notExecuted := func(status int) bool {
 		h.Set("X-Not-Executed", "1")
 		return s.write(c, r, status, h, nil) == nil
@@ -227,6 +240,9 @@
 	if s.before != nil && !s.before(s, r, body) {
 		return false
 	}
+	if s.answer != nil && s.answer(s, c, r, h) {
+		return true
+	}
 	if !s.work(deadline) {
 		if s.ended != nil {
 			s.ended(s, r, false)
--- a/review/_rig2/store.go
+++ b/review/_rig2/store.go
@@ -31,6 +31,8 @@
 	events   []storeItem
 	changed  chan struct{}
 	server   *http.Server
+	// silent, while set, holds up all answers until it is closed; the calls get none then.
+	silent chan struct{}
 }
 
 // pageItems is the number of items in a page of a listing.
@@ -47,11 +49,38 @@
 	mux.HandleFunc("GET /api/kv-key", s.serveKey)
 	mux.HandleFunc("GET /api/kv-range", s.serveRange)
 	mux.HandleFunc("GET /api/kv-watch", s.serveWatch)
-	s.server = &http.Server{Handler: mux}
+	s.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		silent := s.silent
+		s.mu.Unlock()
+		if silent != nil {
+			select {
+			case <-silent:
+			case <-r.Context().Done():
+			}
+			panic(http.ErrAbortHandler)
+		}
+		mux.ServeHTTP(w, r)
+	})}
 	go func() { _ = s.server.Serve(l) }()
 	return s, nil
 }
 
+// silence stops or resumes the answers to reading calls.
+func (s *store) silence(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case on && s.silent == nil:
+		s.silent = make(chan struct{})
+		close(s.changed)
+		s.changed = make(chan struct{})
+	case !on && s.silent != nil:
+		close(s.silent)
+		s.silent = nil
+	}
+}
+
 func (s *store) close() { _ = s.server.Close() }
 
 // put writes a value as JSON.
@@ -151,8 +180,15 @@
 				events = append(events, e)
 			}
 		}
-		at, changed, future := s.revision, s.changed, after > s.revision
+		at, changed, future, silent := s.revision, s.changed, after > s.revision, s.silent
 		s.mu.Unlock()
+		if silent != nil {
+			select {
+			case <-silent:
+			case <-r.Context().Done():
+			}
+			panic(http.ErrAbortHandler)
+		}
 		if future {
 			w.WriteHeader(http.StatusGone)
 			return
