review: a request after which servers fall silent is never refused (case 8)

A crash that shows as silence ends the attempt at its deadline, which isn't counted against the request.

--- a/review/_rig2/poison.go
+++ b/review/_rig2/poison.go
@@ -9,20 +9,34 @@
 	"time"
 )
 
-func init() { scenarios["poison"] = poison }
+func init() {
+	scenarios["poison"] = func(d *deployment, trouble bool) (bool, string, error) {
+		return poison(d, poisonCase{crashes: true, restarts: trouble, lasts: 104 * time.Second})
+	}
+	scenarios["darkpoison"] = func(d *deployment, trouble bool) (bool, string, error) {
+		return poison(d, poisonCase{crashes: trouble, dark: true, lasts: 90 * time.Second})
+	}
+}
 
-// event is something that happened to a machine, from which it is out of touch for settleWindowS.
+// poisonCase says whether the request crashes the servers, whether they fall silent then, and whether a machine is restarted.
+type poisonCase struct {
+	crashes, dark, restarts bool
+	lasts                   time.Duration
+}
+
+// span is a time in which a machine was stopped or started; it is out of touch until settleWindowS after it.
 type span struct{ from, to time.Time }
 
-// poison: a request that crashes the servers that run it comes again and again, while the machines are restarted.
-func poison(d *deployment, trouble bool) (bool, string, error) {
+// poison: a request that crashes the servers that run it comes again and again.
+func poison(d *deployment, k poisonCase) (bool, string, error) {
 	const (
 		host, prefix = "hulo84.example", "/xapu221/ny95/"
 		servers      = 10
 		period       = 5 * time.Second
 		backAfter    = 3 * time.Second
-		poisonBody   = "volume=unreadable"
-		lasts        = 104 * time.Second
+		// darkFor is how long a server is down that falls silent.
+		darkFor    = 4500 * time.Millisecond
+		poisonBody = "volume=unreadable"
 	)
 	settle := time.Duration(bounds["settleWindowS"] * float64(time.Second))
 	d.store.put("op/config", config(4, []route{{Host: host, Prefix: prefix, Kind: "unsafe", Service: "wuno96b", TimeoutS: 3, MaxAttempts: 2, Priority: 1}}, []string{"wuno96b"}))
@@ -51,7 +65,7 @@
 			running[s.id] = max(0, running[s.id]-1)
 		}
 		s.before = func(s *server, _ *http.Request, body []byte) bool {
-			if string(body) != poisonBody {
+			if string(body) != poisonBody || !k.crashes {
 				return true
 			}
 			mu.Lock()
@@ -60,6 +74,11 @@
 			cut += running[s.id] - 1
 			running[s.id] = 0
 			mu.Unlock()
+			if k.dark {
+				s.darken("127.0.0.1", darkFor, func(err error) { d.record.line("%v", err) })
+				s.awaitLight()
+				return false
+			}
 			s.crash()
 			time.AfterFunc(backAfter, func() {
 				if err := s.start("127.0.0.1"); err != nil {
@@ -77,7 +96,7 @@
 		return false, "", err
 	}
 	time.Sleep(5 * time.Second)
-	end := time.Now().Add(lasts - 6*time.Second)
+	end := time.Now().Add(k.lasts - 6*time.Second)
 	var clients sync.WaitGroup
 	served, lost := 0, 0
 	var out []span
@@ -129,7 +148,7 @@
 		}
 	})
 	time.Sleep(14 * time.Second)
-	for trouble && time.Until(end) > 16*time.Second {
+	for k.restarts && time.Until(end) > 16*time.Second {
 		m := d.owner(host)
 		if m == nil {
 			time.Sleep(200 * time.Millisecond)
--- a/review/_rig2/server.go
+++ b/review/_rig2/server.go
@@ -62,6 +62,8 @@
 	state    string
 	up       bool
 	stop     chan struct{}
+	// dark, while it is not nil and open, holds up everything: the server answers nothing and takes no connections.
+	dark chan struct{}
 }
 
 // start starts a process of the server. It keeps its address over restarts.
@@ -90,6 +92,7 @@
 		if err != nil {
 			return
 		}
+		s.awaitLight()
 		s.mu.Lock()
 		if s.listener != l {
 			s.mu.Unlock()
@@ -135,6 +138,36 @@
 	s.register()
 }
 
+// awaitLight waits while the server is dark.
+func (s *server) awaitLight() {
+	s.mu.Lock()
+	dark := s.dark
+	s.mu.Unlock()
+	if dark != nil {
+		<-dark
+	}
+}
+
+// darken crashes the server so that it falls silent, and starts it again after a time.
+func (s *server) darken(ip string, lasts time.Duration, failed func(error)) {
+	s.mu.Lock()
+	dark := make(chan struct{})
+	s.dark = dark
+	close(s.stop)
+	s.stop = make(chan struct{})
+	s.mu.Unlock()
+	time.AfterFunc(lasts, func() {
+		s.crash()
+		s.mu.Lock()
+		s.dark = nil
+		s.mu.Unlock()
+		close(dark)
+		if err := s.start(ip); err != nil {
+			failed(err)
+		}
+	})
+}
+
 // crash ends the process: connections are reset, nothing is reported.
 func (s *server) crash() {
 	s.mu.Lock()
@@ -169,6 +202,7 @@
 			return
 		}
 		_ = c.SetReadDeadline(time.Time{})
+		s.awaitLight()
 		if s.head != nil && !s.head(s, req) {
 			return
 		}
