--- a/review/_rig2/doors.go
+++ b/review/_rig2/doors.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -23,6 +24,11 @@
 		// ignored is how long after the crowd has come the answers of ordinary clients don't count yet.
 		ignored = 35 * time.Second
 	)
+	// The connections of the crowd to all machines are this process's too.
+	var files syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &files); err != nil || files.Cur < 3*crowd+500 {
+		return false, "", fmt.Errorf("%d open files are allowed, %d are needed (%v)", files.Cur, 3*crowd+500, err)
+	}
 	d.store.put("op/config", config(4, []route{{Host: host, Prefix: prefix, Kind: "safe", Service: "huvo11a", TimeoutS: 2.5, MaxAttempts: 2, Priority: 2}}, []string{"huvo11a"}))
 	for i := range 6 {
 		d.servers = append(d.servers, &server{id: fmt.Sprintf("i-7f3a91%02x", i), service: "huvo11a", zone: "donau-ost", slots: 4, queueLimit: 16, workTime: around(40 * time.Millisecond)})
@@ -94,8 +100,7 @@
 				}
 				c, err := net.DialTimeout("tcp", m.address("directory"), 2*time.Second)
 				if err != nil {
-					d.record.line("%s takes no more connections: %v", m.name, err)
-					break
+					return false, "", fmt.Errorf("%s takes no more connections: %w", m.name, err)
 				}
 				open = append(open, c)
 				_, _ = io.WriteString(c, "GET /api/resolve?name="+host+"&region=niederbayern&zone=donau-ost HTTP/1.1\r\nHost: "+host+"\r\nContent-Length: 1\r\n\r\n")
