entry: the operators' address has the limits of the other listeners

What callers saw: an entry whose operators' address is reached by 300 connections with heads of short lines ends on a VM of 64 MB; all requests on it end with it. Cause: the memory budget and the limit on connections covered the listeners of callers, directory and readiness only. The operators' server read heads of up to 64 KiB with no account of what they cost, and as many connections as came. Change: its listener is a callerListener on the same budget, and its handler is tracked like the others. Why it works: what the heads cost is charged before net/http builds them, and those that hold most for longest go. The harness' crowd can now connect to any address, and its bound on memory is a parameter; both unchanged for others.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -289,6 +289,7 @@
 	e.callerServer = e.server(e.callerRoutes())
 	e.trackCallers(e.callerServer)
 	e.operatorServer = e.server(e.operatorRoutes())
+	e.trackCallers(e.operatorServer)
 	type endpoint struct {
 		address string
 		server  *http.Server
@@ -305,16 +306,13 @@
 		if err != nil {
 			return Error.Wrap(err)
 		}
-		switch ep.server {
-		case e.operatorServer:
-		case e.callerServer:
-			listener = callerListener{Listener: listener, limits: e.callerLimits, lingering: &e.lingering, stalled: &e.stalled, memory: &e.memory}
-		default:
-			listener = callerListener{Listener: listener, limits: e.callerLimits, lingering: new(atomic.Int64), memory: &e.memory}
+		callers := callerListener{Listener: listener, limits: e.callerLimits, lingering: new(atomic.Int64), memory: &e.memory}
+		if ep.server == e.callerServer {
+			callers.lingering, callers.stalled = &e.lingering, &e.stalled
 		}
 		e.background.Go(func() {
 			// Serve always returns an error; after Shutdown it is ErrServerClosed.
-			if err := ep.server.Serve(listener); err != http.ErrServerClosed {
+			if err := ep.server.Serve(callers); err != http.ErrServerClosed {
 				e.Log.Error().Str("event", "serverFailed").Err(err).Msg("HTTP server failed")
 			}
 		})
--- a/process/harness_test.go
+++ b/process/harness_test.go
@@ -307,11 +307,17 @@
 
 // get reads a JSON response from an entry's operator endpoint.
 func (h *testHarness) get(id fleet.EntryID, path string, into any) error {
-	var s settings.Entry
-	if err := settings.Read(h.localFleet.SettingsPath(id), &s); err != nil {
+	address, err := h.operatorAddress(id)
+	if err != nil {
 		return err
 	}
-	return getJSON("http://"+s.OperatorAddress+path, into)
+	return getJSON("http://"+address+path, into)
+}
+
+func (h *testHarness) operatorAddress(id fleet.EntryID) (string, error) {
+	var s settings.Entry
+	err := settings.Read(h.localFleet.SettingsPath(id), &s)
+	return s.OperatorAddress, err
 }
 
 func getJSON(url string, into any) error {
--- a/process/hostile_test.go
+++ b/process/hostile_test.go
@@ -55,10 +55,16 @@
 
 // newCrowd opens connections to an entry and sends on each what send writes. It returns when all have sent or were closed.
 func (h *testHarness) newCrowd(id fleet.EntryID, send func(i int, w io.Writer) error) *crowd {
+	h.t.Helper()
+	return h.newCrowdAt(h.fleetRow(id).CallerAddress, send)
+}
+
+// newCrowdAt is newCrowd at any address of an entry.
+func (h *testHarness) newCrowdAt(address string, send func(i int, w io.Writer) error) *crowd {
 	h.t.Helper()
 	c := &crowd{h: h}
 	for range hostileConnections {
-		conn, err := net.DialTimeout("tcp", h.fleetRow(id).CallerAddress, sendLimit)
+		conn, err := net.DialTimeout("tcp", address, sendLimit)
 		h.check(err)
 		c.connections = append(c.connections, conn)
 		h.check(conn.SetWriteDeadline(time.Now().Add(sendLimit)))
@@ -114,6 +120,12 @@
 
 // checkBounds waits until the peak memory of an entry has stopped growing, and checks the bounds.
 func (h *testHarness) checkBounds(id fleet.EntryID) {
+	h.t.Helper()
+	h.checkBoundsWithin(id, hostileMemoryMB)
+}
+
+// checkBoundsWithin is checkBounds with another bound on the memory.
+func (h *testHarness) checkBoundsWithin(id fleet.EntryID, memoryMB int) {
 	h.t.Helper()
 	const settled = 2 * time.Second
 	peak, since := 0, time.Now()
@@ -130,8 +142,8 @@
 		h.t.Fatalf("%s has ended: %v", id, h.entries[id].err)
 	default:
 	}
-	if peak > hostileMemoryMB {
-		h.t.Errorf("%s: peak memory %d MB, bound %d MB", id, peak, hostileMemoryMB)
+	if peak > memoryMB {
+		h.t.Errorf("%s: peak memory %d MB, bound %d MB", id, peak, memoryMB)
 	}
 	if fds > hostileDescriptors {
 		h.t.Errorf("%s: %d descriptors, bound %d", id, fds, hostileDescriptors)
