settings: an entry whose settings name no memory is safe on the smallest VMs

What callers saw: without vm.memoryMb an entry on a VM of 136 MB ends under 300 connections with heads of short lines. Cause: the budget was then 256 MiB, nearly twice the memory of the smallest VMs, and without vm.maxDescriptors the number of connections had no limit. Change: the budget without a setting is that of 136 MB, and without a number of descriptors one connection is accepted for each 16 KiB of the budget (2,176 without both). The runtime's soft limit leaves 8 MiB to the program's own pages, which the runtime does not count: 40 MB of 64 in place of 48. A limit for unknown memory was weighed and left out: where tables are large the collector would run without end. TestLimitsForCallers states the limits for known and unknown VMs.

--- a/process/hostile_held_test.go
+++ b/process/hostile_held_test.go
@@ -5,8 +5,13 @@
 import (
 	"io"
 	"testing"
+
+	"github.com/bilberrywood/bilberrywood/settings"
 )
 
+// smallestVMMemoryMB is the memory of the smallest VMs of the operators, which bounds an entry whose settings name none.
+const smallestVMMemoryMB = 136
+
 // headShapes are heads of many short lines within the limit of the settings.
 var headShapes = []struct {
 	name string
@@ -35,3 +40,47 @@
 		})
 	}
 }
+
+// Guards against a default budget that the smallest VMs can't bear.
+func TestHostileWithoutMemorySetting(t *testing.T) {
+	for _, shape := range []struct {
+		name string
+		send func(i int, w io.Writer) error
+	}{
+		{"heads", func(_ int, w io.Writer) error {
+			_, err := w.Write(headShapes[0].head)
+			return err
+		}},
+		{"bodies", func(_ int, w io.Writer) error { return hostileBody(w, false, hostileBodyBytes, hostileBodyBytes, 1) }},
+	} {
+		t.Run(shape.name, func(t *testing.T) {
+			h := hostileHarness(t, 1, 0, func(s *settings.Entry) { s.VM.MemoryMB = 0 })
+			id := h.fleetList[0].ID
+			c := h.newCrowd(id, shape.send)
+			defer c.close()
+			h.checkBoundsWithin(id, smallestVMMemoryMB)
+			h.checkOrdinary(id)
+		})
+	}
+}
+
+// Guards against connections without a limit if the settings name no number of descriptors: then the memory limits them.
+func TestHostileWithoutDescriptorSetting(t *testing.T) {
+	const (
+		memoryMB = 16
+		// bound has a quarter of the memory in connections of 16 KiB, and the descriptors of targets, peers and files.
+		bound = memoryMB<<20/4/(16<<10) + 44
+	)
+	h := hostileHarness(t, 1, 0, func(s *settings.Entry) { s.VM.MemoryMB = memoryMB })
+	id := h.fleetList[0].ID
+	c := h.newCrowd(id, func(_ int, w io.Writer) error {
+		_, err := io.WriteString(w, requestHead())
+		return err
+	})
+	defer c.close()
+	h.checkBounds(id)
+	if fds := h.descriptors(id); fds > bound {
+		t.Errorf("%d descriptors, bound %d", fds, bound)
+	}
+	h.checkOrdinary(id)
+}
--- a/settings/memory.go
+++ b/settings/memory.go
@@ -5,27 +5,41 @@
 	// requestMemoryDivisor is the part of the memory for the heads and bodies of requests. The collector lets the heap grow
 	// to twice of what is in use, and the tables, connections and responses take the rest.
 	requestMemoryDivisor = 4
-	// heapLimitFraction is the part of the memory from which on the collector runs more often.
+	// heapLimitFraction is the part of the memory from which on the collector runs more often, less programBytes, but at least
+	// half of the memory.
 	heapLimitFraction = 0.75
+	// programBytes is the memory of the program's own pages, which the runtime does not count.
+	programBytes = 8 << 20
 	// callerConnectionsFraction is the part of the descriptors for connections of callers. The others are for targets,
 	// peers, the platform and files.
 	callerConnectionsFraction = 0.75
-	// unknownRequestBytes is the memory for requests if that of the VM is unknown.
-	unknownRequestBytes = 256 << 20
+	// connectionBytes is what a connection without a request takes about. It limits their number if that of the descriptors is
+	// unknown.
+	connectionBytes = 16 << 10
+	// smallestMemoryMB is the memory of the operators' smallest VMs. The memory for requests fits them if that of the VM is
+	// unknown.
+	smallestMemoryMB = 136
 )
 
 // RequestBytes returns the memory for the heads and bodies of requests.
 func (v VM) RequestBytes() int64 {
 	if v.MemoryMB == 0 {
-		return unknownRequestBytes
+		v.MemoryMB = smallestMemoryMB
 	}
 	return v.memoryBytes() / requestMemoryDivisor
 }
 
-// HeapLimit returns the limit for the runtime's memory, 0 if the memory of the VM is unknown.
-func (v VM) HeapLimit() int64 { return int64(float64(v.memoryBytes()) * heapLimitFraction) }
+// HeapLimit returns the soft limit for the runtime's memory, 0 if the memory of the VM is unknown.
+func (v VM) HeapLimit() int64 {
+	return max(v.memoryBytes()/2, int64(float64(v.memoryBytes())*heapLimitFraction)-programBytes)
+}
 
-// CallerConnections returns how many connections callers may have open, 0 if there is no limit.
-func (v VM) CallerConnections() int { return int(v.MaxDescriptors * callerConnectionsFraction) }
+// CallerConnections returns how many connections callers may have open.
+func (v VM) CallerConnections() int {
+	if v.MaxDescriptors == 0 {
+		return int(v.RequestBytes() / connectionBytes)
+	}
+	return int(v.MaxDescriptors * callerConnectionsFraction)
+}
 
 func (v VM) memoryBytes() int64 { return int64(v.MemoryMB * (1 << 20)) }
--- a/settings/vm_test.go
+++ b/settings/vm_test.go
@@ -38,3 +38,28 @@
 	is.True(e.PoolDefaults.RetryPercent > 10 && e.PoolDefaults.RetryPercent < 20)
 	is.True(e.PoolDefaults.RetryBurst > 31 && e.PoolDefaults.RetryBurst < 62)
 }
+
+// Guards against a VM of unknown size that is trusted with more than the smallest ones can bear, and against limits that the
+// callers of VMs of known size meet.
+func TestLimitsForCallers(t *testing.T) {
+	const smallestVMMB = 136
+	for _, c := range []struct {
+		name                     string
+		vm                       VM
+		requestMB, heapMB, conns int
+	}{
+		{"unknown", VM{}, smallestVMMB / 4, 0, smallestVMMB / 4 * 64},
+		{"unknown descriptors", VM{MemoryMB: 536}, 134, 394, 134 * 64},
+		{"unknown memory", VM{MaxDescriptors: 4100}, smallestVMMB / 4, 0, 3075},
+		{"smallest", VM{MemoryMB: smallestVMMB, MaxDescriptors: 2870}, smallestVMMB / 4, 94, 2152},
+		{"largest", VM{MemoryMB: 536, MaxDescriptors: 8192}, 134, 394, 6144},
+		{"tiny", VM{MemoryMB: 16, MaxDescriptors: 100}, 4, 8, 75},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(c.vm.RequestBytes(), int64(c.requestMB)<<20)
+			is.Equal(c.vm.HeapLimit(), int64(c.heapMB)<<20)
+			is.Equal(c.vm.CallerConnections(), c.conns)
+		})
+	}
+}
