entry: an answered request holds no connection for the rest of its body

Cause: when a handler leaves a body unread, net/http reads on without a time limit, before the answer (echo's listeners) or behind it (the front). The connection counted as busy meanwhile, and busy ones are not evicted, so the newcomers were. Change: the wrapper of all listeners sees which bodies have not ended when the handler returns, whoever has answered. Such a connection closes: net/http gets no more of the body, so that the answer and the end of the sending direction go out at once, and the connection lingers as it did, first in line to be evicted. Handlers that read no bodies say so in the answer. The time for a head also holds for what net/http answers itself; it no longer answers OPTIONS * itself.

--- a/entry/callerconn.go
+++ b/entry/callerconn.go
@@ -40,6 +40,11 @@
 
 // Accept implements net.Listener.
 func (l callerListener) Accept() (net.Conn, error) {
+	if l.memory != nil {
+		for room := l.memory.budget.AwaitRoom(); room != nil; room = l.memory.budget.AwaitRoom() {
+			<-room
+		}
+	}
 	c, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
@@ -336,6 +341,10 @@
 
 // SetReadDeadline implements net.Conn. The deadline does not apply to reading ahead.
 func (c *callerConn) SetReadDeadline(t time.Time) error {
+	if t.IsZero() && c.memory.inHead.Load() {
+		// The server lifts the limit on the time for a head before the handler begins, and may itself read the body.
+		return nil
+	}
 	t = c.withinLimits(t)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -379,6 +388,9 @@
 // Close implements net.Conn. If the last response may not have arrived yet, it ends the sending direction and reads on in
 // the background.
 func (c *callerConn) Close() error {
+	// The budget calls evict, which locks mu, so it must not be asked while mu is held.
+	evicted := c.memory.holder.Evicted()
+	mayLinger := !evicted || c.memory.holder.MayLinger()
 	c.mu.Lock()
 	if c.closed {
 		c.mu.Unlock()
@@ -386,13 +398,13 @@
 	}
 	c.closed = true
 	now, end := time.Now(), c.lingerUntil
-	if c.memory.holder.Evicted() {
+	if evicted {
 		end = time.Time{}
 	}
 	if c.pipelined || now.Sub(c.writtenAt) < lingerTime {
 		end = latest(end, now.Add(lingerTime))
 	}
-	linger := end.After(now) && c.readErr == nil
+	linger := end.After(now) && c.readErr == nil && mayLinger
 	if linger {
 		c.lingering.Add(1)
 	}
@@ -402,7 +414,8 @@
 		c.memory.holder.Close()
 		return c.Conn.Close()
 	}
-	c.memory.holder.Idle(0)
+	c.memory.answered.Store(true)
+	c.memory.holder.Ended()
 	// The expired deadline ends a pending Read of the server.
 	if c.CloseWrite() != nil || c.Conn.SetReadDeadline(longAgo) != nil {
 		c.memory.holder.Close()
@@ -420,7 +433,7 @@
 	c.reading.Lock()
 	err := c.Conn.SetReadDeadline(end)
 	c.reading.Unlock()
-	if err == nil && !c.memory.lingeringEvicted.Load() {
+	if err == nil {
 		_, _ = io.Copy(io.Discard, c.Conn) // the responses are sent; nothing depends on what is read
 	}
 	_ = c.Conn.Close()
--- a/entry/callermemory.go
+++ b/entry/callermemory.go
@@ -99,11 +99,14 @@
 		Msg("connections of callers closed: memory or connections are short")
 }
 
-// trackCallers makes a server account for the heads of requests and enforce their limit. Its listener must be a
-// callerListener with a budget.
-func (e *Entry) trackCallers(s *http.Server) {
+// trackCallers makes a server account for what its callers hold, and enforce the limits on heads and on bodies that are left
+// unread. Its listener must be a callerListener with a budget. readsBodies says that the handler reads bodies, and closes the
+// connection of a request whose body it leaves unread.
+func (e *Entry) trackCallers(s *http.Server, readsBodies bool) {
 	next := s.Handler
 	s.ConnContext = withCallerConn
+	// net/http's own handler would read a body without a time limit.
+	s.DisableGeneralOptionsHandler = true
 	s.ConnState = func(c net.Conn, state http.ConnState) {
 		if caller, ok := c.(*callerConn); ok && state == http.StateIdle {
 			caller.awaitRequest()
@@ -119,6 +122,17 @@
 			// Nothing of the request has been passed on.
 			panic(http.ErrAbortHandler)
 		}
+		if r.ContentLength != 0 {
+			body := newCallerBody(r)
+			r = r.WithContext(r.Context())
+			r.Body = body
+			// Without full duplex, net/http would wait for the body before it sends a response.
+			_ = http.NewResponseController(w).EnableFullDuplex() // not supported by writers of tests only
+			if !readsBodies {
+				w.Header().Set("Connection", "close")
+			}
+			defer c.discardBody(w, body)
+		}
 		if limit := c.headLimit(); limit > 0 && headerBytes(r.Header) > limit {
 			e.memory.headsRefused.Inc(1)
 			w.Header().Set("Connection", "close")
@@ -150,8 +164,8 @@
 	// inHead says that a head is awaited or being read; headBytes is how much of it has been read.
 	inHead    atomic.Bool
 	headBytes int
-	// lingeringEvicted says that the connection was evicted while it was only read to its end.
-	lingeringEvicted atomic.Bool
+	// answered says that the response was written and the connection is only read to its end.
+	answered atomic.Bool
 }
 
 // awaitRequest says that the connection has no request. What was read ahead stays charged.
@@ -164,10 +178,28 @@
 	c.memory.holder.Idle(memory.Bytes(ahead))
 }
 
-// endHead says that a head is complete. It returns false if the connection was evicted.
+// endHead says that a head is complete, and lifts the limit on the time for it. It returns false if the connection was evicted.
 func (c *callerConn) endHead() bool {
 	c.memory.inHead.Store(false)
-	return c.memory.holder.Received()
+	if !c.memory.holder.Received() {
+		return false
+	}
+	_ = c.SetReadDeadline(time.Time{}) // an error means that the connection is closed, which the next read reports
+	return true
+}
+
+// discardBody is called when a request was answered. If its body has not ended, the connection ends: net/http gets no more of
+// the body, which it would await without a time limit, and Close reads on until lingerUntil.
+func (c *callerConn) discardBody(w http.ResponseWriter, body *callerBody) {
+	if body.ended.Load() {
+		return
+	}
+	if w.Header().Get("Connection") != "close" {
+		closeAfterResponse(w)
+	}
+	c.memory.answered.Store(true)
+	c.memory.holder.Discard()
+	_ = c.SetReadDeadline(longAgo) // an error means that the connection is closed
 }
 
 // headLimit returns the operators' limit on the size of a header, 0 if there is none.
@@ -209,11 +241,14 @@
 	_, _ = c.Write([]byte(response)) // an error means that the caller has left
 }
 
-// evict makes the reads of the connection fail, also those of linger.
+// evict closes the connection if it has no request, or an answered one. Otherwise it makes the reads fail.
 func (c *callerConn) evict() {
+	if c.memory.inHead.Load() || c.memory.answered.Load() {
+		_ = c.Conn.Close() // nothing depends on what the connection still has
+		return
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.memory.lingeringEvicted.Store(c.closed)
 	_ = c.Conn.SetReadDeadline(longAgo) // an error means that the connection is closed
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -288,9 +288,9 @@
 func (e *Entry) listen() error {
 	s := &e.Settings
 	e.callerServer = e.server(e.callerRoutes())
-	e.trackCallers(e.callerServer)
+	e.trackCallers(e.callerServer, true)
 	e.operatorServer = e.server(e.operatorRoutes())
-	e.trackCallers(e.operatorServer)
+	e.trackCallers(e.operatorServer, false)
 	type endpoint struct {
 		address string
 		server  *http.Server
@@ -298,7 +298,7 @@
 	servers := []endpoint{{s.CallerAddress, e.callerServer}, {s.OperatorAddress, e.operatorServer}}
 	for _, x := range e.ExtraListeners {
 		server := e.server(x.Handler)
-		e.trackCallers(server)
+		e.trackCallers(server, false)
 		e.extraServers = append(e.extraServers, server)
 		servers = append(servers, endpoint{x.Address, server})
 	}
--- a/entry/requestbody.go
+++ b/entry/requestbody.go
@@ -11,19 +11,22 @@
 
 // callerBody is the body of a caller's request. It notices its end.
 type callerBody struct {
-	io.Reader
+	io.ReadCloser
 	ended atomic.Bool
 }
 
 func newCallerBody(r *http.Request) *callerBody {
-	b := &callerBody{Reader: r.Body}
+	if b, ok := r.Body.(*callerBody); ok {
+		return b
+	}
+	b := &callerBody{ReadCloser: r.Body}
 	b.ended.Store(r.ContentLength == 0)
 	return b
 }
 
 // Read implements io.Reader.
 func (b *callerBody) Read(p []byte) (int, error) {
-	n, err := b.Reader.Read(p)
+	n, err := b.ReadCloser.Read(p)
 	if err == io.EOF {
 		b.ended.Store(true)
 	}
--- a/memory/budget.go
+++ b/memory/budget.go
@@ -1,7 +1,8 @@
 // Package memory accounts for the memory that callers make a process hold, and decides who gives way when it runs short.
 //
 // Each connection, and each request of a peer, is a Holder. It is charged for what it costs, not for what was sent. When
-// the sum exceeds the budget, the holders that are still sending and hold most for longest are evicted.
+// the sum exceeds the budget, the holders that are still sending and hold most for longest are evicted. Idle ones follow
+// when there are too many.
 package memory
 
 import (
@@ -24,6 +25,8 @@
 	connectionBytes Bytes = 16 << 10
 	// An eviction goes on until lowMarkNum/lowMarkDen of the limits are in use, so that the next one is some way off.
 	lowMarkNum, lowMarkDen = 7, 8
+	// While MaxHolders and one in evictedDen more are open, with evicted ones that have not closed yet, no further one is opened.
+	evictedDen = 16
 	// shedPause bounds the processor time that is spent while no holder can be evicted.
 	shedPause = 10 * time.Millisecond
 	// Charges are refused while excessNum/excessDen of the limit are in use, with what evicted holders have yet to free.
@@ -49,6 +52,8 @@
 	// holders has those that can be evicted; gone counts those of them that were evicted and are not closed.
 	holders map[*Holder]struct{}
 	gone    int
+	// room is closed when there is room for another holder; nil if nobody waits for it.
+	room chan struct{}
 	// nextShed is when holders are looked at again after none could be evicted.
 	nextShed time.Duration
 }
@@ -61,7 +66,7 @@
 	// Evicted and Freed are how many holders were evicted, and what they were charged for.
 	Evicted int
 	Freed   Bytes
-	// Idle is how many of the evicted holders held nothing.
+	// Idle is how many of the evicted holders had no request.
 	Idle int
 	// LongestHeld is the longest time that one of the evicted had held its charges.
 	LongestHeld time.Duration
@@ -73,9 +78,9 @@
 // Refused returns how many charges were refused.
 func (b *Budget) Refused() int64 { return b.refused.Load() }
 
-// Open returns a holder that is receiving. evict is called at most once, on any goroutine that charges the budget; it must
-// not block, nor charge. A holder without evict is never evicted. Open evicts others if there are too many. The holders of a nil
-// Budget are nil.
+// Open returns a holder that is receiving, or busy if evict is nil. evict is called at most once, on any goroutine that charges
+// the budget; it must not block, nor charge. A holder without evict is never evicted. Open evicts others if there are too many.
+// The holders of a nil Budget are nil.
 func (b *Budget) Open(evict func()) *Holder {
 	if b == nil {
 		return nil
@@ -100,6 +105,28 @@
 	return h
 }
 
+// AwaitRoom returns a channel that is closed when there is room for another holder, nil if there is. Evicted holders that are not
+// closed yet count too. A nil Budget always has room.
+func (b *Budget) AwaitRoom() <-chan struct{} {
+	if b == nil {
+		return nil
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.hasRoom() {
+		return nil
+	}
+	if b.room == nil {
+		b.room = make(chan struct{})
+	}
+	return b.room
+}
+
+// hasRoom reports whether another holder may be opened. b.mu must be held.
+func (b *Budget) hasRoom() bool {
+	return b.MaxHolders == 0 || len(b.holders) <= b.MaxHolders+b.MaxHolders/evictedDen
+}
+
 // tooMany reports whether more than limit holders were not evicted. b.mu must be held.
 func (b *Budget) tooMany(limit int) bool { return b.MaxHolders > 0 && len(b.holders)-b.gone > limit }
 
@@ -130,22 +157,9 @@
 	hopeless := fixed > b.Limit*lowMarkNum/lowMarkDen
 	for _, c := range candidates {
 		short := b.exceeds(b.Limit*lowMarkNum/lowMarkDen) && (!hopeless || c.bytes > SmallHolding) && c.bytes > 0
-		if !short && !b.tooMany(b.MaxHolders*lowMarkNum/lowMarkDen) {
-			continue
-		}
-		if !c.holder.phase.CompareAndSwap(uint32(c.phase), uint32(evicted)) {
-			continue
-		}
-		b.gone++
-		b.leaving.Add(int64(c.bytes))
-		c.holder.leaving.Store(int64(c.bytes))
-		result.Evicted++
-		result.Freed += c.bytes
-		if c.phase == idle {
-			result.Idle++
+		if short || b.tooMany(b.MaxHolders*lowMarkNum/lowMarkDen) {
+			b.evict(c, &result)
 		}
-		result.LongestHeld = max(result.LongestHeld, c.age)
-		c.holder.evict()
 	}
 	if result.Evicted == 0 {
 		b.nextShed = now + shedPause
@@ -156,14 +170,32 @@
 	}
 }
 
-// candidates returns the holders that can be evicted, first the one that holds most for longest, and the sum of what they
-// are charged for. Idle ones come last, among them first the one that has been idle for longest. b.mu must be held.
+// evict evicts a holder, unless it has changed its phase, and adds it to a sum. b.mu must be held.
+func (b *Budget) evict(c candidate, sum *Shed) bool {
+	if !c.holder.phase.CompareAndSwap(uint32(c.phase), uint32(evicted)) {
+		return false
+	}
+	b.gone++
+	b.leaving.Add(int64(c.bytes))
+	c.holder.leaving.Store(int64(c.bytes))
+	sum.Evicted++
+	sum.Freed += c.bytes
+	if c.phase == idle {
+		sum.Idle++
+	}
+	sum.LongestHeld = max(sum.LongestHeld, c.age)
+	c.holder.evict()
+	return true
+}
+
+// candidates returns the holders that can be evicted, by phase and then first the one that holds most for longest, and the
+// sum of what they are charged for. b.mu must be held.
 func (b *Budget) candidates(now time.Duration) ([]candidate, Bytes) {
 	var sum Bytes
 	var all []candidate
 	for h := range b.holders {
 		c := candidate{h, phase(h.phase.Load()), Bytes(h.bytes.Load()), now - time.Duration(h.since.Load())}
-		if c.phase == receiving || c.phase == idle {
+		if c.phase < busy {
 			all = append(all, c)
 			sum += c.bytes
 		}
@@ -171,7 +203,7 @@
 	weight := func(c candidate) float64 { return float64(c.bytes+connectionBytes) * c.age.Seconds() }
 	slices.SortFunc(all, func(a, b candidate) int {
 		if a.phase != b.phase {
-			return cmp.Compare(b.phase, a.phase)
+			return cmp.Compare(a.phase, b.phase)
 		}
 		return cmp.Compare(weight(b), weight(a))
 	})
--- a/memory/budget_test.go
+++ b/memory/budget_test.go
@@ -77,6 +77,25 @@
 	is.Equal(b.evicted, []string{"1", "2"})
 }
 
+// Guards against connections that are only read to their end and outlast idle ones.
+func TestAnsweredHoldersGiveWayFirst(t *testing.T) {
+	is := is.New(t)
+	b := newTestBudget(0, 8)
+	for _, name := range []string{"idle1", "idle2", "idle3", "idle4", "idle5", "idle6"} {
+		b.open(name).Idle(0)
+		b.now += time.Second
+	}
+	discards, ends := b.open("discards"), b.open("ends")
+	is.True(discards.Received())
+	discards.Discard()
+	ends.Ended()
+	b.now += time.Second
+	b.open("newcomer")
+	is.Equal(len(b.evicted), 2)
+	is.True(discards.Evicted())
+	is.True(ends.Evicted())
+}
+
 // Guards against charges that are lost or stay behind, and against holders beyond the limit.
 func TestChargesAddUp(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -91,7 +110,7 @@
 			}
 			i := rapid.IntRange(0, len(open)-1).Draw(t, "holder")
 			h := open[i]
-			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			switch rapid.IntRange(0, 7).Draw(t, "step") {
 			case 0:
 				h.Received()
 			case 1:
@@ -101,6 +120,10 @@
 			case 3:
 				h.Close()
 				open = append(open[:i], open[i+1:]...)
+			case 4:
+				h.Discard()
+			case 5:
+				h.Ended()
 			default:
 				h.Grow(Bytes(rapid.IntRange(1, limit/2).Draw(t, "bytes")))
 			}
--- a/memory/holder.go
+++ b/memory/holder.go
@@ -2,15 +2,15 @@
 
 import "sync/atomic"
 
-// phase is what a holder is doing. The order is that of eviction: receiving before idle.
+// phase is what a holder is doing. Holders of a lower phase are evicted first.
 type phase uint32
 
 const (
+	// receiving holders wait for bytes that no one else waits for: the rest of a head or of a body that is being buffered,
+	// of which nothing has been passed on, or the rest of a body whose request was answered.
+	receiving phase = iota
 	// idle holders have no request.
-	idle phase = iota
-	// receiving holders wait for the rest of a head or of a body that is being buffered. Nothing of their request has
-	// been passed on.
-	receiving
+	idle
 	// busy holders have a request that may have been passed on. They are not evicted.
 	busy
 	evicted
@@ -82,16 +82,30 @@
 // Received says that the holder can't be evicted from now on. It returns false if it was evicted before.
 func (h *Holder) Received() bool { return h.to(busy) }
 
+// Discard says that the request was answered and only the rest of its body is awaited.
+func (h *Holder) Discard() { h.to(receiving) }
+
 // Idle says that no request is being served, and gives back all charges but those for keep bytes.
 func (h *Holder) Idle(keep Bytes) {
 	if h == nil {
 		return
 	}
-	h.Shrink(Bytes(h.bytes.Load()) - keep)
+	h.shrinkTo(keep)
 	h.since.Store(int64(h.budget.Now()))
 	h.to(idle)
 }
 
+// Ended says that the connection is only read to its end, and gives back all charges.
+func (h *Holder) Ended() {
+	if h == nil {
+		return
+	}
+	h.shrinkTo(0)
+	h.to(receiving)
+}
+
+func (h *Holder) shrinkTo(keep Bytes) { h.Shrink(Bytes(h.bytes.Load()) - keep) }
+
 // to changes the phase, unless the holder was evicted.
 func (h *Holder) to(p phase) bool {
 	if h == nil {
@@ -111,6 +125,17 @@
 // Evicted reports whether the holder has to give way.
 func (h *Holder) Evicted() bool { return h != nil && phase(h.phase.Load()) == evicted }
 
+// MayLinger reports whether an evicted holder may take its time to close: while few others do, so that they keep no others out.
+func (h *Holder) MayLinger() bool {
+	if h == nil {
+		return true
+	}
+	b := h.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.MaxHolders == 0 || b.gone <= b.MaxHolders/evictedDen/2
+}
+
 // Close gives back all charges. It must be called once, when the holder is charged no more.
 func (h *Holder) Close() {
 	if h == nil {
@@ -124,6 +149,10 @@
 			b.gone--
 			b.leaving.Add(-h.leaving.Load())
 		}
+		if b.room != nil && b.hasRoom() {
+			close(b.room)
+			b.room = nil
+		}
 	}
 	b.mu.Unlock()
 	h.Shrink(Bytes(h.bytes.Load()))
