entry: busy connections make room for newcomers

What callers saw: when uploads that stop after their first part, or callers that never read an answer, take as many connections as an entry accepts, no other caller gets an answer at any listener until the deadlines of those requests. Cause: a connection with a complete request was never evicted, whatever it waited for, so that the one that had just connected was the only one that could give way. A write to a caller had no end on the listeners without deadlines. Change: only a request that a target may be running is safe, and not while it waits for its caller. Order of eviction: receiving, idle, busy; an eighth of the connections is left to those that are receiving, and no connection goes in its first 200 ms, so that a crowd that comes again at once can't make entries close connections before they are served. A busy request that is evicted is canceled like that of a caller that has left: 503 notRun with connectionsShort if it was not sent to a target, else 502. A response without a deadline may be held up for 10 s; an evicted connection that is not read is closed at once. TestBusyHoldersMakeRoomForNewcomers and the property of charges cover the phases.

--- a/entry/callerconn.go
+++ b/entry/callerconn.go
@@ -41,9 +41,7 @@
 // Accept implements net.Listener.
 func (l callerListener) Accept() (net.Conn, error) {
 	if l.memory != nil {
-		for room := l.memory.budget.AwaitRoom(); room != nil; room = l.memory.budget.AwaitRoom() {
-			<-room
-		}
+		l.memory.awaitRoom()
 	}
 	c, err := l.Listener.Accept()
 	if err != nil {
@@ -247,6 +245,10 @@
 	if c.isClosed() {
 		return 0, net.ErrClosed
 	}
+	// A single byte is what net/http waits for while a handler runs.
+	if len(p) > 1 && c.memory.holder.AwaitCaller() {
+		defer c.memory.holder.Resume()
+	}
 	n, err := c.Conn.Read(p)
 	if c.isClosed() {
 		return 0, net.ErrClosed
--- a/entry/callermemory.go
+++ b/entry/callermemory.go
@@ -26,13 +26,16 @@
 	headSlack = 4 << 10
 	// memoryRetryAfter is the Retry-After delay of a request for which there is no memory. Requests are over in seconds.
 	memoryRetryAfter = time.Second
+	// roomCheckInterval is how often connections are evicted while no further one is accepted.
+	roomCheckInterval = 10 * time.Millisecond
 	// shedLogInterval is the least time between log lines on evictions.
 	shedLogInterval = time.Second
 )
 
 const (
-	reasonMemoryShort pool.Reason = "memoryShort"
-	reasonBodyTimeout pool.Reason = "bodyTimeout"
+	reasonMemoryShort      pool.Reason = "memoryShort"
+	reasonConnectionsShort pool.Reason = "connectionsShort"
+	reasonBodyTimeout      pool.Reason = "bodyTimeout"
 )
 
 // errMemoryShort means that there is no memory for the rest of a request. Nothing of it has been passed on.
@@ -72,6 +75,17 @@
 	metrics.NewRegisteredFunctionalGauge("memory.refused", e.Metrics, m.budget.Refused)
 }
 
+// awaitRoom waits until a further connection may be accepted.
+func (m *memoryAccount) awaitRoom() {
+	for room := m.budget.AwaitRoom(); room != nil; room = m.budget.AwaitRoom() {
+		select {
+		case <-room:
+		case <-time.After(roomCheckInterval):
+			m.budget.MakeRoom()
+		}
+	}
+}
+
 // logShed counts evictions and logs their sum, at most once per shedLogInterval.
 func (e *Entry) logShed(s memory.Shed) {
 	m := &e.memory
@@ -82,6 +96,7 @@
 	sum.Used, sum.Holders = s.Used, s.Holders
 	sum.Evicted += s.Evicted
 	sum.Idle += s.Idle
+	sum.Busy += s.Busy
 	sum.Freed += s.Freed
 	sum.LongestHeld = max(sum.LongestHeld, s.LongestHeld)
 	logged := *sum
@@ -93,7 +108,7 @@
 	if !due {
 		return
 	}
-	e.Log.Warn().Str("event", "connectionsEvicted").Int("connections", logged.Evicted).Int("idle", logged.Idle).
+	e.Log.Warn().Str("event", "connectionsEvicted").Int("connections", logged.Evicted).Int("idle", logged.Idle).Int("busy", logged.Busy).
 		Int64("freedBytes", int64(logged.Freed)).Int64("usedBytes", int64(logged.Used)).Int64("limitBytes", int64(m.budget.Limit)).
 		Int("open", logged.Holders).Int("maxOpen", m.budget.MaxHolders).Int64("longestHeldMs", logged.LongestHeld.Milliseconds()).
 		Msg("connections of callers closed: memory or connections are short")
@@ -164,6 +179,8 @@
 	// inHead says that a head is awaited or being read; headBytes is how much of it has been read.
 	inHead    atomic.Bool
 	headBytes int
+	// heldUp says that a write waits for the caller to read.
+	heldUp atomic.Bool
 	// answered says that the response was written and the connection is only read to its end.
 	answered atomic.Bool
 }
@@ -184,6 +201,7 @@
 	if !c.memory.holder.Received() {
 		return false
 	}
+	c.beginResponse(time.Time{})
 	_ = c.SetReadDeadline(time.Time{}) // an error means that the connection is closed, which the next read reports
 	return true
 }
@@ -241,15 +259,19 @@
 	_, _ = c.Write([]byte(response)) // an error means that the caller has left
 }
 
-// evict closes the connection if it has no request, or an answered one. Otherwise it makes the reads fail.
+// evict closes the connection if it has no request, an answered one, or one whose response is not read. Otherwise it makes the
+// reads fail and cancels the request, which gets a refusal.
 func (c *callerConn) evict() {
-	if c.memory.inHead.Load() || c.memory.answered.Load() {
+	if c.memory.inHead.Load() || c.memory.answered.Load() || c.memory.heldUp.Load() {
 		_ = c.Conn.Close() // nothing depends on what the connection still has
 		return
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	_ = c.Conn.SetReadDeadline(longAgo) // an error means that the connection is closed
+	if c.onGone != nil {
+		c.onGone()
+	}
 }
 
 // holderOf returns what is charged for the request with ctx; nil if nothing is.
@@ -283,6 +305,19 @@
 	return time.AfterFunc(time.Until(e.deadline(x)), x.expireBody).Stop
 }
 
+// attributeToShortage gives a refusal of a request that was canceled because its connection was evicted that reason.
+func (r *refusal) attributeToShortage() {
+	if r.status < http.StatusInternalServerError || r.reason == reasonMemoryShort {
+		return
+	}
+	r.reason = reasonConnectionsShort
+	if r.outcome == notice.OutcomeNotRun {
+		r.status, r.retryAfter = http.StatusServiceUnavailable, memoryRetryAfter
+	} else {
+		r.status = http.StatusBadGateway
+	}
+}
+
 func memoryRefusal() *refusal {
 	refused := notRunRefusal(http.StatusServiceUnavailable, reasonMemoryShort, errMemoryShort.Error())
 	refused.retryAfter = memoryRetryAfter
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -46,7 +46,11 @@
 		// A run of a buffered request with an ID is not canceled.
 		canceled := callerCtx.Err() != nil && (x.id == nil || x.buffered == nil)
 		if canceled && !e.isAborted() {
-			refused.attributeToCaller()
+			if x.holder.Evicted() {
+				refused.attributeToShortage()
+			} else {
+				refused.attributeToCaller()
+			}
 			writer.w.Header().Set("Connection", "close")
 		}
 		e.refuseCaller(r, x, writer, refused)
--- a/entry/place.go
+++ b/entry/place.go
@@ -219,6 +219,11 @@
 		p.cell.abort(p.id)
 		return p.finishWithLastOutcome(d.Reason), true
 	}
+	if !x.holder.Run() {
+		p.cell.abort(p.id)
+		return p.refuse(reasonConnectionsShort, memoryRetryAfter), true
+	}
+	defer x.holder.Busy()
 	x.attempts++
 	to := p.cell.target(d.Target)
 	startedAt := time.Now()
--- a/entry/slowreader.go
+++ b/entry/slowreader.go
@@ -10,11 +10,15 @@
 const (
 	// writeCheckInterval is the longest time after which a write that a caller holds up is looked at.
 	writeCheckInterval = 250 * time.Millisecond
+	// evictedWriteTime is how long a refusal may take to be passed to the kernel on an evicted connection.
+	evictedWriteTime = 10 * time.Millisecond
 	// lateReadTime is how long after its deadline a caller may go on to read what has been received for it.
 	lateReadTime = time.Second
 	// stalledAfter is the time without a byte after which a caller counts as stalled. A lost packet, or a queue on a narrow
 	// link, holds a caller up for less.
 	stalledAfter = 2 * time.Second
+	// maxHoldUp is how long a caller may read nothing of a response that has no deadline.
+	maxHoldUp = 10 * time.Second
 	// maxStalledForwards is how many stalled callers of forwarded responses are kept. Each may hold a stream's window, 256 KiB,
 	// of the 16 MiB window of a connection between entries: half of it remains for the other responses.
 	maxStalledForwards = 32
@@ -25,7 +29,7 @@
 
 var (
 	// errCallerStalled means that a caller did not read its response up to its deadline.
-	errCallerStalled = Error.New("the caller did not read the response before its deadline")
+	errCallerStalled = Error.New("the caller did not read the response in time")
 	// errTooManyStalled means that a response was ended because too many others are held up as well.
 	errTooManyStalled = Error.New("the caller does not read its response, and too many others don't either")
 )
@@ -106,6 +110,13 @@
 		if !errors.Is(err, os.ErrDeadlineExceeded) || c.isClosed() {
 			return written, err
 		}
+		if heldUpSince.IsZero() {
+			c.memory.heldUp.Store(true)
+			defer c.memory.heldUp.Store(false)
+			if c.memory.holder.AwaitCaller() {
+				defer c.memory.holder.Resume()
+			}
+		}
 		if n > 0 || heldUpSince.IsZero() {
 			heldUpSince = now
 		}
@@ -115,11 +126,16 @@
 	}
 }
 
-// armWriteCheck makes a write that is held up return within writeCheckInterval.
+// armWriteCheck makes a write that is held up return within writeCheckInterval, on an evicted connection within
+// evictedWriteTime.
 func (c *callerConn) armWriteCheck() {
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.memory.holder.Evicted() {
+		_ = c.SetWriteDeadline(now.Add(evictedWriteTime)) // an error means that the connection is closed, which the write reports
+		return
+	}
 	if c.writeCheckAt.Sub(now) < writeCheckInterval/2 {
 		c.writeCheckAt = now.Add(writeCheckInterval)
 		_ = c.SetWriteDeadline(c.writeCheckAt) // an error means that the connection is closed, which the write reports
@@ -131,6 +147,12 @@
 	if !deadline.IsZero() && now.After(deadline) && (now.Sub(since) > 0 || now.Sub(deadline) > lateReadTime) {
 		return errCallerStalled
 	}
+	if deadline.IsZero() && now.Sub(since) > maxHoldUp {
+		return errCallerStalled
+	}
+	if c.memory.holder.Evicted() {
+		return errEvicted
+	}
 	if c.stalled == nil {
 		return nil
 	}
--- a/memory/budget.go
+++ b/memory/budget.go
@@ -1,8 +1,8 @@
 // Package memory accounts for the memory that callers make a process hold, and decides who gives way when it runs short.
 //
 // Each connection, and each request of a peer, is a Holder. It is charged for what it costs, not for what was sent. When
-// the sum exceeds the budget, the holders that are still sending and hold most for longest are evicted. Idle ones follow
-// when there are too many.
+// the sum exceeds the budget, the holders that are still sending and hold most for longest are evicted. When there are too
+// many connections, idle ones follow, and then those with a request that no target is running.
 package memory
 
 import (
@@ -25,6 +25,12 @@
 	connectionBytes Bytes = 16 << 10
 	// An eviction goes on until lowMarkNum/lowMarkDen of the limits are in use, so that the next one is some way off.
 	lowMarkNum, lowMarkDen = 7, 8
+	// Of MaxHolders, one in newcomersDen may be receiving before they give way to holders of later phases. Otherwise those that
+	// have just connected would be the first to go while all others are busy.
+	newcomersDen = 8
+	// leastTime is how long a holder may stay when there are too many. If a crowd that connects again at once made holders give
+	// way sooner, none would be served.
+	leastTime = 200 * time.Millisecond
 	// While MaxHolders and one in evictedDen more are open, with evicted ones that have not closed yet, no further one is opened.
 	evictedDen = 16
 	// shedPause bounds the processor time that is spent while no holder can be evicted.
@@ -66,8 +72,8 @@
 	// Evicted and Freed are how many holders were evicted, and what they were charged for.
 	Evicted int
 	Freed   Bytes
-	// Idle is how many of the evicted holders had no request.
-	Idle int
+	// Idle is how many of the evicted holders had no request, and Busy how many had one that was complete.
+	Idle, Busy int
 	// LongestHeld is the longest time that one of the evicted had held its charges.
 	LongestHeld time.Duration
 }
@@ -85,8 +91,8 @@
 	if b == nil {
 		return nil
 	}
-	h := &Holder{budget: b, evict: evict}
-	h.since.Store(int64(b.Now()))
+	h := &Holder{budget: b, evict: evict, opened: b.Now()}
+	h.since.Store(int64(h.opened))
 	if evict == nil {
 		h.phase.Store(uint32(busy))
 		return h
@@ -106,7 +112,7 @@
 }
 
 // AwaitRoom returns a channel that is closed when there is room for another holder, nil if there is. Evicted holders that are not
-// closed yet count too. A nil Budget always has room.
+// closed yet count too. A nil Budget always has room. Room may also come by MakeRoom after some time.
 func (b *Budget) AwaitRoom() <-chan struct{} {
 	if b == nil {
 		return nil
@@ -122,6 +128,9 @@
 	return b.room
 }
 
+// MakeRoom evicts holders if there are too many that have been there for long enough.
+func (b *Budget) MakeRoom() { b.shed() }
+
 // hasRoom reports whether another holder may be opened. b.mu must be held.
 func (b *Budget) hasRoom() bool {
 	return b.MaxHolders == 0 || len(b.holders) <= b.MaxHolders+b.MaxHolders/evictedDen
@@ -139,7 +148,8 @@
 	holder *Holder
 	phase  phase
 	bytes  Bytes
-	age    time.Duration
+	// age is how long it has held its charges, open how long it has been open.
+	age, open time.Duration
 }
 
 // shed evicts holders until both limits are kept with some room. If those that can't be evicted leave no such room, the
@@ -155,9 +165,23 @@
 	candidates, evictable := b.candidates(now)
 	fixed := Bytes(b.used.Load()-b.leaving.Load()) - evictable
 	hopeless := fixed > b.Limit*lowMarkNum/lowMarkDen
+	receivers := 0
+	for _, c := range candidates {
+		if c.phase == receiving {
+			receivers++
+		}
+	}
 	for _, c := range candidates {
-		short := b.exceeds(b.Limit*lowMarkNum/lowMarkDen) && (!hopeless || c.bytes > SmallHolding) && c.bytes > 0
-		if short || b.tooMany(b.MaxHolders*lowMarkNum/lowMarkDen) {
+		short := b.exceeds(b.Limit*lowMarkNum/lowMarkDen) && (!hopeless || c.bytes > SmallHolding) && c.bytes > 0 && c.phase != busy
+		crowded := b.tooMany(b.MaxHolders*lowMarkNum/lowMarkDen) && c.open >= leastTime &&
+			(c.phase != receiving || receivers > b.MaxHolders/newcomersDen)
+		if (short || crowded) && b.evict(c, &result) && c.phase == receiving {
+			receivers--
+		}
+	}
+	for _, c := range candidates {
+		// The others are running.
+		if c.phase == receiving && c.open >= leastTime && b.tooMany(b.MaxHolders) {
 			b.evict(c, &result)
 		}
 	}
@@ -180,8 +204,11 @@
 	c.holder.leaving.Store(int64(c.bytes))
 	sum.Evicted++
 	sum.Freed += c.bytes
-	if c.phase == idle {
+	switch c.phase {
+	case idle:
 		sum.Idle++
+	case busy:
+		sum.Busy++
 	}
 	sum.LongestHeld = max(sum.LongestHeld, c.age)
 	c.holder.evict()
@@ -189,14 +216,17 @@
 }
 
 // candidates returns the holders that can be evicted, by phase and then first the one that holds most for longest, and the
-// sum of what they are charged for. b.mu must be held.
+// sum of what can be evicted for memory. b.mu must be held.
 func (b *Budget) candidates(now time.Duration) ([]candidate, Bytes) {
 	var sum Bytes
 	var all []candidate
 	for h := range b.holders {
-		c := candidate{h, phase(h.phase.Load()), Bytes(h.bytes.Load()), now - time.Duration(h.since.Load())}
-		if c.phase < busy {
-			all = append(all, c)
+		c := candidate{h, phase(h.phase.Load()), Bytes(h.bytes.Load()), now - time.Duration(h.since.Load()), now - h.opened}
+		if c.phase > busy {
+			continue
+		}
+		all = append(all, c)
+		if c.phase != busy {
 			sum += c.bytes
 		}
 	}
--- a/memory/budget_test.go
+++ b/memory/budget_test.go
@@ -77,6 +77,38 @@
 	is.Equal(b.evicted, []string{"1", "2"})
 }
 
+// Guards against connections with a request that keep newcomers out: those that no target is running give way, first the one
+// that has been there for longest, but not for memory. One that waits for its caller gives way too.
+func TestBusyHoldersMakeRoomForNewcomers(t *testing.T) {
+	is := is.New(t)
+	b := newTestBudget(1<<20, 8)
+	open := make(map[string]*Holder)
+	for _, name := range []string{"running", "awaitsCaller", "resumed", "waiting", "waitingLater", "6", "7", "8"} {
+		h := b.open(name)
+		is.True(h.Received())
+		open[name] = h
+		b.now += time.Second
+	}
+	for _, name := range []string{"running", "awaitsCaller", "resumed"} {
+		is.True(open[name].Run())
+	}
+	is.True(open["awaitsCaller"].AwaitCaller())
+	is.True(open["resumed"].AwaitCaller())
+	open["resumed"].Resume()
+	newcomer := b.open("newcomer")
+	is.Equal(b.evicted, []string{"awaitsCaller", "waiting"})
+	is.True(newcomer.Received())
+	is.True(!open["waiting"].Run())
+	open["awaitsCaller"].Resume()
+	is.True(open["awaitsCaller"].Evicted())
+	open["resumed"].Busy()
+	is.True(!open["resumed"].AwaitCaller())
+
+	is.True(open["waitingLater"].Grow(1 << 20))
+	is.True(!newcomer.Grow(SmallHolding + 1))
+	is.Equal(len(b.evicted), 2)
+}
+
 // Guards against connections that are only read to their end and outlast idle ones.
 func TestAnsweredHoldersGiveWayFirst(t *testing.T) {
 	is := is.New(t)
@@ -110,7 +142,7 @@
 			}
 			i := rapid.IntRange(0, len(open)-1).Draw(t, "holder")
 			h := open[i]
-			switch rapid.IntRange(0, 7).Draw(t, "step") {
+			switch rapid.IntRange(0, 9).Draw(t, "step") {
 			case 0:
 				h.Received()
 			case 1:
@@ -121,8 +153,12 @@
 				h.Close()
 				open = append(open[:i], open[i+1:]...)
 			case 4:
-				h.Discard()
+				h.Run()
 			case 5:
+				h.AwaitCaller()
+			case 6:
+				h.Discard()
+			case 7:
 				h.Ended()
 			default:
 				h.Grow(Bytes(rapid.IntRange(1, limit/2).Draw(t, "bytes")))
--- a/memory/holder.go
+++ b/memory/holder.go
@@ -1,6 +1,9 @@
 package memory
 
-import "sync/atomic"
+import (
+	"sync/atomic"
+	"time"
+)
 
 // phase is what a holder is doing. Holders of a lower phase are evicted first.
 type phase uint32
@@ -11,8 +14,11 @@
 	receiving phase = iota
 	// idle holders have no request.
 	idle
-	// busy holders have a request that may have been passed on. They are not evicted.
+	// busy holders have a request that no target is running, or that waits for its caller. They are evicted only if there
+	// are too many holders.
 	busy
+	// running holders have a request that a target may be running. They are not evicted.
+	running
 	evicted
 )
 
@@ -24,9 +30,10 @@
 	bytes  atomic.Int64
 	// leaving is what the holder was charged for when it was evicted.
 	leaving atomic.Int64
-	// since is the time since which the holder has held its charges.
-	since atomic.Int64
-	phase atomic.Uint32
+	// opened is when the holder was opened, and since the time since which it has held its charges.
+	opened time.Duration
+	since  atomic.Int64
+	phase  atomic.Uint32
 }
 
 // Grow charges the holder for n more bytes. It returns false, and charges nothing, if the budget has no room or the holder
@@ -79,9 +86,24 @@
 	return h.to(receiving)
 }
 
-// Received says that the holder can't be evicted from now on. It returns false if it was evicted before.
+// Received says that the head or body is complete. It returns false if the holder was evicted before.
 func (h *Holder) Received() bool { return h.to(busy) }
 
+// Run says that a target may run the request from now on, until Busy is called. It returns false if the holder was evicted.
+func (h *Holder) Run() bool { return h.to(running) }
+
+// Busy says that no target runs the request any more.
+func (h *Holder) Busy() { h.to(busy) }
+
+// AwaitCaller says that a request which is running waits for its caller, to send more of the body or to read more of the
+// response. It returns false if the request is not running.
+func (h *Holder) AwaitCaller() bool {
+	return h != nil && h.phase.CompareAndSwap(uint32(running), uint32(busy))
+}
+
+// Resume ends AwaitCaller. If a target has ended the request meanwhile, or the holder was evicted, it has no effect.
+func (h *Holder) Resume() { h.phase.CompareAndSwap(uint32(busy), uint32(running)) }
+
 // Discard says that the request was answered and only the rest of its body is awaited.
 func (h *Holder) Discard() { h.to(receiving) }
 
