entry: an unread response gives up its target's slot while others wait for it

What callers saw: callers that start large responses and read nothing take all slots of a pool until the deadlines of their requests, with a route of 300 s for minutes; ordinary requests on the route get no answer meanwhile. Cause: of stalled callers 256 direct and 32 forwarded ones are kept, more than the slots of most pools, whoever waits. Change: when a write of a response has taken 2 s and another request would have to wait for a slot, the response is cut off: the caller's connection is closed, or the stream to the entry that forwarded it is reset. While slots are free, stalled callers are left alone as before: a link may be cut for seconds. The evidence on the target is that of a caller that left. Evidence: TestHostileUnreadResponses (300 callers of 32 MiB each, 24 slots) failed on the code before, at the owner and forwarded: no ordinary request served in 30 s.

--- a/entry/callerconn.go
+++ b/entry/callerconn.go
@@ -81,6 +81,8 @@
 	writtenAt time.Time
 	// writeCheckAt is when a write that is held up returns.
 	writeCheckAt time.Time
+	// writeAborted says that abortWrite was called.
+	writeAborted bool
 	// responseDeadline is the deadline of the request that is being answered; zero if it has none.
 	responseDeadline time.Time
 	// forwarded says that the response comes from a peer.
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -184,6 +184,9 @@
 	return s.ResponseWriter.WriteHeader(h)
 }
 
+// AbortWrite implements writeAborter.
+func (s *startedWriter) AbortWrite() { abortWrite(s.ResponseWriter) }
+
 // Flush implements flusher.
 func (s *startedWriter) Flush() {
 	if f, ok := s.ResponseWriter.(flusher); ok {
--- a/entry/responsewriter.go
+++ b/entry/responsewriter.go
@@ -77,6 +77,13 @@
 	_ = cw.controller.Flush()
 }
 
+// AbortWrite implements writeAborter.
+func (cw *callerWriter) AbortWrite() {
+	if cw.conn != nil {
+		cw.conn.abortWrite()
+	}
+}
+
 // closeAfterResponse makes the server close the connection after a response whose header may have been sent. The rest of
 // the request's body must not be parsed as the next request. net/http has no call for this, but closes connections on
 // which a body exceeded the limit of a MaxBytesReader.
@@ -135,6 +142,9 @@
 	}
 }
 
+// AbortWrite implements writeAborter.
+func (r *responseRecorder) AbortWrite() { abortWrite(r.ResponseWriter) }
+
 // Finish implements peer.ResponseWriter.
 func (r *responseRecorder) Finish(trailer http.Header) error {
 	r.trailer = trailer
--- a/entry/slowreader.go
+++ b/entry/slowreader.go
@@ -105,11 +105,14 @@
 		now := time.Now()
 		c.mu.Lock()
 		c.writtenAt = now
-		deadline, forwarded := c.responseDeadline, c.forwarded
+		deadline, forwarded, aborted := c.responseDeadline, c.forwarded, c.writeAborted
 		c.mu.Unlock()
 		if !errors.Is(err, os.ErrDeadlineExceeded) || c.isClosed() {
 			return written, err
 		}
+		if aborted {
+			return written, errCallerStalled
+		}
 		if heldUpSince.IsZero() {
 			c.memory.heldUp.Store(true)
 			defer c.memory.heldUp.Store(false)
@@ -126,6 +129,14 @@
 	}
 }
 
+// abortWrite makes the pending write, and all further ones, fail.
+func (c *callerConn) abortWrite() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writeAborted = true
+	_ = c.SetWriteDeadline(longAgo) // an error means that the connection is closed
+}
+
 // armWriteCheck makes a write that is held up return within writeCheckInterval, on an evicted connection within
 // evictedWriteTime.
 func (c *callerConn) armWriteCheck() {
@@ -136,7 +147,7 @@
 		_ = c.SetWriteDeadline(now.Add(evictedWriteTime)) // an error means that the connection is closed, which the write reports
 		return
 	}
-	if c.writeCheckAt.Sub(now) < writeCheckInterval/2 {
+	if !c.writeAborted && c.writeCheckAt.Sub(now) < writeCheckInterval/2 {
 		c.writeCheckAt = now.Add(writeCheckInterval)
 		_ = c.SetWriteDeadline(c.writeCheckAt) // an error means that the connection is closed, which the write reports
 	}
--- a/peer/error.go
+++ b/peer/error.go
@@ -88,6 +88,8 @@
 	codeProtocol
 	// codeStopping says that the handler is not called for the request of this stream.
 	codeStopping
+	// codeStalled says that the response is truncated because its caller did not read it.
+	codeStalled
 )
 
 // Codes of connection closes.
--- a/peer/serve.go
+++ b/peer/serve.go
@@ -185,6 +185,9 @@
 	return written, nil
 }
 
+// AbortWrite makes a pending write fail, and tells the sender of the request that the response is truncated.
+func (w *responseWriter) AbortWrite() { w.stream.CancelWrite(codeStalled) }
+
 // Finish sends the end frame with the trailer.
 func (w *responseWriter) Finish(trailer http.Header) error {
 	w.mu.Lock()
--- a/process/hostile_held_test.go
+++ b/process/hostile_held_test.go
@@ -3,14 +3,24 @@
 package process
 
 import (
+	"bytes"
+	"fmt"
 	"io"
 	"testing"
+	"time"
 
+	"github.com/bilberrywood/bilberrywood/fleet"
 	"github.com/bilberrywood/bilberrywood/settings"
 )
 
-// smallestVMMemoryMB is the memory of the smallest VMs of the operators, which bounds an entry whose settings name none.
-const smallestVMMemoryMB = 136
+const (
+	// smallestVMMemoryMB is the memory of the smallest VMs of the operators, which bounds an entry whose settings name none.
+	smallestVMMemoryMB = 136
+	// unreadResponseBytes is more than the kernel's buffers on both sides of a connection hold.
+	unreadResponseBytes = 32 << 20
+	// longTimeoutMs outlasts a test.
+	longTimeoutMs = 300_000
+)
 
 // headShapes are heads of many short lines within the limit of the settings.
 var headShapes = []struct {
@@ -21,6 +31,30 @@
 	{"finished", append(append([]byte("GET /v1/status HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n"), shortLines(hostileHeadBytes)...), "\r\nx"...)},
 }
 
+// allowLongRequests gives the requests of all routes more time than a test takes.
+func (h *testHarness) allowLongRequests() {
+	h.t.Helper()
+	for i := range h.routes.Routes {
+		h.routes.Routes[i].TimeoutMs = longTimeoutMs
+	}
+	revision := h.publish()
+	for _, r := range h.fleetList {
+		h.await("the times of the routes are in force", func() bool { return h.status(r.ID).Revision >= revision })
+	}
+}
+
+// ownerAndOther returns the owner of the lookups, and another entry.
+func (h *testHarness) ownerAndOther() (owner, other fleet.EntryID) {
+	h.t.Helper()
+	owner = h.ownerSeenBy(h.fleetList[0].ID, lookups)
+	for _, r := range h.fleetList {
+		if r.ID != owner {
+			other = r.ID
+		}
+	}
+	return owner, other
+}
+
 // Guards against the memory that heads cost at the operators' address.
 func TestHostileOperatorHeads(t *testing.T) {
 	for _, shape := range headShapes {
@@ -84,3 +118,50 @@
 	}
 	h.checkOrdinary(id)
 }
+
+// Guards against heads that an entry forwards and that fill the memory of the owner while its targets are slow.
+func TestHostileForwardedHeads(t *testing.T) {
+	h := hostileHarness(t, 2, 2*time.Second, nil)
+	h.allowLongRequests()
+	owner, other := h.ownerAndOther()
+	head := append([]byte(requestHead("Content-Length: 0\r\n")), shortLines(hostileHeadBytes)...)
+	head = append(head, "\r\n"...)
+	c := h.newCrowd(other, func(_ int, w io.Writer) error {
+		_, err := w.Write(head)
+		return err
+	})
+	defer c.close()
+	h.checkBounds(owner)
+	h.checkBounds(other)
+	// The targets of the lookups may be busy with the crowd.
+	h.checkServed(other, notices)
+	h.checkServed(owner, notices)
+}
+
+// Guards against large responses that nobody reads: their memory, the slots of their targets, and the link between two entries.
+func TestHostileUnreadResponses(t *testing.T) {
+	for _, shape := range []struct {
+		name    string
+		entries int
+	}{{"direct", 1}, {"forwarded", 2}} {
+		t.Run(shape.name, func(t *testing.T) {
+			h := hostileHarness(t, shape.entries, 0, nil)
+			h.allowLongRequests()
+			owner, other := h.ownerAndOther()
+			if other == "" {
+				other = owner
+			}
+			request := fmt.Appendf(nil, "GET /%s/x?bytes=%d HTTP/1.1\r\nHost: x\r\n\r\n", lookups, unreadResponseBytes)
+			c := h.newCrowd(other, func(_ int, w io.Writer) error {
+				_, err := io.Copy(w, bytes.NewReader(request))
+				return err
+			})
+			defer c.close()
+			h.checkBounds(owner)
+			h.checkBounds(other)
+			h.checkServed(other, notices)
+			h.checkOrdinary(other)
+			h.checkOrdinary(owner)
+		})
+	}
+}
