settings: no more connections than the memory bears

What callers saw: on the smallest VMs (136 MB, 2,870 descriptors) an entry with as many connections as it accepts, all with answers that nobody reads, exceeds its memory and is ended. Cause: three quarters of the descriptors, 2,152 connections, take about 45 KiB each for stacks and buffers while they have a request, which the budget for heads and bodies does not count. Change: half of the memory, in connections of 48 KiB, limits their number too: 1,450 with 136 MB, 1,962 with 184, 3,029 with 284, 5,717 with 536.

--- a/settings/memory.go
+++ b/settings/memory.go
@@ -13,21 +13,16 @@
 	// callerConnectionsFraction is the part of the descriptors for connections of callers. The others are for targets,
 	// peers, the platform and files.
 	callerConnectionsFraction = 0.75
-	// connectionBytes is what a connection without a request takes about. It limits their number if that of the descriptors is
-	// unknown.
-	connectionBytes = 16 << 10
-	// smallestMemoryMB is the memory of the operators' smallest VMs. The memory for requests fits them if that of the VM is
-	// unknown.
+	// connectionMemoryDivisor is the part of the memory for connections that have a request each, and connectionBytes what
+	// such a connection takes besides its head and body: stacks and buffers.
+	connectionMemoryDivisor = 2
+	connectionBytes         = 48 << 10
+	// smallestMemoryMB is the memory of the operators' smallest VMs. The limits fit them if the memory of the VM is unknown.
 	smallestMemoryMB = 136
 )
 
 // RequestBytes returns the memory for the heads and bodies of requests.
-func (v VM) RequestBytes() int64 {
-	if v.MemoryMB == 0 {
-		v.MemoryMB = smallestMemoryMB
-	}
-	return v.memoryBytes() / requestMemoryDivisor
-}
+func (v VM) RequestBytes() int64 { return v.leastMemoryBytes() / requestMemoryDivisor }
 
 // HeapLimit returns the soft limit for the runtime's memory, 0 if the memory of the VM is unknown.
 func (v VM) HeapLimit() int64 {
@@ -36,10 +31,19 @@
 
 // CallerConnections returns how many connections callers may have open.
 func (v VM) CallerConnections() int {
+	connections := int(v.leastMemoryBytes() / connectionMemoryDivisor / connectionBytes)
 	if v.MaxDescriptors == 0 {
-		return int(v.RequestBytes() / connectionBytes)
+		return connections
 	}
-	return int(v.MaxDescriptors * callerConnectionsFraction)
+	return min(connections, int(v.MaxDescriptors*callerConnectionsFraction))
 }
 
 func (v VM) memoryBytes() int64 { return int64(v.MemoryMB * (1 << 20)) }
+
+// leastMemoryBytes returns the memory of the VM, that of the smallest VMs if it is unknown.
+func (v VM) leastMemoryBytes() int64 {
+	if v.MemoryMB == 0 {
+		v.MemoryMB = smallestMemoryMB
+	}
+	return v.memoryBytes()
+}
--- a/settings/vm.go
+++ b/settings/vm.go
@@ -16,11 +16,10 @@
 	CPUSpeed float64 `json:"cpuSpeed,omitempty"`
 	// LinkMbps is the bandwidth of the VM's network link in Mbit/s.
 	LinkMbps float64 `json:"linkMbps,omitempty"`
-	// MemoryMB is the memory of the process in MB, from which the budget for requests of callers is derived. If it is unknown,
-	// the budget is that of 136 MB.
+	// MemoryMB is the memory of the process in MB, from which the budget for requests of callers and a limit on their connections
+	// are derived. If it is unknown, they are those of 136 MB.
 	MemoryMB float64 `json:"memoryMb,omitempty"`
-	// MaxDescriptors is the number of files and sockets that the process may have open. If it is unknown, the memory limits the
-	// connections of callers.
+	// MaxDescriptors is the number of files and sockets that the process may have open, which also limits the connections of callers.
 	MaxDescriptors float64 `json:"maxDescriptors,omitempty"`
 }
 
