entry: the check of a held-up write outlasts the response before it

What callers saw: a caller that reads the first answers on a connection and then none holds the connection, and the slot of its target, without end: neither the deadline of the request nor an eviction ends the write. Cause: Write sets a deadline for its check at most each 125 ms, and net/http clears the deadline behind each response. A write that blocks soon after an earlier response had no deadline. Change: SetWriteDeadline forgets the check, so that the next write sets it again. The 431 of a head that is too large has its limit as the deadline of its response. Evidence: TestHeldUpWriteEndsBehindEarlierResponse failed before: the write still waited after 10 s.

--- a/entry/callermemory.go
+++ b/entry/callermemory.go
@@ -253,9 +253,7 @@
 func (c *callerConn) refuseHead() {
 	const response = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Type: text/plain; charset=utf-8\r\n" +
 		"Content-Length: 31\r\nConnection: close\r\n\r\nRequest Header Fields Too Large"
-	if c.SetWriteDeadline(time.Now().Add(lingerTime)) != nil {
-		return
-	}
+	c.beginResponse(time.Now().Add(lingerTime))
 	_, _ = c.Write([]byte(response)) // an error means that the caller has left
 }
 
--- a/entry/slowreader.go
+++ b/entry/slowreader.go
@@ -129,12 +129,24 @@
 	}
 }
 
+// SetWriteDeadline implements net.Conn. The server clears the deadline behind each response, so the next write must set that
+// of its check again.
+func (c *callerConn) SetWriteDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.writeAborted {
+		return nil
+	}
+	c.writeCheckAt = time.Time{}
+	return c.Conn.SetWriteDeadline(t)
+}
+
 // abortWrite makes the pending write, and all further ones, fail.
 func (c *callerConn) abortWrite() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.writeAborted = true
-	_ = c.SetWriteDeadline(longAgo) // an error means that the connection is closed
+	_ = c.Conn.SetWriteDeadline(longAgo) // an error means that the connection is closed
 }
 
 // armWriteCheck makes a write that is held up return within writeCheckInterval, on an evicted connection within
@@ -144,12 +156,12 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.memory.holder.Evicted() {
-		_ = c.SetWriteDeadline(now.Add(evictedWriteTime)) // an error means that the connection is closed, which the write reports
+		_ = c.Conn.SetWriteDeadline(now.Add(evictedWriteTime)) // an error means that the connection is closed, which the write reports
 		return
 	}
 	if !c.writeAborted && c.writeCheckAt.Sub(now) < writeCheckInterval/2 {
 		c.writeCheckAt = now.Add(writeCheckInterval)
-		_ = c.SetWriteDeadline(c.writeCheckAt) // an error means that the connection is closed, which the write reports
+		_ = c.Conn.SetWriteDeadline(c.writeCheckAt) // an error means that the connection is closed, which the write reports
 	}
 }
 
--- a/entry/slowreader_test.go
+++ b/entry/slowreader_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"io"
 	"net"
 	"sync/atomic"
 	"testing"
@@ -56,3 +57,28 @@
 		is.NoErr(c.Conn.Close())
 	}
 }
+
+// Guards against a write that waits for a caller without end, because the server has cleared the deadline behind an earlier
+// response.
+func TestHeldUpWriteEndsBehindEarlierResponse(t *testing.T) {
+	is := is.New(t)
+	entryEnd, callerEnd := net.Pipe()
+	defer callerEnd.Close()
+	c := &callerConn{Conn: entryEnd, lingering: new(atomic.Int64)}
+	c.beginResponse(time.Now())
+	go func() { _, _ = io.ReadFull(callerEnd, make([]byte, len("first"))) }()
+	_, err := c.Write([]byte("first"))
+	is.NoErr(err)
+	is.NoErr(c.SetWriteDeadline(time.Time{}))
+	written := make(chan error, 1)
+	go func() {
+		_, err := c.Write([]byte("second"))
+		written <- err
+	}()
+	select {
+	case err = <-written:
+		is.Equal(err, errCallerStalled)
+	case <-time.After(10 * time.Second):
+		t.Fatal("the write still waits")
+	}
+}
