entry: a slow reader does not count as stalled while it reads

What callers would see: with the change on unread responses, one that reads slowly, or behind a narrow link, was cut off when a part of 32 KiB took it 2 s while other requests waited for slots. Cause: the watch measured how long a write was pending, not whether it made progress. Change: the writer says whether it has stalled: a caller's connection by the time since its last byte, as for the other limits (2 s), a stream to a peer by the time that a part waits for the window, which opens in parts of 64 KiB (4 s, so that 16 KiB/s suffice). The watch wraps no writer any more. The times are monotonic. TestUnreadResponseGivesUpItsSlot holds through a wrapped writer. memory.Holder.Ended is called Linger now.

--- a/entry/callerconn.go
+++ b/entry/callerconn.go
@@ -81,6 +81,8 @@
 	writtenAt time.Time
 	// writeCheckAt is when a write that is held up returns.
 	writeCheckAt time.Time
+	// heldUpSince is since when a write has waited for the caller to read; nil if none does.
+	heldUpSince atomic.Pointer[time.Time]
 	// writeAborted says that abortWrite was called.
 	writeAborted bool
 	// responseDeadline is the deadline of the request that is being answered; zero if it has none.
@@ -419,7 +421,7 @@
 		return c.Conn.Close()
 	}
 	c.memory.answered.Store(true)
-	c.memory.holder.Ended()
+	c.memory.holder.Linger()
 	// The expired deadline ends a pending Read of the server.
 	if c.CloseWrite() != nil || c.Conn.SetReadDeadline(longAgo) != nil {
 		c.memory.holder.Close()
--- a/entry/callermemory.go
+++ b/entry/callermemory.go
@@ -179,8 +179,6 @@
 	// inHead says that a head is awaited or being read; headBytes is how much of it has been read.
 	inHead    atomic.Bool
 	headBytes int
-	// heldUp says that a write waits for the caller to read.
-	heldUp atomic.Bool
 	// answered says that the response was written and the connection is only read to its end.
 	answered atomic.Bool
 }
@@ -260,7 +258,7 @@
 // evict closes the connection if it has no request, an answered one, or one whose response is not read. Otherwise it makes the
 // reads fail and cancels the request, which gets a refusal.
 func (c *callerConn) evict() {
-	if c.memory.inHead.Load() || c.memory.answered.Load() || c.memory.heldUp.Load() {
+	if c.memory.inHead.Load() || c.memory.answered.Load() || c.heldUpSince.Load() != nil {
 		_ = c.Conn.Close() // nothing depends on what the connection still has
 		return
 	}
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -184,8 +184,8 @@
 	return s.ResponseWriter.WriteHeader(h)
 }
 
-// AbortWrite implements writeAborter.
-func (s *startedWriter) AbortWrite() { abortWrite(s.ResponseWriter) }
+// Unwrap returns the writer of the peer's stream.
+func (s *startedWriter) Unwrap() peer.ResponseWriter { return s.ResponseWriter }
 
 // Flush implements flusher.
 func (s *startedWriter) Flush() {
--- a/entry/place.go
+++ b/entry/place.go
@@ -308,8 +308,8 @@
 // streamResponse passes a response on as it arrives.
 func (p *placement) streamResponse(d pool.Decision, o pool.Outcome, resp *target.Response) *refusal {
 	var attempt *target.AttemptError
-	w, stopWatch := watchWriter(p.x.responseWriter, p.cell.saturated)
-	defer stopWatch()
+	w := p.x.responseWriter
+	defer watchResponse(w, p.cell.saturated)()
 	err := w.WriteHeader(p.e.responseHeader(resp, p.cell.target(d.Target)))
 	heldUp := time.Duration(0)
 	if err == nil {
--- a/entry/responsewriter.go
+++ b/entry/responsewriter.go
@@ -77,12 +77,11 @@
 	_ = cw.controller.Flush()
 }
 
-// AbortWrite implements writeAborter.
-func (cw *callerWriter) AbortWrite() {
-	if cw.conn != nil {
-		cw.conn.abortWrite()
-	}
-}
+// Stalled implements stallable.
+func (cw *callerWriter) Stalled() bool { return cw.conn != nil && cw.conn.stalledFor() >= stalledAfter }
+
+// AbortWrite implements stallable.
+func (cw *callerWriter) AbortWrite() { cw.conn.abortWrite() }
 
 // closeAfterResponse makes the server close the connection after a response whose header may have been sent. The rest of
 // the request's body must not be parsed as the next request. net/http has no call for this, but closes connections on
@@ -142,8 +141,8 @@
 	}
 }
 
-// AbortWrite implements writeAborter.
-func (r *responseRecorder) AbortWrite() { abortWrite(r.ResponseWriter) }
+// Unwrap returns the writer that the response is passed on to.
+func (r *responseRecorder) Unwrap() peer.ResponseWriter { return r.ResponseWriter }
 
 // Finish implements peer.ResponseWriter.
 func (r *responseRecorder) Finish(trailer http.Header) error {
--- a/entry/slowreader.go
+++ b/entry/slowreader.go
@@ -114,14 +114,14 @@
 			return written, errCallerStalled
 		}
 		if heldUpSince.IsZero() {
-			c.memory.heldUp.Store(true)
-			defer c.memory.heldUp.Store(false)
+			defer c.heldUpSince.Store(nil)
 			if c.memory.holder.AwaitCaller() {
 				defer c.memory.holder.Resume()
 			}
 		}
 		if n > 0 || heldUpSince.IsZero() {
 			heldUpSince = now
+			c.heldUpSince.Store(&now)
 		}
 		if err := c.mayHoldUp(now, heldUpSince, deadline, forwarded); err != nil {
 			return written, err
@@ -129,6 +129,15 @@
 	}
 }
 
+// stalledFor returns how long a write has waited for the caller to read; 0 if none does.
+func (c *callerConn) stalledFor() time.Duration {
+	since := c.heldUpSince.Load()
+	if since == nil {
+		return 0
+	}
+	return time.Since(*since)
+}
+
 // SetWriteDeadline implements net.Conn. The server clears the deadline behind each response, so the next write must set that
 // of its check again.
 func (c *callerConn) SetWriteDeadline(t time.Time) error {
--- a/memory/holder.go
+++ b/memory/holder.go
@@ -101,7 +101,7 @@
 	return h != nil && h.phase.CompareAndSwap(uint32(running), uint32(busy))
 }
 
-// Resume ends AwaitCaller. If a target has ended the request meanwhile, or the holder was evicted, it has no effect.
+// Resume ends AwaitCaller. It has no effect if the request was answered or evicted meanwhile.
 func (h *Holder) Resume() { h.phase.CompareAndSwap(uint32(busy), uint32(running)) }
 
 // Discard says that the request was answered and only the rest of its body is awaited.
@@ -117,8 +117,8 @@
 	h.to(idle)
 }
 
-// Ended says that the connection is only read to its end, and gives back all charges.
-func (h *Holder) Ended() {
+// Linger says that the connection is only read to its end, and gives back all charges.
+func (h *Holder) Linger() {
 	if h == nil {
 		return
 	}
--- a/peer/serve.go
+++ b/peer/serve.go
@@ -5,6 +5,8 @@
 	"errors"
 	"net/http"
 	"sync"
+	"sync/atomic"
+	"time"
 
 	"github.com/quic-go/quic-go"
 
@@ -141,6 +143,8 @@
 // responseWriter implements ResponseWriter on a stream.
 type responseWriter struct {
 	stream *quic.Stream
+	// writingSince is when the pending write of a part of the body has begun; nil if none is pending.
+	writingSince atomic.Pointer[time.Time]
 
 	mu         sync.Mutex
 	headerSent bool
@@ -174,9 +178,12 @@
 	defer frameBuffers.Put(buffer)
 	b := *buffer
 	written := 0
+	defer w.writingSince.Store(nil)
 	for written < len(p) {
 		n := copy(b[frameHeaderSize:], p[written:])
 		putFrameHeader(b, frameBody, n)
+		now := time.Now()
+		w.writingSince.Store(&now)
 		if _, err := w.stream.Write(b[:frameHeaderSize+n]); err != nil {
 			return written, errorClass.Wrap(err)
 		}
@@ -185,6 +192,16 @@
 	return written, nil
 }
 
+// stalledAfter is how long a write to a stream may take until its reader counts as stalled. The window of a stream opens in
+// parts of tens of kilobytes, so that a caller that reads slowly holds up a write for seconds.
+const stalledAfter = 4 * time.Second
+
+// Stalled reports whether a part of the body has waited for stalledAfter to be sent.
+func (w *responseWriter) Stalled() bool {
+	since := w.writingSince.Load()
+	return since != nil && time.Since(*since) >= stalledAfter
+}
+
 // AbortWrite makes a pending write fail, and tells the sender of the request that the response is truncated.
 func (w *responseWriter) AbortWrite() { w.stream.CancelWrite(codeStalled) }
 
