--- a/process/hostile_held_test.go
+++ b/process/hostile_held_test.go
@@ -102,7 +102,7 @@
 func TestHostileWithoutDescriptorSetting(t *testing.T) {
 	const (
 		memoryMB = 16
-		// bound has a quarter of the memory in connections of 16 KiB, and the descriptors of targets, peers and files.
+		// bound allows connections of 16 KiB in a quarter of the memory, and the descriptors of targets, peers and files.
 		bound = memoryMB<<20/4/(16<<10) + 44
 	)
 	h := hostileHarness(t, 1, 0, func(s *settings.Entry) { s.VM.MemoryMB = memoryMB })
@@ -165,3 +165,27 @@
 		})
 	}
 }
+
+// Guards against bodies that many entries forward to one owner, where they wait unread while its targets are busy.
+func TestHostileForwardedFromMany(t *testing.T) {
+	const (
+		entries  = 4
+		bodySize = 200_000
+	)
+	h := hostileHarness(t, entries, 2*time.Second, nil)
+	h.allowLongRequests()
+	owner, _ := h.ownerAndOther()
+	for _, r := range h.fleetList {
+		if r.ID != owner {
+			c := h.newCrowd(r.ID, func(_ int, w io.Writer) error { return hostileBody(w, true, bodySize, 10_000, 1) })
+			defer c.close()
+		}
+	}
+	for _, r := range h.fleetList {
+		h.checkBounds(r.ID)
+	}
+	// The targets of the lookups may be busy with the crowd.
+	for _, r := range h.fleetList {
+		h.checkServed(r.ID, notices)
+	}
+}
