entry: at most 16 KiB of further requests are read ahead

What callers saw: with as many connections as an entry accepts, each with pipelined requests, the process exceeds its memory when it gets little processor time. Cause: each connection kept up to 64 KiB of further requests, in a slice that grows by doubling. With 150 connections what is live comes near the runtime's limit of 40 MB, and the collector, which may take half of the processor at most, falls behind. Change: 16 KiB, as much as a holder always has. Reading ahead only serves to notice that a caller has left.

--- a/entry/callerconn.go
+++ b/entry/callerconn.go
@@ -16,7 +16,7 @@
 
 const (
 	// maxReadAhead is how many bytes of further requests are read while a response is pending.
-	maxReadAhead = 64 << 10
+	maxReadAhead = 16 << 10
 	// lingerTime is how long a connection is read after its last response. The kernel resets a closed connection on which
 	// bytes are unread or arrive, and the caller might lose the response.
 	lingerTime = 500 * time.Millisecond
